Set up the workspace and the shared vocabulary

Cause: every part needs the same errors, labels, times, messages and store calls. Ruled out: one crate for all (the daemon's sockets would leak into the decisions). Conclusion: a library of decisions and formats, a daemon, a CLI, stand-ins, a bench.

--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Benchmarks that drive the shipping decisions.
+fn main() {}
--- /dev/null
+++ b/marigoldglade-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The marigoldglade command line.
+fn main() {}
--- /dev/null
+++ b/marigoldglade/src/api.rs
@@ -0,0 +1,213 @@
+//! What callers and operators send and get over HTTP.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use crate::error::{Error, Kind, Result, Run};
+use crate::label::{Labels, is_word};
+use crate::time::UnixMs;
+
+/// The header that names the caller.
+pub const CALLER_HEADER: &str = "mg-caller";
+/// The header that names the workspace.
+pub const WORKSPACE_HEADER: &str = "mg-workspace";
+/// The header with labels, as `key=value, key=value`.
+pub const LABELS_HEADER: &str = "mg-labels";
+/// The header with the deadline, in milliseconds since the Unix epoch.
+pub const DEADLINE_HEADER: &str = "mg-deadline";
+/// The header that says `true` when a request may run more than once.
+pub const IDEMPOTENT_HEADER: &str = "mg-idempotent";
+/// The header with the caller's idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// The header with the request's id, which a target echoes in its answer.
+pub const REQUEST_ID_HEADER: &str = "mg-request-id";
+/// The header in which a target says `no` when it didn't run the request.
+pub const RUN_HEADER: &str = "mg-run";
+/// The header in which a target says `true` when it is leaving.
+pub const LEAVING_HEADER: &str = "mg-leaving";
+/// The header that carries the trace (W3C Trace Context).
+pub const TRACE_HEADER: &str = "traceparent";
+
+/// The largest gang, in tasks.
+pub const GANG_LIMIT: u16 = 128;
+/// Accelerators of a worker.
+pub const WORKER_ACCELS: u8 = 8;
+
+/// What a gang is made of: `tasks` tasks, each with `accels` accelerators of one worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Shape {
+    /// The number of tasks, from 1 to [`GANG_LIMIT`].
+    pub tasks: u16,
+    /// The accelerators of each task, from 1 to [`WORKER_ACCELS`].
+    pub accels: u8,
+}
+
+impl Shape {
+    /// Returns the accelerators of the whole gang.
+    #[must_use]
+    pub const fn total(self) -> u32 {
+        self.tasks as u32 * self.accels as u32
+    }
+}
+
+/// A job as its caller submits it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSpec {
+    /// The workspace that pays.
+    pub workspace: String,
+    /// The caller's idempotency key, unique in the workspace.
+    pub key: String,
+    /// Labels that selectors see.
+    #[serde(default)]
+    pub labels: Labels,
+    /// The gang.
+    pub shape: Shape,
+    /// Whether a stopped task can go on later from a checkpoint.
+    #[serde(default)]
+    pub checkpoint: bool,
+    /// Whether the job may be started again after a failure.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// The run time that the caller expects, in milliseconds; a hint only.
+    #[serde(default)]
+    pub run_ms: u64,
+    /// The point after which the job is of no use.
+    #[serde(default = "no_deadline")]
+    pub end: UnixMs,
+    /// What the tasks are to do; the workers read it.
+    #[serde(default)]
+    pub body: String,
+}
+
+const fn no_deadline() -> UnixMs {
+    UnixMs::MAX
+}
+
+impl JobSpec {
+    /// Checks everything that needs no configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadInput`] naming the field and what was expected, [`Kind::Expired`] when the
+    /// deadline has passed.
+    pub fn check(&self, now: UnixMs) -> Result<()> {
+        for (field, text) in [("workspace", &self.workspace), ("key", &self.key)] {
+            if !is_word(text) {
+                return Err(bad(format!("{field}: expected 1 to 128 word characters")));
+            }
+        }
+        for (key, value) in &self.labels {
+            if !is_word(key) || !is_word(value) {
+                return Err(bad(format!("labels: '{key}' or its value isn't a word")));
+            }
+        }
+        if !(1..=GANG_LIMIT).contains(&self.shape.tasks) {
+            return Err(bad(format!("shape.tasks: expected 1 to {GANG_LIMIT}")));
+        }
+        if !(1..=WORKER_ACCELS).contains(&self.shape.accels) {
+            return Err(bad(format!("shape.accels: expected 1 to {WORKER_ACCELS}")));
+        }
+        if self.end.passed(now) {
+            return Err(Error::new(Kind::Expired, "end: the deadline has passed"));
+        }
+        Ok(())
+    }
+}
+
+fn bad(detail: String) -> Error {
+    Error::new(Kind::BadInput, detail)
+}
+
+/// Where a job stands.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    PartialEq,
+    Eq,
+    Hash,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// Accepted, waiting for a place.
+    Waiting,
+    /// A place was found; the gang is being prepared or started.
+    Starting,
+    /// The whole gang runs.
+    Running,
+    /// The gang is being stopped.
+    Stopping,
+    /// It ended and all its tasks were done.
+    Done,
+    /// It ended because a task failed.
+    Failed,
+    /// It ended by its caller's or an operator's cancel.
+    Cancelled,
+    /// It ended because its deadline passed.
+    Expired,
+    /// It ended and whether it ran can't be known.
+    Unknown,
+}
+
+impl State {
+    /// Returns whether a job in this state has ended.
+    #[must_use]
+    pub const fn ended(self) -> bool {
+        matches!(
+            self,
+            Self::Done | Self::Failed | Self::Cancelled | Self::Expired | Self::Unknown
+        )
+    }
+}
+
+/// A job as callers see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobView {
+    /// The job's id: the data centre that owns it, the workspace and the key.
+    pub id: String,
+    /// Where it stands.
+    pub state: State,
+    /// How often it was started.
+    pub attempt: u32,
+    /// The VMs its tasks were placed on last.
+    pub vms: Vec<String>,
+    /// Why it stands there, in words.
+    pub reason: String,
+    /// The result of a finished job, as its first task told it.
+    #[serde(default)]
+    pub result: String,
+}
+
+/// The body of an answer that tells an error.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// The kind, from the closed list.
+    pub kind: Kind,
+    /// What happened, for a person.
+    pub detail: String,
+    /// Whether the work may have run.
+    pub run: Run,
+    /// Whether the same call may succeed later.
+    pub retryable: bool,
+}
+
+impl From<&Error> for Problem {
+    fn from(e: &Error) -> Self {
+        let answer = e.kind.answer();
+        Self {
+            kind: e.kind,
+            detail: e.detail.clone(),
+            run: answer.run,
+            retryable: answer.retryable,
+        }
+    }
+}
--- /dev/null
+++ b/marigoldglade/src/error.rs
@@ -0,0 +1,164 @@
+//! The one closed list of error kinds, and the table from a kind to the answer a caller gets.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+/// A result whose error carries a [`Kind`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Everything that can go wrong, as callers and operators see it.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// The input can't be understood.
+    BadInput,
+    /// The input is larger than its bound.
+    TooLarge,
+    /// The peer took too long to send its input.
+    SlowInput,
+    /// No such route, job, workspace, service or VM.
+    NotFound,
+    /// The method isn't offered on this route.
+    BadMethod,
+    /// The deadline has passed before anything was sent.
+    Expired,
+    /// The queue is full or the deadline can't be met; the work was shed.
+    Shed,
+    /// The caller or workspace is above its share or quota.
+    OverQuota,
+    /// No target can take the work now.
+    NoTarget,
+    /// No target could ever run the work.
+    Impossible,
+    /// The daemon is stopping and takes no new work.
+    Stopping,
+    /// The daemon isn't ready: it has no configuration yet.
+    NotReady,
+    /// The key-value service can't be reached and the work needs it.
+    StoreDown,
+    /// The idempotency key was used before, for the same work or another.
+    Duplicate,
+    /// Another writer was first; nothing was changed.
+    Conflict,
+    /// The target failed after the work may have started.
+    TargetFailed,
+    /// The deadline passed after the work was sent.
+    Timeout,
+    /// The target's answer was truncated, crossed, doubled or too large.
+    BadAnswer,
+    /// The outcome can't be known.
+    Unknown,
+    /// The job was cancelled.
+    Cancelled,
+    /// The peer isn't one of ours, or speaks another version.
+    BadPeer,
+    /// A fault inside marigoldglade.
+    Internal,
+}
+
+/// Whether the work may have run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, EnumString, Serialize, Deserialize)]
+#[strum(serialize_all = "lowercase")]
+#[serde(rename_all = "lowercase")]
+pub enum Run {
+    /// It provably didn't run.
+    No,
+    /// It may have run.
+    Maybe,
+}
+
+/// What a caller is told for a [`Kind`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// Whether the work may have run.
+    pub run: Run,
+    /// Whether the same call may succeed later.
+    pub retryable: bool,
+    /// How long to wait before the next try, in milliseconds; zero when not retryable.
+    pub retry_ms: u64,
+    /// The exit code of the command line.
+    pub exit_code: u8,
+}
+
+impl Kind {
+    /// Returns the answer for this kind.
+    #[must_use]
+    pub const fn answer(self) -> Answer {
+        let (status, run, retry_ms, exit_code) = match self {
+            Self::BadInput => (400, Run::No, 0, 2),
+            Self::TooLarge => (413, Run::No, 0, 2),
+            Self::SlowInput => (408, Run::No, 1_000, 3),
+            Self::NotFound => (404, Run::No, 0, 4),
+            Self::BadMethod => (405, Run::No, 0, 2),
+            Self::Expired => (504, Run::No, 0, 5),
+            Self::Shed => (503, Run::No, 1_000, 6),
+            Self::OverQuota => (429, Run::No, 1_000, 6),
+            Self::NoTarget => (503, Run::No, 500, 6),
+            Self::Impossible => (422, Run::No, 0, 7),
+            Self::Stopping => (503, Run::No, 100, 6),
+            Self::NotReady => (503, Run::No, 1_000, 6),
+            Self::StoreDown => (503, Run::No, 2_000, 8),
+            Self::Duplicate => (409, Run::Maybe, 0, 9),
+            Self::Conflict => (409, Run::No, 0, 9),
+            Self::TargetFailed => (502, Run::Maybe, 0, 10),
+            Self::Timeout => (504, Run::Maybe, 0, 10),
+            Self::BadAnswer => (502, Run::Maybe, 0, 10),
+            Self::Unknown => (502, Run::Maybe, 0, 10),
+            Self::Cancelled => (410, Run::Maybe, 0, 11),
+            Self::BadPeer => (403, Run::No, 0, 12),
+            Self::Internal => (500, Run::Maybe, 0, 70),
+        };
+        Answer {
+            status,
+            run,
+            retryable: retry_ms > 0,
+            retry_ms,
+            exit_code,
+        }
+    }
+}
+
+/// A [`Kind`] with what happened in words.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Error {
+    /// What went wrong, from the closed list.
+    pub kind: Kind,
+    /// What happened, for a person to read.
+    pub detail: String,
+}
+
+impl Error {
+    /// Makes an error of `kind` with words for a person.
+    pub fn new(kind: Kind, detail: impl Into<String>) -> Self {
+        Self {
+            kind,
+            detail: detail.into(),
+        }
+    }
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.kind, self.detail)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/marigoldglade/src/label.rs
@@ -0,0 +1,247 @@
+//! Labels on workspaces, jobs and VMs, and the selectors that match them.
+//!
+//! Text flows in, a small typed tree flows out; [`Selector::matches`] walks it.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Kind, Result};
+
+/// The longest selector that is accepted, in bytes.
+pub const SELECTOR_LIMIT_BYTES: usize = 1_024;
+
+/// Keys and values that operators and callers put on things.
+pub type Labels = BTreeMap<String, String>;
+
+/// One condition on one label.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Term {
+    /// The label has this value.
+    Is(String, String),
+    /// The label is absent or has another value.
+    IsNot(String, String),
+    /// The label has one of these values.
+    In(String, Vec<String>),
+    /// The label is absent or has none of these values.
+    NotIn(String, Vec<String>),
+    /// The label is there.
+    Has(String),
+    /// The label is absent.
+    Lacks(String),
+}
+
+/// All terms must hold; no terms match everything.
+///
+/// The text form is `dc = kista, tier in (gate, crew), !draining`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Selector {
+    /// The conditions, all of which must hold.
+    pub terms: Vec<Term>,
+}
+
+impl Selector {
+    /// Parses the text form.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadInput`] with the byte at which the text stops making sense.
+    pub fn parse(text: &str) -> Result<Self> {
+        if text.len() > SELECTOR_LIMIT_BYTES {
+            return Err(Error::new(
+                Kind::TooLarge,
+                format!("a selector has at most {SELECTOR_LIMIT_BYTES} bytes"),
+            ));
+        }
+        let mut scan = Scan { text, at: 0 };
+        let mut terms = Vec::new();
+        scan.blanks();
+        while !scan.ended() {
+            terms.push(scan.term()?);
+            scan.blanks();
+            if scan.ended() {
+                break;
+            }
+            scan.expect(",")?;
+            scan.blanks();
+            if scan.ended() {
+                return Err(scan.fault("a term after ','"));
+            }
+        }
+        Ok(Self { terms })
+    }
+
+    /// Returns whether every term holds for `labels`.
+    #[must_use]
+    pub fn matches(&self, labels: &Labels) -> bool {
+        self.terms.iter().all(|t| t.matches(labels))
+    }
+}
+
+impl Term {
+    fn matches(&self, labels: &Labels) -> bool {
+        match self {
+            Self::Is(k, v) => labels.get(k) == Some(v),
+            Self::IsNot(k, v) => labels.get(k) != Some(v),
+            Self::In(k, vs) => labels.get(k).is_some_and(|v| vs.contains(v)),
+            Self::NotIn(k, vs) => !labels.get(k).is_some_and(|v| vs.contains(v)),
+            Self::Has(k) => labels.contains_key(k),
+            Self::Lacks(k) => !labels.contains_key(k),
+        }
+    }
+}
+
+impl std::fmt::Display for Term {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Is(k, v) => write!(f, "{k} = {v}"),
+            Self::IsNot(k, v) => write!(f, "{k} != {v}"),
+            Self::In(k, vs) => write!(f, "{k} in ({})", vs.join(", ")),
+            Self::NotIn(k, vs) => write!(f, "{k} notin ({})", vs.join(", ")),
+            Self::Has(k) => write!(f, "{k}"),
+            Self::Lacks(k) => write!(f, "!{k}"),
+        }
+    }
+}
+
+impl std::fmt::Display for Selector {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (i, term) in self.terms.iter().enumerate() {
+            if i > 0 {
+                f.write_str(", ")?;
+            }
+            write!(f, "{term}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::str::FromStr for Selector {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        Self::parse(text)
+    }
+}
+
+impl TryFrom<String> for Selector {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        Self::parse(&text)
+    }
+}
+
+impl From<Selector> for String {
+    fn from(selector: Selector) -> Self {
+        selector.to_string()
+    }
+}
+
+/// Returns whether `c` may stand in a label's key or value.
+fn scan_word_char(c: char) -> bool {
+    c.is_alphanumeric() || matches!(c, '-' | '_' | '.' | '/' | ':')
+}
+
+/// Returns whether `text` can be a label's key or value: 1 to 128 bytes of letters, digits,
+/// `-`, `_`, `.`, `/` and `:`.
+#[must_use]
+pub fn is_word(text: &str) -> bool {
+    (1..=128).contains(&text.len()) && text.chars().all(scan_word_char)
+}
+
+struct Scan<'a> {
+    text: &'a str,
+    at: usize,
+}
+
+impl<'a> Scan<'a> {
+    fn rest(&self) -> &'a str {
+        &self.text[self.at..]
+    }
+
+    fn ended(&self) -> bool {
+        self.rest().is_empty()
+    }
+
+    fn blanks(&mut self) {
+        self.at = self.text.len() - self.rest().trim_start().len();
+    }
+
+    fn fault(&self, wanted: &str) -> Error {
+        Error::new(
+            Kind::BadInput,
+            format!(
+                "selector '{}': expected {wanted} at byte {}",
+                self.text, self.at
+            ),
+        )
+    }
+
+    fn take(&mut self, token: &str) -> bool {
+        let found = self.rest().starts_with(token);
+        if found {
+            self.at += token.len();
+        }
+        found
+    }
+
+    fn expect(&mut self, token: &str) -> Result<()> {
+        if self.take(token) {
+            return Ok(());
+        }
+        Err(self.fault(&format!("'{token}'")))
+    }
+
+    fn word(&mut self) -> Result<String> {
+        let rest = self.rest();
+        let end = rest.find(|c| !scan_word_char(c)).unwrap_or(rest.len());
+        if end == 0 {
+            return Err(self.fault("a word"));
+        }
+        self.at += end;
+        Ok(rest[..end].to_owned())
+    }
+
+    fn term(&mut self) -> Result<Term> {
+        if self.take("!") {
+            self.blanks();
+            return Ok(Term::Lacks(self.word()?));
+        }
+        let key = self.word()?;
+        self.blanks();
+        if self.take("!=") {
+            self.blanks();
+            return Ok(Term::IsNot(key, self.word()?));
+        }
+        if self.take("==") || self.take("=") {
+            self.blanks();
+            return Ok(Term::Is(key, self.word()?));
+        }
+        if self.ended() || self.rest().starts_with(',') {
+            return Ok(Term::Has(key));
+        }
+        let operator = self.word()?;
+        match operator.as_str() {
+            "in" => Ok(Term::In(key, self.list()?)),
+            "notin" => Ok(Term::NotIn(key, self.list()?)),
+            _ => Err(self.fault("'=', '!=', 'in', 'notin' or ','")),
+        }
+    }
+
+    fn list(&mut self) -> Result<Vec<String>> {
+        self.blanks();
+        self.expect("(")?;
+        let mut words = Vec::new();
+        loop {
+            self.blanks();
+            words.push(self.word()?);
+            self.blanks();
+            if self.take(")") {
+                return Ok(words);
+            }
+            self.expect(",")?;
+        }
+    }
+}
--- /dev/null
+++ b/marigoldglade/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions, formats and clients of the marigoldglade scheduler.
+//!
+//! Callers' requests and jobs flow in, actions for the daemon's shells flow out. No module here
+//! owns a clock, a thread or a socket: time comes in as [`time::UnixMs`], randomness from a seeded
+//! generator, and input and output pass through plain structs of closures.
+
+pub mod api;
+pub mod config;
+pub mod error;
+pub mod label;
+pub mod prelude;
+pub mod settings;
+pub mod store;
+pub mod time;
+pub mod wire;
--- /dev/null
+++ b/marigoldglade/src/settings.rs
@@ -0,0 +1,171 @@
+//! A daemon's settings: YAML text flows in, checked settings flow out.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+use crate::error::{Error, Kind, Result};
+use crate::label::is_word;
+
+/// How log lines are written.
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, EnumString, Serialize, Deserialize,
+)]
+#[strum(serialize_all = "lowercase")]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// A line of text an event.
+    #[default]
+    Text,
+    /// A JSON object an event.
+    Json,
+}
+
+/// Everything a daemon is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The daemon's name, unique among live daemons.
+    pub name: String,
+    /// The data centre it runs in.
+    pub dc: String,
+    /// Where callers and operators connect.
+    pub listen: SocketAddr,
+    /// Where other daemons connect.
+    pub mesh: SocketAddr,
+    /// Where metrics and health are served.
+    pub admin: SocketAddr,
+    /// Key-value service addresses, tried in turn.
+    pub store: Vec<SocketAddr>,
+    /// The VM list's address.
+    pub vm_list: SocketAddr,
+    /// Mesh addresses of other daemons to begin with; the VM list adds to them.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// The secret that daemons share, at least 16 bytes.
+    pub mesh_key: String,
+    /// Log settings.
+    #[serde(default)]
+    pub log: Log,
+    /// Bounds on what the daemon takes.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// What is logged and how.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: log::LevelFilter,
+    /// How lines are written.
+    pub format: LogFormat,
+    /// Levels for single modules, by name.
+    pub modules: std::collections::BTreeMap<String, log::LevelFilter>,
+    /// Whether trace spans are written to standard output.
+    pub spans: bool,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: log::LevelFilter::Info,
+            format: LogFormat::Text,
+            modules: Default::default(),
+            spans: false,
+        }
+    }
+}
+
+/// Bounds on what a daemon takes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The most open connections of callers.
+    pub connections: u32,
+    /// The most requests that wait for a target.
+    pub queue: u32,
+    /// The most bytes of requests that wait.
+    pub queue_bytes: u64,
+    /// The largest body of a request or answer, in bytes.
+    pub body_bytes: u64,
+    /// The time a caller has to send its headers, and then its body, in milliseconds.
+    pub read_ms: u64,
+    /// The time a graceful stop may take, in milliseconds.
+    pub stop_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            queue: 4_096,
+            queue_bytes: 32 << 20,
+            body_bytes: 1 << 20,
+            read_ms: 5_000,
+            stop_ms: 30_000,
+        }
+    }
+}
+
+/// The shortest mesh key, in bytes.
+pub const MESH_KEY_MIN_BYTES: usize = 16;
+
+impl Settings {
+    /// Parses and checks settings; `file` names the text in errors.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadInput`] with file, line, column and what was expected.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let settings: Self = serde_saphyr::from_str(text)
+            .map_err(|e| Error::new(Kind::BadInput, format!("{file}: {e}")))?;
+        settings
+            .check()
+            .map_err(|e| Error::new(e.kind, format!("{file}: {}", e.detail)))?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<()> {
+        let limits = &self.limits;
+        let bounds = [
+            (
+                "limits.connections",
+                u64::from(limits.connections),
+                1,
+                100_000,
+            ),
+            ("limits.queue", u64::from(limits.queue), 1, 1_000_000),
+            ("limits.queue_bytes", limits.queue_bytes, 1 << 10, 1 << 30),
+            ("limits.body_bytes", limits.body_bytes, 1, 64 << 20),
+            ("limits.read_ms", limits.read_ms, 10, 600_000),
+            ("limits.stop_ms", limits.stop_ms, 10, 3_600_000),
+        ];
+        for (field, value, low, high) in bounds {
+            if !(low..=high).contains(&value) {
+                return Err(bad(format!(
+                    "{field}: expected {low} to {high}, got {value}"
+                )));
+            }
+        }
+        for (field, text) in [("name", &self.name), ("dc", &self.dc)] {
+            if !is_word(text) {
+                return Err(bad(format!("{field}: expected 1 to 128 word characters")));
+            }
+        }
+        if self.mesh_key.len() < MESH_KEY_MIN_BYTES {
+            return Err(bad(format!(
+                "mesh_key: expected at least {MESH_KEY_MIN_BYTES} bytes"
+            )));
+        }
+        if self.store.is_empty() {
+            return Err(bad("store: expected at least one address".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+fn bad(detail: String) -> Error {
+    Error::new(Kind::BadInput, detail)
+}
--- /dev/null
+++ b/marigoldglade/src/time.rs
@@ -0,0 +1,44 @@
+//! Points in time, as the decisions and the wire carry them.
+
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds in one second.
+pub const SECOND_MS: u64 = 1_000;
+
+/// A point in time: milliseconds since the Unix epoch.
+///
+/// Deadlines are stored as points in time, so that a message that was delayed doesn't extend them.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct UnixMs(pub u64);
+
+impl UnixMs {
+    /// The latest point in time; it stands for "no deadline".
+    pub const MAX: UnixMs = UnixMs(u64::MAX);
+
+    /// Returns the point `ms` milliseconds later, saturating.
+    #[must_use]
+    pub const fn after(self, ms: u64) -> Self {
+        Self(self.0.saturating_add(ms))
+    }
+
+    /// Returns the point `ms` milliseconds earlier, saturating.
+    #[must_use]
+    pub const fn before(self, ms: u64) -> Self {
+        Self(self.0.saturating_sub(ms))
+    }
+
+    /// Returns the milliseconds from `earlier` to `self`, or zero when `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Returns whether this deadline has passed at `now`.
+    #[must_use]
+    pub fn passed(self, now: Self) -> bool {
+        self <= now
+    }
+}
--- /dev/null
+++ b/marigoldgladed/src/main.rs
@@ -0,0 +1,2 @@
+//! The marigoldglade daemon.
+fn main() {}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, runners and workers.
