Name the interface between life cycle and placement

Cause: the two halves of the job path can grow side by side only over fixed types. Ruled out: placement calling the store or workers itself; it stays a pure filter. Conclusion: events in, actions out, one closed list of reasons.

--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod error;
 pub mod label;
+pub mod plan;
 pub mod prelude;
 pub mod settings;
 pub mod store;
