--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -4,13 +4,21 @@
 //! owns a clock, a thread or a socket: time comes in as [`time::UnixMs`], randomness from a seeded
 //! generator, and input and output pass through plain structs of closures.
 
+pub mod admit;
 pub mod api;
+pub mod classify;
 pub mod config;
 pub mod error;
 pub mod label;
 pub mod plan;
 pub mod prelude;
+pub mod queue;
+pub mod requests;
+pub mod retry;
+pub mod route;
 pub mod settings;
+pub mod share;
+pub mod slots;
 pub mod store;
 pub mod time;
 pub mod wire;
--- /dev/null
+++ b/marigoldglade/src/requests/finish.rs
@@ -0,0 +1,202 @@
+//! Takes the ends of sends: answers, tries again, or gives up.
+
+use super::{Action, End, Live, Requests, Stage, Tell};
+use crate::error::Run;
+use crate::prelude::*;
+use crate::queue::RequestKey;
+use crate::retry::TRIES;
+use crate::route::{Sign, TargetKey};
+
+/// A target that holds a request so many times the expected service time is stalled.
+const STALL_FACTOR: f64 = 8.0;
+/// The shortest service time that is expected when a target is judged as stalled.
+const STALL_MIN_MS: f64 = 10.0;
+
+impl End {
+    /// Returns whether the target provably didn't run the request.
+    #[must_use]
+    pub const fn not_run(self) -> bool {
+        matches!(self, Self::Refused | Self::NotSent | Self::Busy)
+    }
+
+    /// Returns what the end says about the target, if anything. Callers choose deadlines and what
+    /// they ask for, so that a short deadline or a large answer alone says nothing.
+    const fn sign(self, stalled: bool) -> Option<Sign> {
+        match self {
+            Self::Whole => Some(Sign::Good),
+            Self::Refused => Some(Sign::Refused),
+            Self::Busy => Some(Sign::Busy),
+            Self::NotSent | Self::Broken | Self::Bad => Some(Sign::Bad),
+            Self::Late if stalled => Some(Sign::Bad),
+            Self::Late | Self::Oversize => None,
+        }
+    }
+
+    const fn kind(self) -> Kind {
+        match self {
+            Self::Refused | Self::NotSent | Self::Busy => Kind::NoTarget,
+            Self::Broken => Kind::TargetFailed,
+            Self::Bad | Self::Oversize => Kind::BadAnswer,
+            Self::Late => Kind::Timeout,
+            Self::Whole => Kind::Internal,
+        }
+    }
+}
+
+impl Requests {
+    pub(super) fn ended(
+        &mut self,
+        now: UnixMs,
+        request: RequestKey,
+        end: End,
+        leaving: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(live) = self.live.get_mut(&request) else {
+            return;
+        };
+        let Stage::Sent(target, since) = live.stage else {
+            return;
+        };
+        live.maybe |= !end.not_run();
+        live.avoid = Some(target);
+        let (class, caller) = (live.place.class, live.caller);
+        let held_ms = now.since(since).max(1);
+        self.release(request, target);
+        if end == End::Late {
+            // The target may still be at it.
+            self.routes.start(now, target);
+        }
+        self.meter.used(caller, held_ms);
+        if end == End::Whole {
+            self.service(class).sample(now, held_ms);
+        }
+        let expect_ms = self.service(class).expect(now);
+        let stalled = held_ms as f64 >= STALL_FACTOR * expect_ms.max(STALL_MIN_MS);
+        if let Some(sign) = end.sign(stalled) {
+            self.routes.judge(now, target, sign);
+        }
+        self.spread(target, end, leaving, out);
+        match end {
+            End::Whole => self.finish(request, Ok(()), out),
+            _ => self.failed(now, request, end, out),
+        }
+    }
+
+    /// Tells the other daemons what the end of a send says about its target.
+    fn spread(&mut self, target: TargetKey, end: End, leaving: bool, out: &mut Vec<Action>) {
+        let Some(name) = self.routes.vm(target).map(|vm| vm.name.clone()) else {
+            return;
+        };
+        if leaving {
+            self.leave(&name, out);
+        }
+        if end == End::Refused {
+            out.push(Action::CloseIdle(target));
+            out.push(Action::Tell(Tell::Refused(name)));
+        }
+    }
+
+    fn failed(&mut self, now: UnixMs, request: RequestKey, end: End, out: &mut Vec<Action>) {
+        let Some(live) = self.live.get_mut(&request) else {
+            return;
+        };
+        let again =
+            (end.not_run() || live.idempotent) && live.tries < TRIES && !live.end.passed(now);
+        if !again {
+            let e = Error::new(end.kind(), "the target failed");
+            self.finish(request, Err(e), out);
+            return;
+        }
+        let due = self.budget.due(now, live.tries);
+        live.stage = Stage::Backoff(due);
+        self.timers.insert((due, request));
+    }
+
+    pub(super) fn run_timers(&mut self, now: UnixMs, out: &mut Vec<Action>) {
+        while let Some((due, request)) = self.timers.first().copied()
+            && due.passed(now)
+        {
+            self.timers.pop_first();
+            let Some(live) = self.live.get(&request) else {
+                continue;
+            };
+            match live.stage {
+                Stage::Sent(..) | Stage::Claiming(_) => {}
+                Stage::Queued | Stage::Backoff(_) if live.end.passed(now) => {
+                    self.counts.expired += 1;
+                    self.unqueue(request);
+                    let e = Error::new(Kind::Expired, "the deadline passed");
+                    self.finish(request, Err(e), out);
+                }
+                Stage::Backoff(at) if at == due => self.again(now, request),
+                Stage::Queued | Stage::Backoff(_) => {}
+            }
+        }
+    }
+
+    /// Queues a request again if the budget has a retry left, or waits on.
+    fn again(&mut self, now: UnixMs, request: RequestKey) {
+        let Some(mut live) = self.live.remove(&request) else {
+            return;
+        };
+        if self.budget.take() {
+            live.stage = Stage::Queued;
+            self.enqueue(request, &live, true);
+        } else {
+            let due = self.budget.due(now, live.tries + 1);
+            live.stage = Stage::Backoff(due);
+            self.timers.insert((due, request));
+        }
+        self.live.insert(request, live);
+    }
+
+    fn unqueue(&mut self, request: RequestKey) {
+        if let Some(live) = self.live.get(&request) {
+            let (lane, caller) = (live.place.lane, live.caller);
+            self.queue.remove(lane, caller, request);
+        }
+    }
+
+    pub(super) fn give_up(&mut self, request: RequestKey, out: &mut Vec<Action>) {
+        let Some(live) = self.live.get(&request) else {
+            return;
+        };
+        if matches!(live.stage, Stage::Queued | Stage::Backoff(_)) {
+            self.unqueue(request);
+            let e = Error::new(Kind::Expired, "the caller hung up");
+            self.finish(request, Err(e), out);
+        }
+    }
+
+    /// Ends a request that neither waits nor holds a slot.
+    pub(super) fn finish(
+        &mut self,
+        request: RequestKey,
+        verdict: Result<()>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(live) = self.live.remove(&request) else {
+            return;
+        };
+        self.timers.remove(&(live.end, request));
+        let verdict = verdict.map_err(|e| truthful(&live, e));
+        if live.claimed {
+            let kind = verdict.as_ref().err().map(|e| e.kind);
+            out.push(Action::Settle(request, kind));
+        }
+        out.push(Action::Answer(request, verdict));
+    }
+}
+
+/// Turns an error that says "not run" into one that doesn't when a try may have run.
+fn truthful(live: &Live, e: Error) -> Error {
+    if !live.maybe || e.kind.answer().run == Run::Maybe {
+        return e;
+    }
+    let kind = match e.kind {
+        Kind::Expired => Kind::Timeout,
+        _ => Kind::TargetFailed,
+    };
+    Error::new(kind, e.detail)
+}
