Serve the thin whole path: daemon, stand-ins, demo

Cause: nothing ran yet; every later part grows on a path that does. Ruled out: tiny_http for callers (no deadline on headers, a thread for each open connection, no bound on header lines) and ureq towards targets (hides whether the first byte left, which 'not run' has to prove); hyper, its nearest kin, does both. Before: no path.

--- a/marigoldglade/src/config.rs
+++ b/marigoldglade/src/config.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::error::{Error, Kind, Result};
 use crate::label::{Labels, Selector};
 
 /// The whole configuration. Its version is the store's, not part of the text.
@@ -131,3 +132,14 @@
     #[serde(default)]
     pub drain: bool,
 }
+
+impl Config {
+    /// Parses a configuration; `file` names the text in errors.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadInput`] with file, line, column and what was expected.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        serde_saphyr::from_str(text).map_err(|e| Error::new(Kind::BadInput, format!("{file}: {e}")))
+    }
+}
--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 pub mod config;
 pub mod error;
+pub mod etcd;
 pub mod label;
 pub mod plan;
 pub mod prelude;
--- /dev/null
+++ b/marigoldgladed/src/app.rs
@@ -0,0 +1,94 @@
+//! The daemon's wiring: settings flow in, the parts are started, and a signal ends them.
+
+use std::sync::Arc;
+
+use marigoldglade::prelude::*;
+use marigoldglade::settings::Settings;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::admin::Admin;
+use crate::configs::Configs;
+use crate::jobs::Jobs;
+use crate::keeper::Keeper;
+use crate::requests::Requests;
+use crate::stop::Stop;
+use crate::targets::Targets;
+use crate::{clock, front};
+
+/// Everything that the daemon's parts share.
+pub(crate) struct App {
+    pub(crate) settings: Settings,
+    pub(crate) stop: Stop,
+    pub(crate) keeper: Keeper,
+    pub(crate) configs: Configs,
+    pub(crate) targets: Targets,
+    pub(crate) requests: Requests,
+    pub(crate) jobs: Jobs,
+    pub(crate) admin: Admin,
+}
+
+/// Runs a daemon until a signal stops it; `ready` is called once it listens.
+///
+/// # Errors
+///
+/// [`Kind::Internal`] when an address can't be bound or a thread can't be started.
+pub(crate) fn run(settings: Settings, ready: impl FnOnce(&Settings)) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(internal)?;
+    let result = runtime.block_on(serve(settings, ready));
+    // Threads that wait for the store would hold the process up.
+    runtime.shutdown_background();
+    result
+}
+
+async fn serve(mut settings: Settings, ready: impl FnOnce(&Settings)) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(internal)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(internal)?;
+    let listener = TcpListener::bind(settings.listen).await.map_err(internal)?;
+    settings.listen = listener.local_addr().map_err(internal)?;
+    let admin = Admin::start(&mut settings)?;
+    let app = Arc::new(App {
+        stop: Stop::new(),
+        keeper: Keeper::new(settings.store.clone(), admin.store.clone()),
+        configs: Configs::new(),
+        targets: Targets::new(),
+        requests: Requests::new(),
+        jobs: Jobs::new(&settings.dc),
+        admin,
+        settings,
+    });
+    tokio::spawn(Arc::clone(&app).follow_configs());
+    tokio::spawn(Arc::clone(&app).follow_targets());
+    tokio::spawn(Arc::clone(&app).own_jobs());
+    let front = tokio::spawn(front::serve(Arc::clone(&app), listener));
+    app.admin.serve(&app);
+    log::info!(
+        "{} listens on {}, admin on {}",
+        app.settings.name,
+        app.settings.listen,
+        app.settings.admin
+    );
+    ready(&app.settings);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let end = clock::now().after(app.settings.limits.stop_ms);
+    log::info!("stopping; work in flight has until {}", end.0);
+    app.stop.begin(end);
+    tokio::select! {
+        () = app.stop.idle() => log::info!("stopped with nothing in flight"),
+        () = clock::sleep_until(end) => log::warn!("stopped at the deadline with work in flight"),
+        _ = terminate.recv() => log::warn!("stopped by a second signal"),
+        _ = interrupt.recv() => log::warn!("stopped by a second signal"),
+    }
+    front.abort();
+    Ok(())
+}
+
+fn internal(e: std::io::Error) -> Error {
+    Error::new(Kind::Internal, e.to_string())
+}
--- /dev/null
+++ b/marigoldgladed/src/front.rs
@@ -0,0 +1,177 @@
+//! Where callers and operators connect: HTTP/1.1 flows in, each route's answer flows out.
+//!
+//! Every read has a deadline and a bound, so that one peer can't hold up another.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use marigoldglade::api::{Problem, RUN_HEADER};
+use marigoldglade::prelude::*;
+use marigoldglade::time::SECOND_MS;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::app::App;
+use crate::clock;
+
+/// The most header lines of a request.
+const HEADERS_LIMIT: usize = 64;
+/// The most bytes of a request's head.
+const HEAD_LIMIT_BYTES: usize = 16 << 10;
+
+/// An answer to a caller.
+pub(crate) type Answer = Response<Full<Bytes>>;
+
+/// Accepts connections until the task is aborted.
+pub(crate) async fn serve(app: Arc<App>, listener: TcpListener) {
+    let room = usize::try_from(app.settings.limits.connections).unwrap_or(usize::MAX);
+    let room = Arc::new(Semaphore::new(room.min(Semaphore::MAX_PERMITS)));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // The process is out of descriptors; some will come back.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
+            log::debug!("a connection was refused: too many are open");
+            continue;
+        };
+        let app = Arc::clone(&app);
+        tokio::spawn(async move {
+            connection(app, stream).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn connection(app: Arc<App>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let read_limit = Duration::from_millis(app.settings.limits.read_ms);
+    let service = {
+        let app = Arc::clone(&app);
+        service_fn(move |request| {
+            let app = Arc::clone(&app);
+            async move { Ok::<_, Infallible>(answer(app, request).await) }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(read_limit)
+        .max_headers(HEADERS_LIMIT)
+        .max_buf_size(HEAD_LIMIT_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = app.stop.begun() => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+async fn answer(app: Arc<App>, request: Request<Incoming>) -> Answer {
+    let _busy = app.stop.busy();
+    let (parts, body) = request.into_parts();
+    let answered = match read(&app, body).await {
+        Ok(body) => route(&app, &parts, body).await,
+        Err(e) => Err(e),
+    };
+    answered.unwrap_or_else(|e| problem(&e))
+}
+
+/// Reads a whole body within the bound and the deadline.
+async fn read(app: &App, body: Incoming) -> Result<Bytes> {
+    let limits = &app.settings.limits;
+    let bound = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
+    let end = clock::now().after(limits.read_ms);
+    let whole = Limited::new(body, bound).collect();
+    match tokio::time::timeout(clock::until(end), whole).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.downcast_ref::<LengthLimitError>().is_some() => Err(Error::new(
+            Kind::TooLarge,
+            format!("the body has more than {bound} bytes"),
+        )),
+        Ok(Err(e)) => Err(Error::new(Kind::BadInput, format!("the body broke: {e}"))),
+        Err(_) => Err(Error::new(Kind::SlowInput, "the body didn't come in time")),
+    }
+}
+
+async fn route(app: &Arc<App>, parts: &Parts, body: Bytes) -> Result<Answer> {
+    let path = parts.uri.path().trim_matches('/').to_owned();
+    let mut steps = path.split('/');
+    if steps.next() != Some("v1") {
+        return Err(no_route(&path));
+    }
+    let steps: Vec<&str> = steps.collect();
+    match (&parts.method, steps.as_slice()) {
+        (&Method::POST, ["request", service]) => app.request(service, parts, body).await,
+        (&Method::POST, ["jobs"]) => app.submit(body).await,
+        (&Method::GET, ["jobs"]) => app.list_jobs(),
+        (&Method::GET, ["jobs", id @ ..]) => app.job_status(&id.join("/"), parts).await,
+        (&Method::DELETE, ["jobs", id @ ..]) => app.cancel(&id.join("/")).await,
+        (&Method::GET, ["config"]) => app.show_config(),
+        (&Method::PUT, ["config"]) => app.apply_config(parts, &body).await,
+        (&Method::GET, ["vms"]) => json(StatusCode::OK, &*app.targets.list()),
+        (_, ["request", _] | ["jobs", ..] | ["config"] | ["vms"]) => Err(Error::new(
+            Kind::BadMethod,
+            format!("{} isn't offered on /{path}", parts.method),
+        )),
+        _ => Err(no_route(&path)),
+    }
+}
+
+fn no_route(path: &str) -> Error {
+    Error::new(Kind::NotFound, format!("no route /{path}"))
+}
+
+/// Returns a header's text; `None` when it is absent.
+///
+/// # Errors
+///
+/// [`Kind::BadInput`] when it isn't plain text.
+pub(crate) fn header<'a>(parts: &'a Parts, name: &str) -> Result<Option<&'a str>> {
+    parts.headers.get(name).map_or(Ok(None), |value| {
+        value
+            .to_str()
+            .map(Some)
+            .map_err(|_| Error::new(Kind::BadInput, format!("{name}: not plain text")))
+    })
+}
+
+/// Answers with a value as JSON.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Result<Answer> {
+    let body = serde_json::to_vec(value).map_err(|e| Error::new(Kind::Internal, e.to_string()))?;
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = status;
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(answer)
+}
+
+/// Answers with an error, as the table says.
+pub(crate) fn problem(e: &Error) -> Answer {
+    let row = e.kind.answer();
+    let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut answer = json(status, &Problem::from(e)).unwrap_or_default();
+    let headers = answer.headers_mut();
+    if let Ok(run) = HeaderValue::from_str(&row.run.to_string()) {
+        headers.insert(RUN_HEADER, run);
+    }
+    if row.retryable {
+        headers.insert(RETRY_AFTER, row.retry_ms.div_ceil(SECOND_MS).into());
+    }
+    answer
+}
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -1,2 +1,83 @@
-//! The marigoldglade daemon.
-fn main() {}
+//! The marigoldglade daemon: the same process on every entry VM.
+//!
+//! Arguments and settings flow in, a running [`app::App`] flows out. `--demo` carries a small
+//! stand-in platform in the same process.
+
+mod admin;
+mod app;
+mod clock;
+mod configs;
+mod demo;
+mod front;
+mod jobs;
+mod keeper;
+mod logs;
+mod requests;
+mod send;
+mod stop;
+mod targets;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use marigoldglade::prelude::*;
+use marigoldglade::settings::Settings;
+
+fn command() -> Command {
+    Command::new("marigoldgladed")
+        .about("Schedules multi-accelerator jobs and routes short requests")
+        .version(clap::crate_version!())
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .help("The daemon's settings, in YAML")
+                .value_parser(value_parser!(PathBuf))
+                .required_unless_present("demo"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .help("Check the settings and exit")
+                .action(ArgAction::SetTrue)
+                .requires("settings"),
+        )
+        .arg(
+            Arg::new("demo")
+                .long("demo")
+                .help("Run with a stand-in platform in this process and show the main jobs")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("settings"),
+        )
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("marigoldgladed: {e}");
+            ExitCode::from(e.kind.answer().exit_code)
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let args = command().get_matches();
+    if args.get_flag("demo") {
+        return demo::run();
+    }
+    let Some(path) = args.get_one::<PathBuf>("settings") else {
+        return Err(Error::new(Kind::BadInput, "--settings is missing"));
+    };
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Error::new(Kind::BadInput, format!("{file}: {e}")))?;
+    let settings = Settings::parse(&file, &text)?;
+    if args.get_flag("check") {
+        println!("{file}: the settings are good");
+        return Ok(());
+    }
+    logs::start(&settings.log)?;
+    app::run(settings, |_| {})
+}
--- /dev/null
+++ b/marigoldgladed/src/send.rs
@@ -0,0 +1,85 @@
+//! Sends to targets: a request flows in, a whole answer flows out, or a kind that says whether the
+//! target may have run it.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use marigoldglade::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+
+use crate::clock;
+
+/// The largest answer that is taken, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+
+/// Sends one request and waits for its whole answer until `end`.
+///
+/// # Errors
+///
+/// [`Kind::NoTarget`] when nothing was sent; [`Kind::Timeout`], [`Kind::TargetFailed`] or
+/// [`Kind::BadAnswer`] when the target may have run it.
+pub(crate) async fn exchange(
+    addr: &str,
+    request: Request<Full<Bytes>>,
+    end: UnixMs,
+) -> Result<Response<Bytes>> {
+    let connect = tokio::time::timeout(clock::until(end), TcpStream::connect(addr)).await;
+    let stream = match connect {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => return Err(Error::new(Kind::NoTarget, format!("{addr}: {e}"))),
+        Err(_) => return Err(Error::new(Kind::NoTarget, format!("{addr}: no connection"))),
+    };
+    let _ = stream.set_nodelay(true);
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| Error::new(Kind::NoTarget, format!("{addr}: {e}")))?;
+    let driver = tokio::spawn(connection);
+    let whole = async {
+        let answer = sender
+            .send_request(request)
+            .await
+            .map_err(|e| Error::new(Kind::TargetFailed, format!("{addr}: {e}")))?;
+        let (parts, body) = answer.into_parts();
+        let body = Limited::new(body, ANSWER_LIMIT_BYTES)
+            .collect()
+            .await
+            .map_err(|e| Error::new(Kind::BadAnswer, format!("{addr}: {e}")))?;
+        Ok(Response::from_parts(parts, body.to_bytes()))
+    };
+    let result = tokio::time::timeout(clock::until(end), whole).await;
+    driver.abort();
+    result.unwrap_or_else(|_| Err(Error::new(Kind::Timeout, format!("{addr}: no answer"))))
+}
+
+/// Sends a value as JSON and reads the answer as JSON.
+///
+/// # Errors
+///
+/// As [`exchange`], and [`Kind::BadAnswer`] for a status that isn't 200 or another body.
+pub(crate) async fn json<T: Serialize, R: DeserializeOwned>(
+    addr: &str,
+    method: &str,
+    path: &str,
+    value: &T,
+    end: UnixMs,
+) -> Result<R> {
+    let body = serde_json::to_vec(value).map_err(|e| Error::new(Kind::Internal, e.to_string()))?;
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", addr)
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|e| Error::new(Kind::Internal, e.to_string()))?;
+    let answer = exchange(addr, request, end).await?;
+    if answer.status() != 200 {
+        let detail = format!("{addr}: answered {}", answer.status());
+        return Err(Error::new(Kind::BadAnswer, detail));
+    }
+    serde_json::from_slice(answer.body())
+        .map_err(|e| Error::new(Kind::BadAnswer, format!("{addr}: {e}")))
+}
--- /dev/null
+++ b/standin/src/bin/standin-vms.rs
@@ -0,0 +1,9 @@
+//! Stand-in for the platform's VM list; PUT /v1/vms fills it, as a program of its own.
+
+fn main() -> std::io::Result<()> {
+    standin::http::run(
+        "standin-vms",
+        "Stand-in for the platform's VM list; PUT /v1/vms fills it",
+        |addr, _| standin::vms::start(addr, Default::default()),
+    )
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,13 @@
-//! Small stand-ins for the platform, runners and workers.
+//! Small stand-ins for the platform (key-value service, VM list), runners and workers.
+//!
+//! Each one serves HTTP on an address of its own, in threads of the process that starts it; the
+//! programs under `bin` start one each. Tests, the demo and nothing else use them.
+
+pub mod http;
+pub mod kv;
+pub mod platform;
+pub mod runner;
+pub mod vms;
+pub mod worker;
+
+pub use http::Served;
--- /dev/null
+++ b/standin/src/runner.rs
@@ -0,0 +1,116 @@
+//! Stand-in for a runner: answers requests from a bounded number of slots.
+//!
+//! `POST` to any path runs a request and answers with the body it got. `PUT /control` sets the
+//! [`Behaviour`]; `GET /ran` lists the ids of the requests that ran, in order.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use marigoldglade::api::{LEAVING_HEADER, REQUEST_ID_HEADER, RUN_HEADER};
+use serde::{Deserialize, Serialize};
+use tiny_http::{Method, Request};
+
+use crate::http::{Served, answer, answer_json, header, read_body, serve};
+
+/// How a runner behaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Behaviour {
+    /// Requests it runs at once; more are answered busy.
+    pub slots: u16,
+    /// How long a request takes, in milliseconds.
+    pub work_ms: u64,
+    /// Whether it says that it is leaving and takes no new requests.
+    pub leaving: bool,
+    /// Whether it fails each request after running it.
+    pub failing: bool,
+    /// Whether it answers with another request's id.
+    pub crossing: bool,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            work_ms: 0,
+            leaving: false,
+            failing: false,
+            crossing: false,
+        }
+    }
+}
+
+#[derive(Default)]
+struct State {
+    behaviour: Behaviour,
+    busy: u16,
+    ran: Vec<String>,
+}
+
+/// Starts a runner on `addr`.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn start(addr: SocketAddr, behaviour: Behaviour) -> std::io::Result<Served> {
+    let state = Arc::new(Mutex::new(State {
+        behaviour,
+        ..State::default()
+    }));
+    serve(addr, move |request| handle(&state, request))
+}
+
+fn handle(state: &Mutex<State>, mut request: Request) {
+    match (request.method(), request.url()) {
+        (Method::Get, "/ran") => {
+            let ran = lock(state).ran.clone();
+            answer_json(request, 200, &ran);
+        }
+        (Method::Put, "/control") => {
+            let told = read_body(&mut request).and_then(|b| serde_json::from_slice(&b).ok());
+            let Some(behaviour) = told else {
+                return answer(request, 400, &[], Vec::new());
+            };
+            lock(state).behaviour = behaviour;
+            answer(request, 204, &[], Vec::new());
+        }
+        _ => run(state, request),
+    }
+}
+
+fn run(state: &Mutex<State>, mut request: Request) {
+    let id = header(&request, REQUEST_ID_HEADER).unwrap_or_default();
+    let Some(body) = read_body(&mut request) else {
+        return;
+    };
+    let Some(behaviour) = take_slot(state, &id) else {
+        let leaving = lock(state).behaviour.leaving.to_string();
+        let headers = [
+            (REQUEST_ID_HEADER, id.as_str()),
+            (RUN_HEADER, "no"),
+            (LEAVING_HEADER, leaving.as_str()),
+        ];
+        return answer(request, 503, &headers, Vec::new());
+    };
+    std::thread::sleep(Duration::from_millis(behaviour.work_ms));
+    lock(state).busy -= 1;
+    let shown = if behaviour.crossing { "crossed" } else { &id };
+    let status = if behaviour.failing { 500 } else { 200 };
+    answer(request, status, &[(REQUEST_ID_HEADER, shown)], body);
+}
+
+/// Takes a slot and notes that the request ran; `None` when busy or leaving.
+fn take_slot(state: &Mutex<State>, id: &str) -> Option<Behaviour> {
+    let mut state = lock(state);
+    if state.behaviour.leaving || state.busy >= state.behaviour.slots {
+        return None;
+    }
+    state.busy += 1;
+    state.ran.push(id.to_owned());
+    Some(state.behaviour.clone())
+}
+
+fn lock(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/standin/src/vms.rs
@@ -0,0 +1,32 @@
+//! Stand-in for the platform's VM list: `GET /v1/vms` shows it, `PUT /v1/vms` replaces it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use marigoldglade::wire::Vm;
+use tiny_http::Method;
+
+use crate::http::{Served, answer, answer_json, read_body, serve};
+
+/// The list, shared between the server and the test or demo that changes it.
+pub type VmList = Arc<Mutex<Vec<Vm>>>;
+
+/// Serves `list` on `addr`.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn start(addr: SocketAddr, list: VmList) -> std::io::Result<Served> {
+    serve(addr, move |mut request| {
+        if *request.method() == Method::Put {
+            let told = read_body(&mut request).and_then(|b| serde_json::from_slice(&b).ok());
+            let Some(vms) = told else {
+                return answer(request, 400, &[], Vec::new());
+            };
+            *list.lock().unwrap_or_else(PoisonError::into_inner) = vms;
+            return answer(request, 204, &[], Vec::new());
+        }
+        let vms = list.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        answer_json(request, 200, &vms);
+    })
+}
