--- a/marigoldgladed/src/app.rs
+++ b/marigoldgladed/src/app.rs
@@ -49,6 +49,9 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(internal)?;
     let listener = TcpListener::bind(settings.listen).await.map_err(internal)?;
     settings.listen = listener.local_addr().map_err(internal)?;
+    // The mesh takes this listener over.
+    let mesh_listener = TcpListener::bind(settings.mesh).await.map_err(internal)?;
+    settings.mesh = mesh_listener.local_addr().map_err(internal)?;
     let admin = Admin::start(&mut settings)?;
     let app = Arc::new(App {
         stop: Stop::new(),
@@ -86,6 +89,7 @@
         _ = interrupt.recv() => log::warn!("stopped by a second signal"),
     }
     front.abort();
+    drop(mesh_listener);
     Ok(())
 }
 
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -79,5 +79,7 @@
         return Ok(());
     }
     logs::start(&settings.log)?;
-    app::run(settings, |_| {})
+    app::run(settings, |s| {
+        println!("listen {} mesh {} admin {}", s.listen, s.mesh, s.admin);
+    })
 }
