--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod classify;
 pub mod config;
 pub mod error;
+pub mod etcd;
 pub mod label;
 pub mod plan;
 pub mod prelude;
