Prove the request path's properties under random faults

The property test and the focused tests failed first and found: a claimed request was sent to a target that had left while the store was asked; retries went past the queue's bounds; the tie break always took the first target; a fresh daemon had no retry to spend.

Ruled out by switching mechanisms off and seeing a test fail: truthfulness of run: no after a try, the retry budget, avoiding the failed target, the re-check after a claim, no second send of a non-idempotent request, the slot limit, the held slot of a late answer, the cap on ejections.

--- a/marigoldglade/src/queue.rs
+++ b/marigoldglade/src/queue.rs
@@ -94,6 +94,18 @@
         u64::from(bytes) <= self.bounds.bytes
     }
 
+    /// Counts a request that waits outside the lanes, for its next try.
+    pub fn hold(&mut self, bytes: u32) {
+        self.len += 1;
+        self.bytes += u64::from(bytes);
+    }
+
+    /// Takes back what [`Self::hold`] counted.
+    pub fn unhold(&mut self, bytes: u32) {
+        self.len -= 1;
+        self.bytes -= u64::from(bytes);
+    }
+
     /// Returns how many requests of a lane wait.
     #[must_use]
     pub fn lane_len(&self, lane: LaneKey) -> usize {
--- a/marigoldglade/src/requests.rs
+++ b/marigoldglade/src/requests.rs
@@ -54,6 +54,8 @@
     Refused,
     /// Nothing was sent.
     NotSent,
+    /// The whole own answer came and tells a fault of the target.
+    Fault,
     /// The target said that it didn't run the request.
     Busy,
     /// The target failed after the first byte left.
@@ -411,10 +413,17 @@
     }
 
     fn load_of(&mut self, now: UnixMs, live: &Live) -> Load {
+        let place = live.place;
+        let lane = &self.classifier.lanes()[usize::from(place.lane.0)];
+        // Without a free slot the first in line waits for one too.
+        let ahead = match self.routes.pick(now, place.lane, lane, None) {
+            Some(_) => 0,
+            None => self.queue.ahead(place.lane, live.caller) + 1,
+        };
         Load {
             now,
             end: live.end,
-            ahead: self.queue.ahead(live.place.lane, live.caller),
+            ahead,
             queued: self.queue.len(),
             slots: self.class_slots(live.place.class),
             service_ms: self.service(live.place.class).expect(now),
--- a/marigoldglade/src/requests/dispatch.rs
+++ b/marigoldglade/src/requests/dispatch.rs
@@ -4,6 +4,7 @@
 use crate::classify::{ClassKey, LaneKey, Place};
 use crate::prelude::*;
 use crate::queue::{Entry, RequestKey};
+use crate::route::TargetKey;
 
 impl Requests {
     /// Returns the classes with requests that wait or are sent.
@@ -113,7 +114,7 @@
         &mut self,
         now: UnixMs,
         request: RequestKey,
-        target: crate::route::TargetKey,
+        target: TargetKey,
         out: &mut Vec<Action>,
     ) {
         let Some(live) = self.live.get_mut(&request) else {
@@ -152,7 +153,10 @@
         let late = live.end.passed(now);
         let expired = || Error::new(Kind::Expired, "the deadline passed while it was claimed");
         match verdict {
-            Ok(()) if !late => self.launch(now, request, target, out),
+            Ok(()) if !late && self.routes.is_open(now, target) => {
+                self.launch(now, request, target, out);
+            }
+            Ok(()) if !late => self.requeue(request, target, out),
             Ok(()) => {
                 self.release(request, target);
                 self.finish(request, Err(expired()), out);
@@ -164,8 +168,23 @@
         }
     }
 
+    /// Queues a claimed request again whose target left in the meantime.
+    fn requeue(&mut self, request: RequestKey, target: TargetKey, out: &mut Vec<Action>) {
+        self.release(request, target);
+        let bytes = self.live.get(&request).map_or(0, |live| live.bytes);
+        if !self.queue.fits(bytes) {
+            let e = Error::new(Kind::NoTarget, "the target left and the queue is full");
+            return self.finish(request, Err(e), out);
+        }
+        if let Some(mut live) = self.live.remove(&request) {
+            live.stage = Stage::Queued;
+            self.enqueue(request, &live, true);
+            self.live.insert(request, live);
+        }
+    }
+
     /// Gives back the slot of a request.
-    pub(super) fn release(&mut self, request: RequestKey, target: crate::route::TargetKey) {
+    pub(super) fn release(&mut self, request: RequestKey, target: TargetKey) {
         self.routes.free(target);
         if let Some(live) = self.live.get(&request) {
             let class = live.place.class;
--- a/marigoldglade/src/requests/finish.rs
+++ b/marigoldglade/src/requests/finish.rs
@@ -26,7 +26,7 @@
             Self::Whole => Some(Sign::Good),
             Self::Refused => Some(Sign::Refused),
             Self::Busy => Some(Sign::Busy),
-            Self::NotSent | Self::Broken | Self::Bad => Some(Sign::Bad),
+            Self::Fault | Self::NotSent | Self::Broken | Self::Bad => Some(Sign::Bad),
             Self::Late if stalled => Some(Sign::Bad),
             Self::Late | Self::Oversize => None,
         }
@@ -38,7 +38,7 @@
             Self::Broken => Kind::TargetFailed,
             Self::Bad | Self::Oversize => Kind::BadAnswer,
             Self::Late => Kind::Timeout,
-            Self::Whole => Kind::Internal,
+            Self::Whole | Self::Fault => Kind::Internal,
         }
     }
 }
@@ -78,7 +78,7 @@
         }
         self.spread(target, end, leaving, out);
         match end {
-            End::Whole => self.finish(request, Ok(()), out),
+            End::Whole | End::Fault => self.finish(request, Ok(()), out),
             _ => self.failed(now, request, end, out),
         }
     }
@@ -101,8 +101,10 @@
         let Some(live) = self.live.get_mut(&request) else {
             return;
         };
-        let again =
-            (end.not_run() || live.idempotent) && live.tries < TRIES && !live.end.passed(now);
+        let again = (end.not_run() || live.idempotent)
+            && live.tries < TRIES
+            && !live.end.passed(now)
+            && self.queue.fits(live.bytes);
         if !again {
             let e = Error::new(end.kind(), "the target failed");
             self.finish(request, Err(e), out);
@@ -110,6 +112,7 @@
         }
         let due = self.budget.due(now, live.tries);
         live.stage = Stage::Backoff(due);
+        self.queue.hold(live.bytes);
         self.timers.insert((due, request));
     }
 
@@ -142,6 +145,7 @@
         };
         if self.budget.take() {
             live.stage = Stage::Queued;
+            self.queue.unhold(live.bytes);
             self.enqueue(request, &live, true);
         } else {
             let due = self.budget.due(now, live.tries + 1);
@@ -151,10 +155,16 @@
         self.live.insert(request, live);
     }
 
+    /// Takes a request out that waits in the queue or for its next try.
     fn unqueue(&mut self, request: RequestKey) {
         if let Some(live) = self.live.get(&request) {
             let (lane, caller) = (live.place.lane, live.caller);
-            self.queue.remove(lane, caller, request);
+            match live.stage {
+                Stage::Backoff(_) => self.queue.unhold(live.bytes),
+                _ => {
+                    self.queue.remove(lane, caller, request);
+                }
+            }
         }
     }
 
--- a/marigoldglade/src/retry.rs
+++ b/marigoldglade/src/retry.rs
@@ -28,12 +28,12 @@
 }
 
 impl Budget {
-    /// Makes an empty budget with a seeded jitter.
+    /// Makes a full budget with a seeded jitter.
     #[must_use]
     pub fn new(seed: u64) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
-            saved: 0,
+            saved: BURST * SENDS_PER_RETRY,
         }
     }
 
--- a/marigoldglade/src/route.rs
+++ b/marigoldglade/src/route.rs
@@ -258,7 +258,6 @@
         lane: &Lane,
         avoid: Option<TargetKey>,
     ) -> Option<TargetKey> {
-        let turn = self.rng.random_range(0..u16::MAX);
         let keys = self.matching(key, lane).to_vec();
         let usable = |k: &TargetKey| self.targets[usize::from(k.0)].usable();
         let alone = keys.iter().filter(|k| usable(k)).count() == 1;
@@ -267,10 +266,18 @@
         let open: Vec<TargetKey> = keys.into_iter().filter(open).collect();
         let load = |k: &TargetKey| {
             let target = &self.targets[usize::from(k.0)];
-            let used = u32::from(target.flying) * 1_000 / u32::from(target.limit.max(1));
-            (used, k.0.wrapping_add(turn))
+            u32::from(target.flying) * 1_000 / u32::from(target.limit.max(1))
         };
-        open.into_iter().min_by_key(load)
+        let least = open.iter().map(load).min()?;
+        let best: Vec<TargetKey> = open.into_iter().filter(|k| load(k) == least).collect();
+        let turn = self.rng.random_range(0..best.len());
+        best.get(turn).copied()
+    }
+
+    /// Returns whether new work may still go to a target that was picked before.
+    #[must_use]
+    pub fn is_open(&self, now: UnixMs, key: TargetKey) -> bool {
+        self.targets[usize::from(key.0)].usable() && !self.is_ejected(now, key)
     }
 
     /// Counts a request as sent to the target.
--- a/marigoldglade/tests/requests.rs
+++ b/marigoldglade/tests/requests.rs
@@ -23,7 +23,7 @@
 fn class(name: &str, urgency: u8) -> Class {
     Class {
         name: name.to_owned(),
-        matches: Selector::parse(&format!("tier = {name}")).unwrap(),
+        matches: Selector::parse(&format!("tier = {name}")).expect("a selector"),
         urgency,
         r#where: Selector::default(),
         answer_ms: 300,
@@ -127,7 +127,11 @@
         for action in out {
             self.take(action);
         }
-        assert!(self.path.queue().len() <= BOUNDS.len);
+        assert!(
+            self.path.queue().len() <= BOUNDS.len,
+            "{} wait",
+            self.path.queue().len()
+        );
         assert!(self.path.queue().bytes() <= BOUNDS.bytes);
     }
 
@@ -155,7 +159,11 @@
         assert!(!asked.claim || self.claimed.contains(&request));
         let reached = self.reached.get(&request).copied().unwrap_or_default();
         assert!(asked.idempotent || reached == 0, "sent twice");
-        let vm = self.path.routes().vm(target).unwrap();
+        let vm = self
+            .path
+            .routes()
+            .vm(target)
+            .expect("a target that was picked");
         assert!(!self.left.contains(&vm.name), "sent to a leaving target");
         self.sends.push(self.tried.insert(request));
         self.flying.push((request, target));
@@ -200,7 +208,11 @@
             self.late.push(target);
         }
         if leaving {
-            let vm = self.path.routes().vm(target).unwrap();
+            let vm = self
+                .path
+                .routes()
+                .vm(target)
+                .expect("a target that was picked");
             self.left.insert(vm.name.clone());
         }
         self.step(Event::Ended(request, end, leaving));
@@ -246,6 +258,7 @@
 fn op() -> impl Strategy<Value = Op> {
     let end = prop_oneof![
         6 => Just(End::Whole),
+        1 => Just(End::Fault),
         1 => Just(End::Refused),
         1 => Just(End::NotSent),
         2 => Just(End::Busy),
@@ -421,7 +434,13 @@
     for _ in 0..60 {
         world.ask(arrival("gate", "gate"));
         world.end(0, End::Broken, false);
-        let keys = (0..4).map(|i| world.path.routes().find(&format!("runner-{i}")).unwrap());
+        let keys = (0..4).map(|i| {
+            world
+                .path
+                .routes()
+                .find(&format!("runner-{i}"))
+                .expect("a listed runner")
+        });
         let ejected = keys.filter(|k| world.path.routes().is_ejected(world.now, *k));
         assert!(ejected.count() <= 2);
     }
@@ -443,7 +462,7 @@
         .path
         .routes()
         .vm(world.flying[0].1)
-        .unwrap()
+        .expect("it is there")
         .name
         .clone();
     world.end(0, End::Refused, false);
@@ -453,7 +472,7 @@
         .path
         .routes()
         .vm(world.flying[0].1)
-        .unwrap()
+        .expect("it is there")
         .name
         .clone();
     world.end(0, End::Whole, true);
