Claim non-idempotent requests in batches, without a home

Cause: the thin path wrote one claim a request before it was queued, never gave one back, and took an unknown outcome for a refusal.

Weighed: claims in shards with a home daemon against one key a claim, created if absent. Without a home nothing can be frozen past its lease or change hands; batches of nested transactions keep the calls few.

Ruled out by switching mechanisms off and seeing a test fail: the nonce, giving back only what provably wasn't used, reading back, refusing at once while the store is down, giving back a claim that came too late, and the comparison of the creation revision. The last one wasn't caught by the property at first; a focused test for a delayed deletion was added.

After: 6 tests pass (claim).

--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admit;
 pub mod api;
+pub mod claim;
 pub mod classify;
 pub mod config;
 pub mod error;
