--- /dev/null
+++ b/marigoldglade-cli/src/args.rs
@@ -0,0 +1,213 @@
+//! The arguments: every command with its help.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap_complete::Shell;
+
+use crate::show::Output;
+
+/// The variable with the daemons' addresses, separated by commas.
+const DAEMON_VARIABLE: &str = "MARIGOLDGLADE_DAEMON";
+/// Where a daemon is looked for when nothing says otherwise.
+const DAEMON_DEFAULT: &str = "127.0.0.1:7400";
+
+const EXIT_CODES: &str = "Exit codes:
+  0 success, 2 bad input, 3 slow input, 4 not found, 5 expired, 6 refused for now,
+  7 impossible, 8 store down, 9 conflict or duplicate, 10 may have run, 11 cancelled,
+  12 bad peer, 70 fault inside marigoldglade";
+
+/// Returns the whole command line.
+pub(crate) fn command() -> Command {
+    Command::new("marigoldglade")
+        .about("Submits jobs and requests to marigoldglade and operates it")
+        .version(clap::crate_version!())
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg(
+            Arg::new("daemon")
+                .long("daemon")
+                .value_name("IP:PORT")
+                .help("A daemon's address; may be repeated, the next is tried when one is away")
+                .global(true)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .help("How answers are shown")
+                .global(true)
+                .default_value("table")
+                .value_parser(["table", "json"]),
+        )
+        .subcommands(job_commands())
+        .subcommand(config_command())
+        .subcommand(Command::new("workspace").about("List workspaces, guarantees and quotas"))
+        .subcommand(vm_command())
+        .subcommand(Command::new("fleet").about("Show who holds what, and guarantees in force"))
+        .subcommand(Command::new("events").about("Show recent repairs and their causes"))
+        .subcommand(
+            Command::new("completion")
+                .about("Print a completion script for a shell")
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(Shell)),
+                ),
+        )
+}
+
+fn job_commands() -> Vec<Command> {
+    let id = Arg::new("job").required(true).help("The job's id");
+    vec![
+        Command::new("submit")
+            .about("Submit a job from a JSON or YAML file")
+            .arg(file_arg())
+            .arg(
+                Arg::new("wait")
+                    .long("wait")
+                    .help("Wait for the job's end")
+                    .action(ArgAction::SetTrue),
+            ),
+        Command::new("cancel").about("Cancel a job").arg(id.clone()),
+        Command::new("status")
+            .about("Show a job")
+            .arg(id.clone())
+            .arg(
+                Arg::new("wait")
+                    .long("wait")
+                    .help("Wait for the job's end")
+                    .action(ArgAction::SetTrue),
+            ),
+        Command::new("list").about("List jobs"),
+        Command::new("explain")
+            .about("Tell why a job stands where it stands")
+            .arg(id),
+        request_command(),
+    ]
+}
+
+fn request_command() -> Command {
+    let option = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).help(help).value_name("TEXT")
+    };
+    Command::new("request")
+        .about("Send one request as a caller; the body comes from the arguments")
+        .arg(Arg::new("service").required(true))
+        .arg(Arg::new("body").default_value(""))
+        .arg(option("caller", "Who calls"))
+        .arg(option("workspace", "The workspace that pays"))
+        .arg(option("labels", "Labels, as key=value, key=value"))
+        .arg(option(
+            "key",
+            "The idempotency key of a non-idempotent request",
+        ))
+        .arg(
+            Arg::new("deadline-ms")
+                .long("deadline-ms")
+                .help("How long the answer may take, in milliseconds")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            Arg::new("non-idempotent")
+                .long("non-idempotent")
+                .help("The request must run at most once")
+                .requires("key")
+                .requires("caller")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+fn config_command() -> Command {
+    let base = Arg::new("base")
+        .long("base")
+        .help("The version that the file is based on; the newest when absent")
+        .value_parser(value_parser!(u64));
+    Command::new("config")
+        .about("Show, check and change the configuration")
+        .subcommand_required(true)
+        .subcommand(Command::new("get").about("Print the configuration in force"))
+        .subcommand(
+            Command::new("check")
+                .about("Check a file without a daemon")
+                .arg(file_arg()),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Show how a file differs from the configuration in force")
+                .arg(file_arg()),
+        )
+        .subcommand(
+            Command::new("apply")
+                .about("Put a file in force")
+                .arg(file_arg())
+                .arg(base),
+        )
+        .subcommand(Command::new("history").about("List earlier versions"))
+}
+
+fn vm_command() -> Command {
+    let name = Arg::new("name").required(true).help("The VM's name");
+    Command::new("vm")
+        .about("List VMs, label them, drain them")
+        .subcommand_required(true)
+        .subcommand(Command::new("list").about("List VMs"))
+        .subcommand(
+            Command::new("label")
+                .about("Set labels (key=value) or remove them (key-)")
+                .arg(name.clone())
+                .arg(Arg::new("labels").required(true).num_args(1..)),
+        )
+        .subcommand(
+            Command::new("drain")
+                .about("Keep new work away from a VM")
+                .arg(name)
+                .arg(
+                    Arg::new("undo")
+                        .long("undo")
+                        .help("Let work come back")
+                        .action(ArgAction::SetTrue),
+                ),
+        )
+}
+
+fn file_arg() -> Arg {
+    Arg::new("file")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("A file, or - for standard input")
+}
+
+/// Returns the daemons' addresses: from the arguments, the environment or the default.
+pub(crate) fn daemons(matches: &ArgMatches) -> Vec<SocketAddr> {
+    if let Some(given) = matches.get_many::<SocketAddr>("daemon") {
+        return given.copied().collect();
+    }
+    let text = std::env::var(DAEMON_VARIABLE).unwrap_or_else(|_| DAEMON_DEFAULT.to_owned());
+    text.split(',')
+        .filter_map(|a| a.trim().parse().ok())
+        .collect()
+}
+
+/// Returns how answers are shown.
+pub(crate) fn output(matches: &ArgMatches) -> Output {
+    match matches.get_one::<String>("output").map(String::as_str) {
+        Some("json") => Output::Json,
+        _ => Output::Table,
+    }
+}
+
+/// Prints a completion script.
+pub(crate) fn complete(matches: &ArgMatches) {
+    if let Some(shell) = matches.get_one::<Shell>("shell") {
+        let mut command = command();
+        clap_complete::generate(
+            *shell,
+            &mut command,
+            "marigoldglade",
+            &mut std::io::stdout(),
+        );
+    }
+}
--- a/marigoldglade-cli/src/main.rs
+++ b/marigoldglade-cli/src/main.rs
@@ -1,2 +1,61 @@
-//! The marigoldglade command line.
-fn main() {}
+//! The marigoldglade command line: a command flows in, one or a few calls to a daemon flow out,
+//! and the answer is shown as a table or as JSON.
+
+mod args;
+mod call;
+mod configs;
+mod jobs;
+mod show;
+mod vms;
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use marigoldglade::prelude::*;
+
+use crate::call::Client;
+use crate::show::Output;
+
+fn main() -> ExitCode {
+    let matches = args::command().get_matches();
+    match run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("marigoldglade: {e}");
+            ExitCode::from(e.kind.answer().exit_code)
+        }
+    }
+}
+
+fn run(matches: &ArgMatches) -> Result<()> {
+    let client = Client::new(args::daemons(matches));
+    let output = args::output(matches);
+    let Some((name, sub)) = matches.subcommand() else {
+        return Err(Error::new(Kind::BadInput, "a command is missing"));
+    };
+    match name {
+        "completion" => {
+            args::complete(sub);
+            Ok(())
+        }
+        "submit" => jobs::submit(&client, output, sub),
+        "cancel" => jobs::cancel(&client, output, sub),
+        "status" => jobs::status(&client, output, sub),
+        "list" => jobs::list(&client, output),
+        "explain" => jobs::explain(&client, output, sub),
+        "request" => jobs::request(&client, sub),
+        "config" => configs::run(&client, output, sub),
+        "workspace" => configs::workspaces(&client, output),
+        "vm" => vms::run(&client, output, sub),
+        "fleet" => list(&client, output, "fleet"),
+        "events" => list(&client, output, "events"),
+        _ => Err(Error::new(Kind::BadInput, format!("no command {name}"))),
+    }
+}
+
+/// Shows what a route lists, all columns.
+fn list(client: &Client, output: Output, route: &str) -> Result<()> {
+    let value = client.json("GET", route, &[], &[])?;
+    show::rows(output, &value, &[]);
+    Ok(())
+}
--- a/marigoldglade/src/api.rs
+++ b/marigoldglade/src/api.rs
@@ -86,6 +86,15 @@
 }
 
 impl JobSpec {
+    /// Parses a job from JSON or YAML; `file` names the text in errors.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadInput`] with line, column and what was expected.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        serde_saphyr::from_str(text).map_err(|e| bad(format!("{file}: {e}")))
+    }
+
     /// Checks everything that needs no configuration.
     ///
     /// # Errors
--- a/marigoldglade/src/config.rs
+++ b/marigoldglade/src/config.rs
@@ -142,4 +142,13 @@
     pub fn parse(file: &str, text: &str) -> Result<Self> {
         serde_saphyr::from_str(text).map_err(|e| Error::new(Kind::BadInput, format!("{file}: {e}")))
     }
+
+    /// Writes the configuration as text that [`Config::parse`] reads.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Internal`] when it can't be written.
+    pub fn to_yaml(&self) -> Result<String> {
+        serde_saphyr::to_string(self).map_err(|e| Error::new(Kind::Internal, e.to_string()))
+    }
 }
--- a/marigoldgladed/src/jobs.rs
+++ b/marigoldgladed/src/jobs.rs
@@ -73,8 +73,9 @@
         if self.stop.stopping() {
             return Err(Error::new(Kind::Stopping, "the daemon is stopping"));
         }
-        let spec: JobSpec = serde_json::from_slice(&body)
-            .map_err(|e| Error::new(Kind::BadInput, format!("job: {e}")))?;
+        let text = std::str::from_utf8(&body)
+            .map_err(|_| Error::new(Kind::BadInput, "the job isn't UTF-8"))?;
+        let spec = JobSpec::parse("job", text)?;
         spec.check(clock::now())?;
         let version = self.configs.need()?;
         let known = |name: &str| version.config.workspaces.iter().any(|w| w.name == name);
