Add the mesh's frames, membership, ownership and events as filters

Cause: daemons had no way to find, trust and tell each other, and nothing decided who owns a data centre. Ruled out for now: mutual TLS (certificates on VMs that keep nothing), full mesh heartbeats. Conclusion: the types that other modules add to are in place.

--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -7,7 +7,12 @@
 pub mod api;
 pub mod config;
 pub mod error;
+pub mod events;
+pub mod frame_auth;
 pub mod label;
+pub mod member;
+pub mod mesh;
+pub mod owner;
 pub mod plan;
 pub mod prelude;
 pub mod settings;
