--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 pub mod config;
 pub mod error;
+pub mod etcd;
 pub mod events;
 pub mod frame_auth;
 pub mod label;
@@ -15,6 +16,7 @@
 pub mod owner;
 pub mod plan;
 pub mod prelude;
+pub mod roles;
 pub mod settings;
 pub mod store;
 pub mod time;
--- a/marigoldglade/src/member.rs
+++ b/marigoldglade/src/member.rs
@@ -773,10 +773,10 @@
     /// is well, the news sent least often, and the next part of the view if the views differ.
     fn news(&mut self, to: &str, differs: bool) -> Vec<Entry> {
         let mut news = vec![self.me.clone()];
-        if let Some(slot) = self.slots.get(to) {
-            if slot.entry.state != State::Alive {
-                news.push(slot.entry.clone());
-            }
+        if let Some(slot) = self.slots.get(to)
+            && slot.entry.state != State::Alive
+        {
+            news.push(slot.entry.clone());
         }
         let mut fresh: Vec<(u8, String)> = self
             .slots
@@ -813,10 +813,10 @@
             .cloned()
             .collect();
         for name in names {
-            if let Some(slot) = self.slots.get(&name) {
-                if !news.contains(&slot.entry) {
-                    news.push(slot.entry.clone());
-                }
+            if let Some(slot) = self.slots.get(&name)
+                && !news.contains(&slot.entry)
+            {
+                news.push(slot.entry.clone());
             }
             self.cursor = name;
         }
--- a/marigoldglade/src/owner.rs
+++ b/marigoldglade/src/owner.rs
@@ -262,10 +262,10 @@
 
     fn end_hold(&mut self, now: UnixMs, out: &mut Vec<Action>) {
         let Phase::Holding { lease, end, .. } = self.phase else {
-            if let Phase::Creating { lease, end } = self.phase {
-                if end.passed(now) || self.stopping {
-                    self.release(now, lease, end);
-                }
+            if let Phase::Creating { lease, end } = self.phase
+                && (end.passed(now) || self.stopping)
+            {
+                self.release(now, lease, end);
             }
             return;
         };
--- /dev/null
+++ b/marigoldgladed/src/link.rs
@@ -0,0 +1,177 @@
+//! One mesh connection: a stream flows in, an authenticated pair of frame halves flows out.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt as _, StreamExt as _};
+use marigoldglade::frame_auth::{NONCE_BYTES, TAG_BYTES};
+use marigoldglade::mesh::{self, Accept, Dial, FRAME_LIMIT_BYTES, Frame, Hello, Receiver, Sender};
+use marigoldglade::prelude::*;
+use tokio::net::TcpStream;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+
+/// The time that connecting and the handshake may take, in milliseconds.
+const HANDSHAKE_MS: u64 = 2_000;
+/// The bytes of a connection's read and write buffers.
+const BUFFER_BYTES: usize = 4 << 10;
+
+type Stream = WebSocketStream<TcpStream>;
+
+/// The half of a link that sends.
+pub(crate) struct Outlet {
+    sink: SplitSink<Stream, Message>,
+    sender: Sender,
+}
+
+/// The half of a link that receives.
+pub(crate) struct Inlet {
+    stream: SplitStream<Stream>,
+    receiver: Receiver,
+}
+
+/// An authenticated link.
+pub(crate) struct Link {
+    pub(crate) peer: Hello,
+    pub(crate) outlet: Outlet,
+    pub(crate) inlet: Inlet,
+}
+
+impl Outlet {
+    /// Sends one frame; gives its bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::TooLarge`] when nothing was sent, [`Kind::Unknown`] when the link broke.
+    pub(crate) async fn send(&mut self, frame: &Frame) -> Result<usize> {
+        let bytes = self.sender.seal(frame)?;
+        let size = bytes.len();
+        self.sink
+            .send(Message::binary(bytes))
+            .await
+            .map_err(broken)?;
+        Ok(size)
+    }
+}
+
+impl Inlet {
+    /// Waits for the next frame; gives it and its bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Unknown`] when the link broke, [`Kind::BadPeer`] when the frame isn't the peer's.
+    pub(crate) async fn receive(&mut self) -> Result<(Frame, usize)> {
+        let bytes = next(&mut self.stream).await?;
+        Ok((self.receiver.open(&bytes)?, bytes.len()))
+    }
+}
+
+/// Connects to a peer.
+///
+/// # Errors
+///
+/// [`Kind::NoTarget`] when it can't be reached, [`Kind::BadPeer`] when it isn't one of ours.
+pub(crate) async fn dial(addr: SocketAddr, key: &[u8], hello: &Hello) -> Result<Link> {
+    within(async {
+        let tcp = TcpStream::connect(addr).await.map_err(unreached)?;
+        let _ = tcp.set_nodelay(true);
+        let url = format!("ws://{addr}/");
+        let (mut stream, _) = client_async_with_config(url, tcp, Some(config()))
+            .await
+            .map_err(unreached)?;
+        let dial = Dial::new(key, &fresh(hello))?;
+        send(&mut stream, dial.hello().to_vec()).await?;
+        let welcome = next(&mut stream).await?;
+        let (proof, peer, halves) = dial.finish(&welcome)?;
+        send(&mut stream, proof.to_vec()).await?;
+        Ok(link(stream, peer, halves))
+    })
+    .await
+}
+
+/// Takes a connection of a peer.
+///
+/// # Errors
+///
+/// [`Kind::BadPeer`] or [`Kind::TooLarge`] when it isn't one of ours.
+pub(crate) async fn accept(tcp: TcpStream, key: &[u8], hello: &Hello) -> Result<Link> {
+    within(async {
+        let _ = tcp.set_nodelay(true);
+        let mut stream = accept_async_with_config(tcp, Some(config()))
+            .await
+            .map_err(|e| Error::new(Kind::BadPeer, e.to_string()))?;
+        let client = next(&mut stream).await?;
+        let (accept, welcome) = Accept::new(key, &fresh(hello), &client)?;
+        send(&mut stream, welcome).await?;
+        let proof = next(&mut stream).await?;
+        let (peer, halves) = accept.finish(&proof)?;
+        Ok(link(stream, peer, halves))
+    })
+    .await
+}
+
+fn link(stream: Stream, peer: Hello, halves: mesh::Link) -> Link {
+    let (sink, stream) = stream.split();
+    let (sender, receiver) = (halves.sender, halves.receiver);
+    Link {
+        peer,
+        outlet: Outlet { sink, sender },
+        inlet: Inlet { stream, receiver },
+    }
+}
+
+fn fresh(hello: &Hello) -> Hello {
+    let nonce: [u8; NONCE_BYTES] = rand::random();
+    Hello {
+        nonce,
+        ..hello.clone()
+    }
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_message_size(Some(FRAME_LIMIT_BYTES + TAG_BYTES))
+        .max_frame_size(Some(FRAME_LIMIT_BYTES + TAG_BYTES))
+}
+
+async fn within(handshake: impl Future<Output = Result<Link>>) -> Result<Link> {
+    tokio::time::timeout(Duration::from_millis(HANDSHAKE_MS), handshake)
+        .await
+        .unwrap_or_else(|_| Err(Error::new(Kind::NoTarget, "the peer took too long")))
+}
+
+async fn send(stream: &mut Stream, bytes: Vec<u8>) -> Result<()> {
+    stream.send(Message::binary(bytes)).await.map_err(broken)
+}
+
+async fn next<S>(stream: &mut S) -> Result<bytes::Bytes>
+where
+    S: futures_util::Stream<Item = tokio_tungstenite::tungstenite::Result<Message>> + Unpin,
+{
+    loop {
+        match stream.next().await {
+            Some(Ok(Message::Binary(bytes))) => return Ok(bytes),
+            Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+            Some(Ok(_)) => return Err(Error::new(Kind::BadPeer, "not a binary frame")),
+            Some(Err(e)) => return Err(broken(e)),
+            None => return Err(Error::new(Kind::Unknown, "the link was closed")),
+        }
+    }
+}
+
+fn unreached(e: impl std::fmt::Display) -> Error {
+    Error::new(Kind::NoTarget, e.to_string())
+}
+
+fn broken(e: tokio_tungstenite::tungstenite::Error) -> Error {
+    use tokio_tungstenite::tungstenite::Error as Ws;
+    let kind = match &e {
+        Ws::Capacity(_) | Ws::Protocol(_) | Ws::Utf8(_) | Ws::Http(_) => Kind::BadPeer,
+        _ => Kind::Unknown,
+    };
+    Error::new(kind, e.to_string())
+}
