--- a/marigoldgladed/src/app.rs
+++ b/marigoldgladed/src/app.rs
@@ -9,13 +9,19 @@
 
 use crate::admin::Admin;
 use crate::configs::Configs;
+use crate::events::Events;
 use crate::jobs::Jobs;
 use crate::keeper::Keeper;
+use crate::mesh::Mesh;
 use crate::requests::Requests;
+use crate::roles::Roles;
 use crate::stop::Stop;
 use crate::targets::Targets;
 use crate::{clock, front};
 
+/// The time in which the last frames to peers leave, in milliseconds.
+const FAREWELL_MS: u64 = 50;
+
 /// Everything that the daemon's parts share.
 pub(crate) struct App {
     pub(crate) settings: Settings,
@@ -25,6 +31,9 @@
     pub(crate) targets: Targets,
     pub(crate) requests: Requests,
     pub(crate) jobs: Jobs,
+    pub(crate) mesh: Mesh,
+    pub(crate) roles: Roles,
+    pub(crate) events: Events,
     pub(crate) admin: Admin,
 }
 
@@ -49,7 +58,6 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(internal)?;
     let listener = TcpListener::bind(settings.listen).await.map_err(internal)?;
     settings.listen = listener.local_addr().map_err(internal)?;
-    // The mesh takes this listener over.
     let mesh_listener = TcpListener::bind(settings.mesh).await.map_err(internal)?;
     settings.mesh = mesh_listener.local_addr().map_err(internal)?;
     let admin = Admin::start(&mut settings)?;
@@ -60,12 +68,19 @@
         targets: Targets::new(),
         requests: Requests::new(),
         jobs: Jobs::new(&settings.dc),
+        mesh: Mesh::new(&settings, admin.mesh.clone()),
+        roles: Roles::new(&settings.name, settings.mesh),
+        events: Events::default(),
         admin,
         settings,
     });
     tokio::spawn(Arc::clone(&app).follow_configs());
     tokio::spawn(Arc::clone(&app).follow_targets());
     tokio::spawn(Arc::clone(&app).own_jobs());
+    tokio::spawn(Arc::clone(&app).serve_mesh(mesh_listener));
+    tokio::spawn(Arc::clone(&app).follow_members());
+    tokio::spawn(Arc::clone(&app).follow_roles());
+    tokio::spawn(Arc::clone(&app).follow_owners());
     let front = tokio::spawn(front::serve(Arc::clone(&app), listener));
     app.admin.serve(&app);
     log::info!(
@@ -83,16 +98,25 @@
     log::info!("stopping; work in flight has until {}", end.0);
     app.stop.begin(end);
     tokio::select! {
-        () = app.stop.idle() => log::info!("stopped with nothing in flight"),
+        () = app.settled() => log::info!("stopped with nothing in flight"),
         () = clock::sleep_until(end) => log::warn!("stopped at the deadline with work in flight"),
         _ = terminate.recv() => log::warn!("stopped by a second signal"),
         _ = interrupt.recv() => log::warn!("stopped by a second signal"),
     }
     front.abort();
-    drop(mesh_listener);
+    app.leave_mesh();
+    clock::sleep_until(clock::now().after(FAREWELL_MS)).await;
     Ok(())
 }
 
+impl App {
+    /// Waits until no work is in flight and no data centre is owned any more.
+    async fn settled(&self) {
+        self.stop.idle().await;
+        self.released().await;
+    }
+}
+
 fn internal(e: std::io::Error) -> Error {
     Error::new(Kind::Internal, e.to_string())
 }
--- a/marigoldgladed/src/front.rs
+++ b/marigoldgladed/src/front.rs
@@ -124,10 +124,14 @@
         (&Method::GET, ["config"]) => app.show_config(),
         (&Method::PUT, ["config"]) => app.apply_config(parts, &body).await,
         (&Method::GET, ["vms"]) => json(StatusCode::OK, &*app.targets.list()),
-        (_, ["request", _] | ["jobs", ..] | ["config"] | ["vms"]) => Err(Error::new(
-            Kind::BadMethod,
-            format!("{} isn't offered on /{path}", parts.method),
-        )),
+        (&Method::GET, ["events"]) => app.show_events(),
+        (&Method::GET, ["mesh"]) => app.show_mesh(),
+        (_, ["request", _] | ["jobs", ..] | ["config" | "vms" | "events" | "mesh"]) => {
+            Err(Error::new(
+                Kind::BadMethod,
+                format!("{} isn't offered on /{path}", parts.method),
+            ))
+        }
         _ => Err(no_route(&path)),
     }
 }
