Check, compare and join configurations

Cause: a configuration was only a set of types; nothing said where a text was wrong, what an operator's change touched, or how two changes join.

Each problem names file, line, column, field and what was expected, and all problems are told at once. Ruled out: span-carrying copies of every type (each field twice); the place is instead looked up in an untyped tree, only when a check failed. Names can't hold '/', since they become parts of store keys, where 'a/b'+'c' and 'a'+'b/c' would be one key.

--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -6,6 +6,10 @@
 
 pub mod api;
 pub mod config;
+pub mod config_check;
+pub mod config_diff;
+pub mod config_edit;
+pub mod config_locate;
 pub mod error;
 pub mod label;
 pub mod plan;
