--- a/marigoldglade/src/config_diff.rs
+++ b/marigoldglade/src/config_diff.rs
@@ -148,7 +148,7 @@
     named!(Vms, vms),
 ];
 
-fn by_name<'a, T>(items: &'a [T], name: fn(&T) -> &String) -> BTreeMap<&'a str, &'a T> {
+fn by_name<T>(items: &[T], name: fn(&T) -> &String) -> BTreeMap<&str, &T> {
     items.iter().map(|i| (name(i).as_str(), i)).collect()
 }
 
