--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config_edit;
 pub mod config_locate;
 pub mod error;
+pub mod etcd;
 pub mod label;
 pub mod plan;
 pub mod prelude;
