--- a/marigoldglade-cli/tests/offline.rs
+++ b/marigoldglade-cli/tests/offline.rs
@@ -25,7 +25,7 @@
     let bad = run(&["config", "check", "-"], "centres:\n  - nam: kista\n");
     assert_eq!(bad.status.code(), Some(2));
     let error = String::from_utf8_lossy(&bad.stderr);
-    assert!(error.contains("nam") && error.contains("line 2"), "{error}");
+    assert!(error.contains("nam") && error.contains("-:2:"), "{error}");
 }
 
 #[test]
--- a/marigoldglade/src/config.rs
+++ b/marigoldglade/src/config.rs
@@ -199,15 +199,6 @@
             )
         })
     }
-
-    /// Writes the configuration as text that [`Config::parse`] reads.
-    ///
-    /// # Errors
-    ///
-    /// [`Kind::Internal`] when it can't be written.
-    pub fn to_yaml(&self) -> Result<String> {
-        serde_saphyr::to_string(self).map_err(|e| Error::new(Kind::Internal, e.to_string()))
-    }
 }
 
 /// Removes the place that the YAML library puts behind its messages.
--- a/marigoldgladed/src/mesh.rs
+++ b/marigoldgladed/src/mesh.rs
@@ -1,6 +1,6 @@
 //! The daemons' links to each other, and the membership that runs on them.
 //!
-//! Payloads flow in from the daemon's parts by [`Mesh::tell`] and [`Mesh::ask`], and out to them
+//! Payloads flow in from the daemon's parts by [`App::tell`] and [`App::ask`], and out to them
 //! in `receive`, where each kind of payload finds its part.
 
 use std::collections::HashMap;
