--- a/marigoldgladed/src/admin.rs
+++ b/marigoldgladed/src/admin.rs
@@ -28,6 +28,10 @@
     pub(crate) jobs: Counts,
     /// Calls to the key-value service by rank and outcome.
     pub(crate) store: Counts,
+    /// Frames and links of the mesh by what happened.
+    pub(crate) mesh: Counts,
+    /// Self-repair events by kind.
+    pub(crate) events: Counts,
 }
 
 impl Admin {
@@ -53,6 +57,8 @@
             requests: counts("requests", "Requests by outcome"),
             jobs: counts("jobs", "Jobs by state"),
             store: counts("store_calls", "Calls to the key-value service by outcome"),
+            mesh: counts("mesh", "Frames and links of the mesh by what happened"),
+            events: counts("events", "Self-repair events by kind"),
             registry: Mutex::new(registry),
         })
     }
