Run the request path's decisions in the daemon

Cause: the thin path picked runners in turn, opened a connection a request, neither queued nor retried, and called a request not run without proof.

Now the shell carries the filters' actions: connections to runners are kept in a pool and count the bytes the kernel took, so that 'not run' is said only when none left; an answer is read whole and checked for its id and length; signs of targets and heavy callers' use go over the mesh; a caller that hangs up frees its place.

--- a/marigoldglade/src/classify.rs
+++ b/marigoldglade/src/classify.rs
@@ -60,7 +60,7 @@
     config: Arc<Config>,
     classes: Vec<Class>,
     lanes: Vec<Lane>,
-    known: HashMap<(usize, usize, usize), LaneKey>,
+    known: HashMap<(usize, Option<usize>, usize), LaneKey>,
 }
 
 impl Classifier {
@@ -105,7 +105,7 @@
     }
 
     /// Finds class and lane. The workspace's labels go before the request's own, so that a
-    /// caller can't pass for another tenant.
+    /// caller can't pass for another tenant. An empty name is no workspace.
     ///
     /// # Errors
     ///
@@ -113,11 +113,15 @@
     pub fn place(&mut self, workspace: &str, service: &str, labels: &Labels) -> Result<Place> {
         let config = self.config.clone();
         let space = config.workspaces.iter().position(|w| w.name == workspace);
-        let space = space.ok_or_else(|| Error::new(Kind::NotFound, "no such workspace"))?;
+        if space.is_none() && !workspace.is_empty() {
+            return Err(Error::new(Kind::NotFound, "no such workspace"));
+        }
         let group = config.services.iter().position(|s| s.name == service);
         let group = group.ok_or_else(|| Error::new(Kind::NotFound, "no such service"))?;
         let mut seen = labels.clone();
-        seen.extend(config.workspaces[space].labels.clone());
+        if let Some(space) = space {
+            seen.extend(config.workspaces[space].labels.clone());
+        }
         seen.insert("workspace".to_owned(), workspace.to_owned());
         seen.insert("service".to_owned(), service.to_owned());
         let rule = config.classes.iter().position(|c| c.matches.matches(&seen));
@@ -132,7 +136,7 @@
         })
     }
 
-    fn add_lane(&mut self, rule: usize, space: usize, group: usize) -> Result<LaneKey> {
+    fn add_lane(&mut self, rule: usize, space: Option<usize>, group: usize) -> Result<LaneKey> {
         let config = &self.config;
         let class = config.classes.get(rule);
         let name = class.map_or("", |c| c.name.as_str());
@@ -141,7 +145,9 @@
             class: ClassKey(key.unwrap_or_default() as u16),
             allowed: [
                 class.map(|c| c.r#where.clone()).unwrap_or_default(),
-                config.workspaces[space].r#where.clone(),
+                space
+                    .map(|s| config.workspaces[s].r#where.clone())
+                    .unwrap_or_default(),
                 config.services[group].r#where.clone(),
             ],
         };
--- a/marigoldglade/src/mesh.rs
+++ b/marigoldglade/src/mesh.rs
@@ -13,6 +13,7 @@
 use crate::frame_auth::{self, End, NONCE_BYTES, Opener, Proof, Sealer, TAG_BYTES};
 use crate::member;
 use crate::owner;
+use crate::requests;
 use crate::time::UnixMs;
 
 /// The version of the frames; ends of different versions refuse each other.
@@ -54,6 +55,8 @@
     Member(member::Message),
     /// Who owns which data centre.
     Owners(Vec<owner::Holder>),
+    /// Requests: shares and signs of targets.
+    Request(requests::Tell),
     /// The answer to a call that failed.
     Refused(Error),
     /// The answer to a call that has nothing to tell.
--- a/marigoldgladed/src/app.rs
+++ b/marigoldgladed/src/app.rs
@@ -66,7 +66,7 @@
         keeper: Keeper::new(settings.store.clone(), admin.store.clone()),
         configs: Configs::new(),
         targets: Targets::new(),
-        requests: Requests::new(),
+        requests: Requests::new(&settings),
         jobs: Jobs::new(&settings.dc),
         mesh: Mesh::new(&settings, admin.mesh.clone()),
         roles: Roles::new(&settings.name, settings.mesh),
@@ -76,6 +76,7 @@
     });
     tokio::spawn(Arc::clone(&app).follow_configs());
     tokio::spawn(Arc::clone(&app).follow_targets());
+    tokio::spawn(Arc::clone(&app).follow_requests());
     tokio::spawn(Arc::clone(&app).own_jobs());
     tokio::spawn(Arc::clone(&app).serve_mesh(mesh_listener));
     tokio::spawn(Arc::clone(&app).follow_members());
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -15,6 +15,7 @@
 mod link;
 mod logs;
 mod mesh;
+mod pool;
 mod requests;
 mod roles;
 mod send;
