Lend idle slots, shed by a part of the deadline, bench floods

Found on the way by the property: a retry was paid for when it was queued, so that retries that waited broke the budget over a window; it is paid for when it is sent now.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Benchmarks that drive the shipping decisions; one subcommand a matter, each prints a table.
 
+mod flood;
 mod path;
 
 use clap::Command;
@@ -8,9 +9,11 @@
     let matches = Command::new("bench")
         .about("Benchmarks of marigoldglade")
         .subcommand_required(true)
+        .subcommand(flood::command())
         .subcommand(path::command())
         .get_matches();
     match matches.subcommand() {
+        Some(("flood", sub)) => flood::run(sub),
         Some(("path", sub)) => path::run(sub),
         _ => unreachable!("clap knows the subcommands"),
     }
--- a/marigoldglade/src/admit.rs
+++ b/marigoldglade/src/admit.rs
@@ -37,6 +37,9 @@
     }
 }
 
+/// A request may be expected to wait for one over this part of the time it has.
+const WAIT_PART: f64 = 4.0;
+
 /// What a request would meet in the queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
@@ -65,12 +68,20 @@
 /// Whether a request is taken.
 pub type Policy = fn(&Load) -> bool;
 
-/// Takes what is expected to be answered before its deadline.
+/// Takes what is expected to be answered before its deadline, on average.
 #[must_use]
-pub fn by_deadline(load: &Load) -> bool {
+pub fn by_mean(load: &Load) -> bool {
     load.wait_ms() + load.service_ms <= load.end.since(load.now) as f64
 }
 
+/// Takes what is expected to wait for a small part of its time only, which leaves room for a
+/// service time well above the mean and for estimates that are off.
+#[must_use]
+pub fn by_deadline(load: &Load) -> bool {
+    let left_ms = load.end.since(load.now) as f64;
+    load.wait_ms() <= left_ms / WAIT_PART && by_mean(load)
+}
+
 /// Takes everything that the bounded queue holds.
 #[must_use]
 pub fn by_bound(_load: &Load) -> bool {
--- a/marigoldglade/src/requests.rs
+++ b/marigoldglade/src/requests.rs
@@ -24,6 +24,9 @@
 use crate::slots;
 use crate::wire::Vm;
 
+/// Ticks over which it is averaged whether requests wait.
+const WAITS_TICKS: f64 = 16.0;
+
 /// A request as the front gives it in.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
@@ -165,6 +168,8 @@
 pub struct Policies {
     /// How a runner's slots are split.
     pub slots: slots::Policy,
+    /// Whether slots that other daemons leave idle are used.
+    pub lend: bool,
     /// What is taken.
     pub admit: admit::Policy,
     /// Whether callers have lines of their own.
@@ -179,6 +184,7 @@
     fn default() -> Self {
         Self {
             slots: slots::split,
+            lend: true,
             admit: admit::by_deadline,
             fair: true,
             urgent: true,
@@ -201,6 +207,8 @@
     live: HashMap<RequestKey, Live>,
     timers: BTreeSet<(UnixMs, RequestKey)>,
     tell_due: UnixMs,
+    // How much of the last ticks requests waited, from 0 to 1.
+    waits: f64,
     turn: usize,
     counts: Counts,
 }
@@ -234,6 +242,7 @@
             live: HashMap::new(),
             timers: BTreeSet::new(),
             tell_due: now.after(TELL_MS),
+            waits: 0.0,
             turn: 0,
             counts: Counts::default(),
         }
@@ -316,8 +325,12 @@
 
     fn hear(&mut self, now: UnixMs, from: &str, tell: Tell, out: &mut Vec<Action>) {
         match tell {
-            Tell::Share(sketch) if self.policies.shared => self.meter.hear(now, from, sketch),
-            Tell::Share(_) => {}
+            Tell::Share(mut sketch) => {
+                if !self.policies.shared {
+                    sketch.callers.clear();
+                }
+                self.meter.hear(now, from, sketch);
+            }
             Tell::Leaving(name) => {
                 if self.routes.leave(&name) {
                     out.extend(self.routes.find(&name).map(Action::CloseIdle));
@@ -459,12 +472,16 @@
 
     fn tick(&mut self, now: UnixMs, out: &mut Vec<Action>) {
         self.meter.tick(now);
+        let waits = if self.queue.is_empty() { 0.0 } else { 1.0 };
+        self.waits += (waits - self.waits) / WAITS_TICKS;
+        if self.policies.lend {
+            self.routes.set_lenders(self.meter.lenders());
+        }
         if self.tell_due.passed(now) {
             self.tell_due = now.after(TELL_MS);
-            let sketch = self.meter.sketch();
-            if self.policies.shared && !sketch.callers.is_empty() {
-                out.push(Action::Tell(Tell::Share(sketch)));
-            }
+            let mut sketch = self.meter.sketch();
+            sketch.full = self.waits > 0.5;
+            out.push(Action::Tell(Tell::Share(sketch)));
         }
         self.run_timers(now, out);
     }
--- a/marigoldglade/src/requests/dispatch.rs
+++ b/marigoldglade/src/requests/dispatch.rs
@@ -83,7 +83,7 @@
         let Some(live) = self.live.get(&entry.request) else {
             return true;
         };
-        let (place, end, avoid) = (live.place, live.end, live.avoid);
+        let (place, end, avoid, tries) = (live.place, live.end, live.avoid, live.tries);
         let service_ms = self.service(place.class).expect(now);
         if (end.since(now) as f64) < service_ms {
             self.counts.expired += 1;
@@ -95,6 +95,11 @@
         let Some(target) = self.routes.pick(now, lane, rule, avoid) else {
             return self.put_back(entry, place);
         };
+        // A retry is paid for when it is sent, so that the budget holds over any window.
+        if tries > 0 && !self.budget.take() {
+            self.hold_back(now, entry.request);
+            return true;
+        }
         self.routes.start(now, target);
         *self.flying_of(place.class) += 1;
         self.launch(now, entry.request, target, out);
--- a/marigoldglade/src/requests/finish.rs
+++ b/marigoldglade/src/requests/finish.rs
@@ -110,10 +110,17 @@
             self.finish(request, Err(e), out);
             return;
         }
-        let due = self.budget.due(now, live.tries);
-        live.stage = Stage::Backoff(due);
-        self.queue.hold(live.bytes);
-        self.timers.insert((due, request));
+        self.hold_back(now, request);
+    }
+
+    /// Lets a request wait for its next try.
+    pub(super) fn hold_back(&mut self, now: UnixMs, request: RequestKey) {
+        if let Some(live) = self.live.get_mut(&request) {
+            let due = self.budget.due(now, live.tries);
+            live.stage = Stage::Backoff(due);
+            self.queue.hold(live.bytes);
+            self.timers.insert((due, request));
+        }
     }
 
     pub(super) fn run_timers(&mut self, now: UnixMs, out: &mut Vec<Action>) {
@@ -132,27 +139,20 @@
                     let e = Error::new(Kind::Expired, "the deadline passed");
                     self.finish(request, Err(e), out);
                 }
-                Stage::Backoff(at) if at == due => self.again(now, request),
+                Stage::Backoff(at) if at == due => self.again(request),
                 Stage::Queued | Stage::Backoff(_) => {}
             }
         }
     }
 
-    /// Queues a request again if the budget has a retry left, or waits on.
-    fn again(&mut self, now: UnixMs, request: RequestKey) {
-        let Some(mut live) = self.live.remove(&request) else {
-            return;
-        };
-        if self.budget.take() {
+    /// Queues a request again whose backoff is over.
+    fn again(&mut self, request: RequestKey) {
+        if let Some(mut live) = self.live.remove(&request) {
             live.stage = Stage::Queued;
             self.queue.unhold(live.bytes);
             self.enqueue(request, &live, true);
-        } else {
-            let due = self.budget.due(now, live.tries + 1);
-            live.stage = Stage::Backoff(due);
-            self.timers.insert((due, request));
+            self.live.insert(request, live);
         }
-        self.live.insert(request, live);
     }
 
     /// Takes a request out that waits in the queue or for its next try.
--- a/marigoldglade/src/route.rs
+++ b/marigoldglade/src/route.rs
@@ -22,6 +22,11 @@
 const EJECT_LIMIT_MS: u64 = 8_000;
 /// How long a target that said it was full is left alone, at most, in milliseconds.
 const BUSY_MS: u64 = 20;
+/// How long no slots beyond the own part are used after a target said that it was full, in
+/// milliseconds; it doubles each time.
+const LEND_PAUSE_MS: u64 = 100;
+/// The most that this pause is doubled.
+const LEND_ROUNDS: u8 = 5;
 /// Names of leaving VMs that are kept.
 const LEFT_LIMIT: usize = 1_024;
 
@@ -50,6 +55,14 @@
     Probing { round: u8 },
 }
 
+/// How far other daemons' slots may be used.
+#[derive(Clone, Copy)]
+struct Loan {
+    lenders: usize,
+    others: usize,
+    most: u16,
+}
+
 #[derive(Clone, Debug)]
 struct Target {
     vm: Vm,
@@ -58,16 +71,19 @@
     listed: bool,
     health: Health,
     pause_end: UnixMs,
+    // Until when only the own part of its slots is used, and how often that came in a row.
+    lend_due: UnixMs,
+    lend_round: u8,
 }
 
 impl Target {
     /// Returns how many more requests it may be sent now.
-    fn free(&self, now: UnixMs) -> u16 {
+    fn free(&self, now: UnixMs, loan: Loan) -> u16 {
         if !self.listed || self.vm.leaving || !self.pause_end.passed(now) {
             return 0;
         }
         let limit = match self.health {
-            Health::Good { .. } => self.limit,
+            Health::Good { .. } => self.limit + self.lent(now, loan),
             Health::Suspect | Health::Probing { .. } => self.limit.min(1),
             Health::Ejected { end, .. } if end.passed(now) => self.limit.min(1),
             Health::Ejected { .. } => 0,
@@ -75,6 +91,16 @@
         limit.saturating_sub(self.flying)
     }
 
+    /// Returns how many of the others' slots may be used while those leave them idle.
+    fn lent(&self, now: UnixMs, loan: Loan) -> u16 {
+        if !self.lend_due.passed(now) {
+            return 0;
+        }
+        let theirs = self.vm.slots.saturating_sub(self.limit);
+        let lent = usize::from(theirs) * loan.lenders / loan.others.max(1);
+        (lent as u16).min(loan.most.saturating_sub(self.limit))
+    }
+
     fn usable(&self) -> bool {
         self.listed && !self.vm.leaving
     }
@@ -85,6 +111,7 @@
     me: String,
     members: Vec<String>,
     policy: Policy,
+    lenders: usize,
     targets: Vec<Target>,
     names: HashMap<String, TargetKey>,
     left: VecDeque<String>,
@@ -100,6 +127,7 @@
             me: me.to_owned(),
             members: vec![me.to_owned()],
             policy,
+            lenders: 0,
             targets: Vec::new(),
             names: HashMap::new(),
             left: VecDeque::new(),
@@ -119,6 +147,11 @@
         }
     }
 
+    /// Takes how many of the other daemons leave slots idle; each lends its part of them.
+    pub fn set_lenders(&mut self, lenders: usize) {
+        self.lenders = lenders;
+    }
+
     fn limit(&self, vm: &Vm) -> u16 {
         (self.policy)(&vm.name, &self.members, &self.me, vm.slots)
             .min(connections(self.members.len()))
@@ -149,6 +182,8 @@
             listed: true,
             health: Health::Good { fails: 0 },
             pause_end: UnixMs(0),
+            lend_due: UnixMs(0),
+            lend_round: 0,
         };
         let key = self.place(target);
         self.names.insert(name, key);
@@ -208,7 +243,8 @@
         listed.map(|t| t.vm.name.as_str())
     }
 
-    /// Returns the slots that this daemon may use, of all targets that aren't ejected.
+    /// Returns the slots that this daemon can count on: its part of those of all targets that
+    /// aren't ejected, and what it holds above it.
     #[must_use]
     pub fn slots(&self) -> u32 {
         let sound = |t: &&Target| t.usable() && matches!(t.health, Health::Good { .. });
@@ -261,7 +297,12 @@
         let keys = self.matching(key, lane).to_vec();
         let usable = |k: &TargetKey| self.targets[usize::from(k.0)].usable();
         let alone = keys.iter().filter(|k| usable(k)).count() == 1;
-        let free = |k: &TargetKey| self.targets[usize::from(k.0)].free(now);
+        let loan = Loan {
+            lenders: self.lenders.min(self.members.len() - 1),
+            others: self.members.len() - 1,
+            most: connections(self.members.len()),
+        };
+        let free = |k: &TargetKey| self.targets[usize::from(k.0)].free(now, loan);
         let open = |k: &TargetKey| free(k) > 0 && (alone || Some(*k) != avoid);
         let open: Vec<TargetKey> = keys.into_iter().filter(open).collect();
         let load = |k: &TargetKey| {
@@ -320,6 +361,10 @@
         target.health = next;
         if sign == Sign::Busy {
             target.pause_end = now.after(pause_ms);
+            target.lend_due = now.after(LEND_PAUSE_MS << target.lend_round);
+            target.lend_round = (target.lend_round + 1).min(LEND_ROUNDS);
+        } else if sign == Sign::Good && target.flying >= target.limit {
+            target.lend_round = 0;
         }
     }
 
--- a/marigoldglade/src/share.rs
+++ b/marigoldglade/src/share.rs
@@ -16,7 +16,9 @@
 /// Heavy callers that a daemon tells.
 pub const TOLD: usize = 32;
 /// How often a sketch is told.
-pub const TELL_MS: u64 = 500;
+pub const TELL_MS: u64 = 1_000;
+/// How often old use decays.
+const DECAY_MS: u64 = 100;
 /// How long a sketch that was heard counts.
 const FRESH_MS: u64 = 3 * TELL_MS;
 /// The time in which a use without follow-up decays to a half.
@@ -44,6 +46,8 @@
 pub struct Sketch {
     /// At most [`TOLD`] callers, the heaviest first.
     pub callers: Vec<(CallerKey, u32)>,
+    /// Whether requests wait there most of the time, so that it needs all its slots itself.
+    pub full: bool,
 }
 
 /// The use of callers, here and elsewhere.
@@ -86,7 +90,7 @@
     /// Lets old use decay and forgets sketches that are no longer fresh.
     pub fn tick(&mut self, now: UnixMs) {
         let past_ms = now.since(self.decayed);
-        if past_ms < TELL_MS / 5 {
+        if past_ms < DECAY_MS {
             return;
         }
         let keep = 0.5_f64.powf(past_ms as f64 / HALF_LIFE_MS as f64);
@@ -116,7 +120,10 @@
             .collect();
         callers.sort_by_key(|(key, used)| (std::cmp::Reverse(*used), *key));
         callers.truncate(TOLD);
-        Sketch { callers }
+        Sketch {
+            callers,
+            full: false,
+        }
     }
 
     /// Takes another daemon's sketch.
@@ -127,6 +134,12 @@
         self.sum();
     }
 
+    /// Returns how many other daemons told lately that they don't need all their slots.
+    #[must_use]
+    pub fn lenders(&self) -> usize {
+        self.heard.values().filter(|(s, _)| !s.full).count()
+    }
+
     fn sum(&mut self) {
         self.remote.clear();
         for (sketch, _) in self.heard.values() {
--- a/marigoldglade/tests/requests.rs
+++ b/marigoldglade/tests/requests.rs
@@ -10,6 +10,8 @@
 use marigoldglade::requests::{Action, Arrival, End, Event, Requests, Tell};
 use marigoldglade::retry::{BURST, SENDS_PER_RETRY};
 use marigoldglade::route::TargetKey;
+use marigoldglade::share::Sketch;
+use marigoldglade::slots;
 use marigoldglade::wire::{Role, Vm};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -26,7 +28,7 @@
         matches: Selector::parse(&format!("tier = {name}")).expect("a selector"),
         urgency,
         r#where: Selector::default(),
-        answer_ms: 300,
+        answer_ms: 1_000,
         grace_ms: 0,
     }
 }
@@ -484,3 +486,45 @@
         world.pass(1_000);
     }
 }
+
+#[test]
+fn idle_slots_of_others_are_used_until_they_are_needed() {
+    let mut world = World::new(1, 8);
+    let names = ["entry-1", "entry-2"].map(str::to_owned);
+    world.step(Event::Members(names.to_vec()));
+    let told = |full| {
+        let sketch = Sketch {
+            callers: Vec::new(),
+            full,
+        };
+        Event::Heard("entry-2".to_owned(), Tell::Share(sketch))
+    };
+    let own = slots::split("runner-0", &names, "entry-1", 8);
+    let fill = |world: &mut World| {
+        for _ in 0..10 {
+            world.ask(arrival("gate", "gate"));
+        }
+        let sent = world.flying.len();
+        while !world.flying.is_empty() {
+            world.end(0, End::Whole, false);
+        }
+        sent
+    };
+    assert_eq!(fill(&mut world), usize::from(own), "nothing was told");
+    world.step(told(false));
+    world.pass(10);
+    assert_eq!(fill(&mut world), 8);
+    world.step(told(true));
+    world.pass(10);
+    assert_eq!(fill(&mut world), usize::from(own));
+    world.step(told(false));
+    world.pass(10);
+    world.ask(arrival("gate", "gate"));
+    world.end(0, End::Busy, false);
+    world.pass(30);
+    assert_eq!(fill(&mut world), usize::from(own), "the runner was full");
+    world.pass(10_000);
+    world.step(told(false));
+    world.pass(10);
+    assert_eq!(fill(&mut world), 8);
+}
