--- /dev/null
+++ b/marigoldglade/tests/member/fleet.rs
@@ -0,0 +1,318 @@
+//! Memberships of many daemons on in-memory links under a fake clock.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+
+use marigoldglade::member::{Action, Entry, Event, Members, Message, State};
+use marigoldglade::mesh::{self, Frame, Payload, Way};
+use marigoldglade::time::UnixMs;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const TICK_MS: u64 = 100;
+const INBOX_LIMIT: usize = 256;
+
+/// What links do to messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Weather {
+    drop_percent: u32,
+    double_percent: u32,
+    delay_ms: u64,
+}
+
+impl Weather {
+    pub const CALM: Self = Self {
+        drop_percent: 0,
+        double_percent: 0,
+        delay_ms: 3,
+    };
+    pub const STORM: Self = Self {
+        drop_percent: 20,
+        double_percent: 10,
+        delay_ms: 1_500,
+    };
+}
+
+struct Daemon {
+    members: Members,
+    up: bool,
+    paused: bool,
+    inbox: Vec<(SocketAddr, Message)>,
+    changes: Vec<Entry>,
+    refuted: u64,
+    sent: usize,
+    bytes: usize,
+    peers: BTreeSet<SocketAddr>,
+}
+
+type Flight = Reverse<(u64, u64, usize, usize)>;
+
+/// The daemons, the clock and the messages under way.
+pub struct Fleet {
+    daemons: Vec<Daemon>,
+    centres: usize,
+    now: UnixMs,
+    flights: BinaryHeap<Flight>,
+    messages: BTreeMap<u64, Message>,
+    count: u64,
+    severed: Vec<bool>,
+    largest: usize,
+    replaced: usize,
+    rng: ChaCha8Rng,
+}
+
+fn addr(i: usize) -> SocketAddr {
+    let port = u16::try_from(1_000 + i).expect("a small fleet");
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+impl Fleet {
+    pub fn new(size: usize, centres: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            daemons: Vec::new(),
+            centres,
+            now: UnixMs(1_000_000),
+            flights: BinaryHeap::new(),
+            messages: BTreeMap::new(),
+            count: 0,
+            severed: vec![false; size],
+            largest: 0,
+            replaced: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        for i in 0..size {
+            let daemon = fleet.start(i, &format!("entry-{i}"));
+            fleet.daemons.push(daemon);
+        }
+        fleet
+    }
+
+    fn start(&mut self, i: usize, name: &str) -> Daemon {
+        let dc = format!("dc{}", i % self.centres);
+        let seed = self.rng.random();
+        let mut members = Members::new(name, &dc, addr(i), self.now, seed);
+        let seeds = vec![addr(0), addr(1)];
+        members.step(self.now, Event::Seeds(seeds), &mut Vec::new());
+        Daemon {
+            members,
+            up: true,
+            paused: false,
+            inbox: Vec::new(),
+            changes: Vec::new(),
+            refuted: 0,
+            sent: 0,
+            bytes: 0,
+            peers: BTreeSet::new(),
+        }
+    }
+
+    pub fn run(&mut self, ms: u64, weather: Weather) {
+        let end = self.now.after(ms);
+        while self.now < end {
+            self.deliver(weather);
+            for i in 0..self.daemons.len() {
+                self.step(i, Event::Tick, weather);
+            }
+            self.now = self.now.after(TICK_MS);
+        }
+    }
+
+    fn deliver(&mut self, weather: Weather) {
+        while self.flights.peek().is_some_and(|f| f.0.0 <= self.now.0) {
+            let Some(Reverse((_, id, from, to))) = self.flights.pop() else {
+                return;
+            };
+            let message = self.messages.remove(&id).expect("under way");
+            if self.severed[from] != self.severed[to] || !self.daemons[to].up {
+                continue;
+            }
+            let daemon = &mut self.daemons[to];
+            if daemon.paused {
+                if daemon.inbox.len() < INBOX_LIMIT {
+                    daemon.inbox.push((addr(from), message));
+                }
+                continue;
+            }
+            self.step(to, Event::Message(addr(from), message), weather);
+        }
+    }
+
+    fn step(&mut self, i: usize, event: Event, weather: Weather) {
+        let daemon = &mut self.daemons[i];
+        if !daemon.up || daemon.paused {
+            return;
+        }
+        let mut out = Vec::new();
+        daemon.members.step(self.now, event, &mut out);
+        for action in out {
+            match action {
+                Action::Send(to, message) => self.send(i, to, message, weather),
+                Action::Changed(entry) => self.daemons[i].changes.push(entry),
+                Action::Refuted => self.daemons[i].refuted += 1,
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message, weather: Weather) {
+        if let Message::Ping { news, .. } | Message::Ack { news, .. } = &message {
+            self.largest = self.largest.max(news.len());
+        }
+        let frame = Frame {
+            way: Way::Tell,
+            payload: Payload::Member(message.clone()),
+        };
+        let daemon = &mut self.daemons[from];
+        daemon.sent += 1;
+        daemon.bytes += mesh::encode(&frame).expect("small").len();
+        daemon.peers.insert(to);
+        let Some(to) = usize::from(to.port())
+            .checked_sub(1_000)
+            .filter(|to| *to < self.daemons.len())
+        else {
+            return;
+        };
+        if self.rng.random_range(0..100) < weather.drop_percent {
+            return;
+        }
+        let twice = self.rng.random_range(0..100) < weather.double_percent;
+        for _ in 0..=u8::from(twice) {
+            let at = self.now.0 + self.rng.random_range(1..=weather.delay_ms);
+            self.count += 1;
+            self.messages.insert(self.count, message.clone());
+            self.flights.push(Reverse((at, self.count, from, to)));
+        }
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.daemons[i].up = false;
+    }
+
+    pub fn leave(&mut self, i: usize) {
+        self.step(i, Event::Leave, Weather::CALM);
+        self.daemons[i].up = false;
+    }
+
+    /// A new daemon takes the address of another, which left or just went.
+    pub fn replace(&mut self, i: usize, gracefully: bool) {
+        if gracefully {
+            self.leave(i);
+        }
+        self.replaced += 1;
+        let name = format!("entry-{i}-{}", self.replaced);
+        self.daemons[i] = self.start(i, &name);
+    }
+
+    /// The same daemon starts again and remembers nothing.
+    pub fn restart(&mut self, i: usize) {
+        let name = self.daemons[i].members.me().name.clone();
+        self.daemons[i] = self.start(i, &name);
+    }
+
+    pub fn pause(&mut self, i: usize) {
+        self.daemons[i].paused = true;
+    }
+
+    pub fn resume(&mut self, i: usize) {
+        self.daemons[i].paused = false;
+        for (from, message) in std::mem::take(&mut self.daemons[i].inbox) {
+            self.step(i, Event::Message(from, message), Weather::CALM);
+        }
+    }
+
+    pub fn cut(&mut self, side: impl Fn(usize) -> bool) {
+        self.severed = (0..self.daemons.len()).map(side).collect();
+    }
+
+    pub fn heal(&mut self) {
+        self.severed.fill(false);
+    }
+
+    pub fn inject(&mut self, i: usize, count: usize) {
+        let me = self.daemons[i].members.me().clone();
+        for n in 0..count {
+            let news = vec![Entry {
+                name: format!("made-up-{n}"),
+                addr: SocketAddr::from(([10, 9, 0, 1], 9)),
+                incarnation: 1,
+                ..me.clone()
+            }];
+            let message = Message::Ack {
+                seq: 0,
+                digest: 0,
+                news,
+            };
+            let event = Event::Message(addr(1), message);
+            let daemon = &mut self.daemons[i];
+            daemon.members.step(self.now, event, &mut Vec::new());
+        }
+    }
+
+    fn up(&self) -> impl Iterator<Item = &Daemon> {
+        self.daemons.iter().filter(|d| d.up)
+    }
+
+    /// Every live daemon sees just the live daemons.
+    pub fn assert_agreed(&self) {
+        let mut names: Vec<&str> = self.up().map(|d| d.members.me().name.as_str()).collect();
+        names.sort_unstable();
+        for daemon in self.up() {
+            let live = daemon.members.live();
+            let seen: Vec<&str> = live.iter().map(|e| e.name.as_str()).collect();
+            assert_eq!(seen, names, "as {} sees it", daemon.members.me().name);
+            assert!(live.iter().all(|e| e.state == State::Alive));
+        }
+    }
+
+    pub fn assert_no_ghosts(&self) {
+        let live = self.up().count();
+        for daemon in self.up() {
+            assert_eq!(daemon.members.known() + 1, live);
+        }
+    }
+
+    pub fn deaths_seen(&self, by: usize, of: usize) -> bool {
+        let name = &self.daemons[of].members.me().name;
+        let dead = |e: &Entry| e.name == *name && e.state == State::Dead;
+        self.daemons[by].changes.iter().any(dead)
+    }
+
+    pub fn refuted(&self, i: usize) -> bool {
+        self.daemons[i].refuted > 0
+    }
+
+    pub fn live_count(&self, i: usize) -> usize {
+        self.daemons[i].members.live().len()
+    }
+
+    pub fn known(&self, i: usize) -> usize {
+        self.daemons[i].members.known()
+    }
+
+    pub fn state_of(&self, by: usize, of: usize) -> Option<State> {
+        let name = &self.daemons[of].members.me().name;
+        self.daemons[by].members.entry(name).map(|e| e.state)
+    }
+
+    pub fn sent_by(&self, i: usize) -> usize {
+        self.daemons[i].sent
+    }
+
+    pub fn bytes_by(&self, i: usize) -> usize {
+        self.daemons[i].bytes
+    }
+
+    pub fn peers_of(&self, i: usize) -> usize {
+        self.daemons[i].peers.len()
+    }
+
+    pub fn forget_peers(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.peers.clear();
+        }
+    }
+
+    pub fn largest_news(&self) -> usize {
+        self.largest
+    }
+}
--- a/marigoldgladed/src/link.rs
+++ b/marigoldgladed/src/link.rs
@@ -169,7 +169,10 @@
 
 fn broken(e: tokio_tungstenite::tungstenite::Error) -> Error {
     use tokio_tungstenite::tungstenite::Error as Ws;
+    use tokio_tungstenite::tungstenite::error::ProtocolError;
     let kind = match &e {
+        // The peer's process ended.
+        Ws::Protocol(ProtocolError::ResetWithoutClosingHandshake) => Kind::Unknown,
         Ws::Capacity(_) | Ws::Protocol(_) | Ws::Utf8(_) | Ws::Http(_) => Kind::BadPeer,
         _ => Kind::Unknown,
     };
