Accept configurations truthfully and spread them without the store

Cause: the thin path took an answer that was lost for a failure, numbered versions by the store's revision, and knew a version only from the store.

A version now carries a number and a nonce. A write of unknown outcome is sent again; only one copy can take effect, and the nonce in the history tells whose it was. Daemons tell each other stamps and fetch what is newer; only a higher stamp is put in force.

Seen failing with the mechanism switched off: no higher-stamp rule (frozen daemon, property), no comparison with peers (cut halves, 140 daemons, property), unknown taken for not written (property of racing operators), no compare, no absence compare, no nonce. Without the announcements the bound of 5 s still holds by comparison alone; they only shorten the spread.

Ruled out: pushing whole versions to several peers, which sends each text several times over every link.

--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod api;
 pub mod config;
+pub mod config_accept;
 pub mod config_check;
 pub mod config_diff;
 pub mod config_edit;
@@ -16,6 +17,7 @@
 pub mod plan;
 pub mod prelude;
 pub mod settings;
+pub mod spread;
 pub mod store;
 pub mod time;
 pub mod wire;
