--- /dev/null
+++ b/marigoldglade/src/fleet.rs
@@ -0,0 +1,301 @@
+//! The workers of one data centre and the sets of them that selectors match.
+//!
+//! VMs and operators' marks flow in; counts of accelerators and compiled selectors flow out.
+
+use std::collections::BTreeMap;
+
+use crate::api::WORKER_ACCELS;
+use crate::config::VmMark;
+use crate::label::Selector;
+use crate::plan::{JobKey, WorkerKey};
+use crate::wire::Vm;
+
+/// A compiled pair of selectors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct SetKey(u32);
+
+/// A rack within one data centre.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RackKey(pub u16);
+
+/// What the searches read of a worker: counts of accelerators.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Slot {
+    /// The rack it sits in.
+    pub rack: RackKey,
+    /// All accelerators.
+    pub accels: u8,
+    /// Held by gangs that start, run or stop.
+    pub used: u8,
+    /// The part of `used` that gangs about to stop will give back.
+    pub stopping: u8,
+    /// Promised to gangs that wait for others to stop.
+    pub held: u8,
+    /// Covered by blocks of guarantees.
+    pub cells: u8,
+    /// Held by gangs that can't be stopped and lie outside their guarantee.
+    pub pinned: u8,
+    /// Whether the VM list shows it.
+    pub live: bool,
+    /// Whether operators or the platform keep new work away.
+    pub closed: bool,
+    /// Whether it is under suspicion.
+    pub suspect: bool,
+}
+
+impl Slot {
+    /// Returns whether new work may come here.
+    pub fn open(self) -> bool {
+        self.live && !self.closed && !self.suspect
+    }
+
+    /// Returns whether it could serve once suspicion is over.
+    pub fn hopeful(self) -> bool {
+        self.live && !self.closed
+    }
+
+    /// Returns the accelerators that nobody holds and nobody was promised.
+    pub fn free(self) -> u8 {
+        self.accels.saturating_sub(self.used + self.held)
+    }
+
+    /// Returns what will be free, unpromised, once the stopping gangs are gone.
+    pub fn room(self) -> u8 {
+        (self.accels + self.stopping).saturating_sub(self.used + self.held)
+    }
+
+    /// Returns the accelerators that no guarantee covers yet and one could.
+    pub fn uncovered(self) -> u8 {
+        if self.open() {
+            self.accels.saturating_sub(self.cells + self.pinned)
+        } else {
+            0
+        }
+    }
+}
+
+/// One gang's hold on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Hold {
+    pub job: JobKey,
+    pub accels: u8,
+}
+
+struct Set {
+    selectors: [Selector; 2],
+    bits: Vec<u64>,
+}
+
+/// All workers of the data centre.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    pub slots: Vec<Slot>,
+    /// The gangs on each worker.
+    pub holds: Vec<Vec<Hold>>,
+    /// The workers of each rack.
+    pub racks: Vec<Vec<WorkerKey>>,
+    /// Grows with each change of which workers serve.
+    pub version: u64,
+    vms: Vec<Vm>,
+    by_name: BTreeMap<String, WorkerKey>,
+    by_rack: BTreeMap<String, RackKey>,
+    vacant: Vec<WorkerKey>,
+    marks: Vec<VmMark>,
+    sets: Vec<Set>,
+    by_text: BTreeMap<[String; 2], SetKey>,
+}
+
+impl Fleet {
+    /// Returns the worker's counts.
+    pub fn slot(&self, worker: WorkerKey) -> Slot {
+        self.slots[usize::from(worker.0)]
+    }
+
+    /// Returns the worker's counts for a change.
+    pub fn slot_mut(&mut self, worker: WorkerKey) -> &mut Slot {
+        &mut self.slots[usize::from(worker.0)]
+    }
+
+    /// Returns the gangs on a worker.
+    pub fn holds(&self, worker: WorkerKey) -> &[Hold] {
+        &self.holds[usize::from(worker.0)]
+    }
+
+    /// Returns the VM's name.
+    pub fn name(&self, worker: WorkerKey) -> &str {
+        &self.vms[usize::from(worker.0)].name
+    }
+
+    /// Returns the worker of this name.
+    pub fn find(&self, name: &str) -> Option<WorkerKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns every worker's key.
+    pub fn keys(&self) -> impl Iterator<Item = WorkerKey> + use<> {
+        (0..self.slots.len()).filter_map(|i| u16::try_from(i).ok().map(WorkerKey))
+    }
+
+    /// Returns the worker of this name, made as one that isn't live when it is new.
+    pub fn intern(&mut self, name: &str) -> Option<WorkerKey> {
+        if let Some(worker) = self.find(name) {
+            return Some(worker);
+        }
+        let vm = Vm {
+            name: name.to_owned(),
+            addr: String::new(),
+            role: crate::wire::Role::Worker,
+            dc: String::new(),
+            rack: String::new(),
+            accels: 0,
+            slots: 0,
+            labels: BTreeMap::new(),
+            leaving: false,
+        };
+        let worker = match self.vacant.pop() {
+            Some(worker) => worker,
+            None => {
+                let worker = WorkerKey(u16::try_from(self.slots.len()).ok()?);
+                self.slots.push(Slot::default());
+                self.holds.push(Vec::new());
+                self.vms.push(vm.clone());
+                worker
+            }
+        };
+        self.slots[usize::from(worker.0)] = Slot::default();
+        self.vms[usize::from(worker.0)] = vm;
+        self.by_name.insert(name.to_owned(), worker);
+        Some(worker)
+    }
+
+    /// Takes a VM as the list shows it; returns its key unless there are too many workers.
+    pub fn put(&mut self, vm: Vm) -> Option<WorkerKey> {
+        let worker = self.intern(&vm.name)?;
+        let rack = self.rack_of(&vm);
+        let slot = &mut self.slots[usize::from(worker.0)];
+        slot.accels = vm.accels.min(WORKER_ACCELS);
+        slot.live = true;
+        if slot.rack != rack || !self.racks[usize::from(rack.0)].contains(&worker) {
+            for members in &mut self.racks {
+                members.retain(|w| *w != worker);
+            }
+            slot.rack = rack;
+            self.racks[usize::from(rack.0)].push(worker);
+            self.racks[usize::from(rack.0)].sort_unstable();
+        }
+        self.vms[usize::from(worker.0)] = vm;
+        self.refresh(worker);
+        Some(worker)
+    }
+
+    /// Takes the operators' marks.
+    pub fn mark(&mut self, marks: &[VmMark]) {
+        self.marks = marks.to_vec();
+        for worker in self.keys() {
+            self.refresh(worker);
+        }
+    }
+
+    /// Works out again what a worker's labels and marks decide.
+    fn refresh(&mut self, worker: WorkerKey) {
+        let at = usize::from(worker.0);
+        let vm = &self.vms[at];
+        let mark = self.marks.iter().find(|m| m.name == vm.name);
+        let mut labels = vm.seen_labels();
+        if let Some(mark) = mark {
+            labels.extend(mark.labels.clone());
+        }
+        self.slots[at].closed = vm.leaving || mark.is_some_and(|m| m.drain);
+        for set in &mut self.sets {
+            let matches = set.selectors.iter().all(|s| s.matches(&labels));
+            put_bit(&mut set.bits, worker, matches);
+        }
+        self.version += 1;
+    }
+
+    /// Returns whether the platform says that the worker is about to go.
+    pub fn is_leaving(&self, worker: WorkerKey) -> bool {
+        self.vms[usize::from(worker.0)].leaving
+    }
+
+    /// Takes a worker out of service; its slot is used again once nothing holds it.
+    pub fn remove(&mut self, worker: WorkerKey) {
+        self.slot_mut(worker).live = false;
+        self.version += 1;
+        self.vacate(worker);
+    }
+
+    /// Gives the slot of a worker that is gone back when nothing holds it any more.
+    pub fn vacate(&mut self, worker: WorkerKey) {
+        let slot = self.slot(worker);
+        let name = self.name(worker).to_owned();
+        let named = self.find(&name) == Some(worker);
+        if slot.live || slot.used + slot.held + slot.cells > 0 || !named {
+            return;
+        }
+        self.by_name.remove(&name);
+        for members in &mut self.racks {
+            members.retain(|w| *w != worker);
+        }
+        *self.slot_mut(worker) = Slot::default();
+        self.vacant.push(worker);
+    }
+
+    fn rack_of(&mut self, vm: &Vm) -> RackKey {
+        // A worker without a rack is a rack of its own.
+        let name = if vm.rack.is_empty() {
+            format!("/{}", vm.name)
+        } else {
+            vm.rack.clone()
+        };
+        let racks = &mut self.racks;
+        *self.by_rack.entry(name).or_insert_with(|| {
+            racks.push(Vec::new());
+            RackKey(u16::try_from(racks.len() - 1).unwrap_or(u16::MAX))
+        })
+    }
+
+    /// Compiles two selectors, both of which must match.
+    pub fn compile(&mut self, selectors: &[Selector; 2]) -> SetKey {
+        let text = [selectors[0].to_string(), selectors[1].to_string()];
+        if let Some(key) = self.by_text.get(&text) {
+            return *key;
+        }
+        let key = SetKey(u32::try_from(self.sets.len()).unwrap_or(u32::MAX));
+        self.sets.push(Set {
+            selectors: selectors.clone(),
+            bits: Vec::new(),
+        });
+        self.by_text.insert(text, key);
+        for worker in self.keys() {
+            let at = usize::from(worker.0);
+            let vm = &self.vms[at];
+            let mut labels = vm.seen_labels();
+            if let Some(mark) = self.marks.iter().find(|m| m.name == vm.name) {
+                labels.extend(mark.labels.clone());
+            }
+            let matches = selectors.iter().all(|s| s.matches(&labels));
+            if let Some(set) = self.sets.last_mut() {
+                put_bit(&mut set.bits, worker, matches);
+            }
+        }
+        key
+    }
+
+    /// Returns whether the set holds the worker.
+    pub fn allows(&self, set: SetKey, worker: WorkerKey) -> bool {
+        let (word, bit) = (usize::from(worker.0) / 64, worker.0 % 64);
+        self.sets[set.0 as usize]
+            .bits
+            .get(word)
+            .is_some_and(|w| w >> bit & 1 == 1)
+    }
+}
+
+fn put_bit(bits: &mut Vec<u64>, worker: WorkerKey, value: bool) {
+    let (word, bit) = (usize::from(worker.0) / 64, worker.0 % 64);
+    if bits.len() <= word {
+        bits.resize(word + 1, 0);
+    }
+    bits[word] = bits[word] & !(1 << bit) | u64::from(value) << bit;
+}
--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -5,11 +5,21 @@
 //! generator, and input and output pass through plain structs of closures.
 
 pub mod api;
+mod blocks;
 pub mod config;
+mod decide;
 pub mod error;
+mod fleet;
+pub mod guarantee;
+mod job;
 pub mod label;
+pub mod order;
+mod own;
+pub mod place;
 pub mod plan;
+pub mod planner;
 pub mod prelude;
+pub mod reclaim;
 pub mod settings;
 pub mod store;
 pub mod time;
--- /dev/null
+++ b/marigoldglade/src/place.rs
@@ -0,0 +1,197 @@
+//! Where a gang fits: one worker, one rack, or the racks of the data centre.
+//!
+//! Counts of accelerators flow in through a closure; the tasks on each worker flow out.
+
+use strum::{Display, EnumIter, EnumString};
+
+use crate::api::{Shape, WORKER_ACCELS};
+use crate::fleet::{Fleet, SetKey, Slot};
+use crate::job::Spot;
+use crate::plan::WorkerKey;
+
+/// Which of several places is taken.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, EnumIter, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Fit {
+    /// The one that leaves the least over.
+    Best,
+    /// The first.
+    First,
+    /// The one that leaves the most over.
+    Worst,
+}
+
+/// The smallest part of the tree that a gang stays within.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Level {
+    /// One worker.
+    Worker,
+    /// One rack.
+    Rack,
+    /// The racks of the data centre, as few as can be.
+    Centre,
+}
+
+/// A gang and where it may lie.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Wish {
+    pub tasks: u16,
+    pub accels: u8,
+    pub set: SetKey,
+    pub level: Level,
+}
+
+impl Wish {
+    /// Returns the accelerators of the block that the gang needs next to each other.
+    pub fn block(self) -> u32 {
+        let total = u32::from(self.tasks) * u32::from(self.accels);
+        match self.level {
+            Level::Worker => total,
+            _ => self.workers() * u32::from(WORKER_ACCELS),
+        }
+    }
+
+    /// Returns the number of empty workers that the gang needs.
+    pub fn workers(self) -> u32 {
+        let each = u32::from(WORKER_ACCELS / self.accels.clamp(1, WORKER_ACCELS));
+        u32::from(self.tasks).div_ceil(each)
+    }
+}
+
+/// Returns the level of a gang by what the live workers could hold if they were empty.
+pub(crate) fn level(fleet: &Fleet, set: SetKey, shape: Shape) -> Option<Level> {
+    let cap = |w: &WorkerKey| {
+        let slot = fleet.slot(*w);
+        let serves = slot.hopeful() && fleet.allows(set, *w);
+        if serves {
+            slot.accels / shape.accels.max(1)
+        } else {
+            0
+        }
+    };
+    let tasks = usize::from(shape.tasks);
+    if shape.total() <= u32::from(WORKER_ACCELS) {
+        let fits = fleet.keys().any(|w| usize::from(cap(&w)) >= tasks);
+        return fits.then_some(Level::Worker);
+    }
+    let racks = fleet.racks.iter();
+    let caps = racks.map(|r| r.iter().map(|w| usize::from(cap(w))).sum::<usize>());
+    let (most, all) = caps.fold((0, 0), |(most, all), cap| (cap.max(most), all + cap));
+    if most >= tasks {
+        Some(Level::Rack)
+    } else {
+        (all >= tasks).then_some(Level::Centre)
+    }
+}
+
+/// Returns where a gang fits when `room` tells each open worker's accelerators.
+pub(crate) fn search(
+    fleet: &Fleet,
+    wish: Wish,
+    fit: Fit,
+    room: impl Fn(WorkerKey, Slot) -> u8,
+) -> Option<Vec<Spot>> {
+    let usable = |w: WorkerKey| {
+        let slot = fleet.slot(w);
+        if slot.open() && fleet.allows(wish.set, w) {
+            room(w, slot)
+        } else {
+            0
+        }
+    };
+    match wish.level {
+        Level::Worker => search_worker(fleet, wish, fit, usable),
+        Level::Rack => search_rack(fleet, wish, fit, usable),
+        Level::Centre => search_centre(fleet, wish, usable),
+    }
+}
+
+fn search_worker(
+    fleet: &Fleet,
+    wish: Wish,
+    fit: Fit,
+    room: impl Fn(WorkerKey) -> u8,
+) -> Option<Vec<Spot>> {
+    let need = u8::try_from(wish.block()).ok()?;
+    let fits = fleet
+        .keys()
+        .map(|w| (room(w), w))
+        .filter(|(r, _)| *r >= need);
+    let (_, worker) = pick(fits, fit)?;
+    Some(vec![Spot {
+        worker,
+        tasks: wish.tasks,
+    }])
+}
+
+fn search_rack(
+    fleet: &Fleet,
+    wish: Wish,
+    fit: Fit,
+    room: impl Fn(WorkerKey) -> u8,
+) -> Option<Vec<Spot>> {
+    let cap = |w: &WorkerKey| u16::from(room(*w) / wish.accels.max(1));
+    let racks = fleet.racks.iter().enumerate();
+    let caps = racks.map(|(i, r)| (r.iter().map(&cap).sum::<u16>(), i));
+    let (_, rack) = pick(caps.filter(|(c, _)| *c >= wish.tasks), fit)?;
+    let caps = fleet.racks[rack].iter().map(|w| (cap(w), *w));
+    fill(wish.tasks, caps.collect())
+}
+
+fn search_centre(fleet: &Fleet, wish: Wish, room: impl Fn(WorkerKey) -> u8) -> Option<Vec<Spot>> {
+    let cap = |w: &WorkerKey| u16::from(room(*w) / wish.accels.max(1));
+    let mut racks: Vec<_> = (0..fleet.racks.len())
+        .map(|i| (fleet.racks[i].iter().map(&cap).sum::<u16>(), i))
+        .collect();
+    racks.sort_by_key(|(c, i)| (std::cmp::Reverse(*c), *i));
+    let mut left = wish.tasks;
+    let mut spots = Vec::new();
+    for (sum, rack) in racks {
+        let take = sum.min(left);
+        if take == 0 {
+            break;
+        }
+        let caps = fleet.racks[rack].iter().map(|w| (cap(w), *w));
+        spots.extend(fill(take, caps.collect())?);
+        left -= take;
+    }
+    (left == 0).then_some(spots)
+}
+
+fn pick<K: Ord + Copy, N: Ord + Copy>(
+    places: impl Iterator<Item = (N, K)>,
+    fit: Fit,
+) -> Option<(N, K)> {
+    let mut places = places;
+    match fit {
+        Fit::Best => places.min(),
+        Fit::First => places.next(),
+        Fit::Worst => places.max_by_key(|(n, k)| (*n, std::cmp::Reverse(*k))),
+    }
+}
+
+/// Spreads tasks over as few workers as can be; the last one is the tightest that does.
+pub(crate) fn fill(tasks: u16, mut caps: Vec<(u16, WorkerKey)>) -> Option<Vec<Spot>> {
+    caps.sort_by_key(|(c, w)| (std::cmp::Reverse(*c), *w));
+    let mut left = tasks;
+    let mut spots = Vec::new();
+    let mut from = 0;
+    while left > 0 {
+        let rest = &caps[from..];
+        let (cap, worker) = rest
+            .iter()
+            .rev()
+            .find(|(c, _)| *c >= left)
+            .or(rest.first())?;
+        if *cap == 0 {
+            return None;
+        }
+        spots.push(Spot {
+            worker: *worker,
+            tasks: left.min(*cap),
+        });
+        left -= left.min(*cap);
+        from += 1;
+    }
+    Some(spots)
+}
--- /dev/null
+++ b/marigoldglade/src/planner.rs
@@ -0,0 +1,517 @@
+//! The placement decisions of one data centre.
+//!
+//! [`Event`]s flow in, [`Action`]s flow out. After every step, each workspace's unused guaranteed
+//! blocks can be had by stopping only work that borrows; see [`crate::guarantee`].
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::api::Shape;
+use crate::blocks::{BlockKey, Blocks, SpaceKey};
+use crate::config::Config;
+use crate::fleet::{Fleet, Hold, SetKey};
+use crate::guarantee;
+use crate::job::{Job, Jobs, Spot, Stage, needs};
+use crate::label::Selector;
+use crate::order::{ClassKey, Order, Queue};
+use crate::place::{Fit, Level};
+use crate::plan::{Action, Ask, Event, JobKey, Reason, WorkerKey};
+use crate::reclaim::Yield;
+use crate::store::Revision;
+use crate::time::UnixMs;
+use crate::wire::{Role, Vm};
+
+/// Choices that are weighed against each other; the default is what runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Which of several places is taken.
+    pub fit: Fit,
+    /// How waiting jobs are ranked.
+    pub order: Order,
+    /// Who yields first.
+    pub victim: Yield,
+    /// Whether room is drained for a large gang.
+    pub drain: bool,
+    /// Whether accelerators are kept free for urgent work.
+    pub reserve: bool,
+    /// Whether gangs that stop for urgent work are slowed down at once.
+    pub throttle: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            fit: Fit::Best,
+            order: Order::Fair,
+            victim: Yield::LeastLost,
+            drain: true,
+            reserve: true,
+            throttle: true,
+        }
+    }
+}
+
+/// A workspace as the planner keeps it.
+pub(crate) struct Space {
+    pub name: String,
+    /// Its blocks, the largest first.
+    pub blocks: Vec<BlockKey>,
+    /// The accelerators of its blocks.
+    pub guarantee: u32,
+    /// The most accelerators it may hold; zero is no bound.
+    pub quota: u32,
+    /// The accelerators its gangs hold.
+    pub used: u32,
+    /// The missing accelerators that were reported last.
+    pub missing: u32,
+}
+
+/// The planner of one data centre.
+pub struct Planner {
+    pub(crate) dc: String,
+    pub(crate) policy: Policy,
+    pub(crate) config: Arc<Config>,
+    pub(crate) revision: Revision,
+    pub(crate) fleet: Fleet,
+    pub(crate) blocks: Blocks,
+    pub(crate) spaces: Vec<Space>,
+    by_space: BTreeMap<String, SpaceKey>,
+    pub(crate) jobs: Jobs,
+    pub(crate) pending: BTreeSet<JobKey>,
+    pub(crate) queue: Queue,
+    /// Classes that weren't tried since they changed.
+    pub(crate) fresh: BTreeSet<ClassKey>,
+    /// Whether every class is to be tried again.
+    pub(crate) stale: bool,
+    /// Whether blocks may have to be covered anew.
+    pub(crate) torn: bool,
+    /// Whether a guarantee isn't whole.
+    degraded: bool,
+    pub(crate) levels: BTreeMap<(SetKey, u16, u8), (u64, Option<Level>)>,
+}
+
+impl Planner {
+    /// Makes the planner of a data centre.
+    #[must_use]
+    pub fn new(dc: &str, seed: u64) -> Self {
+        Self::with_policy(dc, seed, Policy::default())
+    }
+
+    /// Makes a planner with other choices than the default.
+    #[must_use]
+    pub fn with_policy(dc: &str, _seed: u64, policy: Policy) -> Self {
+        Self {
+            dc: dc.to_owned(),
+            policy,
+            config: Arc::default(),
+            revision: Revision::default(),
+            fleet: Fleet::default(),
+            blocks: Blocks::default(),
+            spaces: Vec::new(),
+            by_space: BTreeMap::new(),
+            jobs: Jobs::new(),
+            pending: BTreeSet::new(),
+            queue: Queue::default(),
+            fresh: BTreeSet::new(),
+            stale: false,
+            torn: false,
+            degraded: false,
+            levels: BTreeMap::new(),
+        }
+    }
+
+    /// Takes one event and appends what follows from it.
+    pub fn step(&mut self, now: UnixMs, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Config(config, revision) => self.configure(&config, revision),
+            Event::Worker(vm) => self.put_worker(now, vm, out),
+            Event::Gone(name) => self.lose_worker(&name),
+            Event::Wait(ask) => self.wait(ask, out),
+            Event::Holds(ask, vms) => self.hold(now, ask, &vms),
+            Event::Running(job) => self.run(job),
+            Event::Ended(job) => self.end(job),
+            Event::StartFailed(job, _) => self.requeue(job),
+            Event::TaskFailed(..) | Event::TaskDone(..) | Event::Tick => {}
+        }
+        if self.torn {
+            self.mend(out);
+        }
+        self.decide(now, out);
+    }
+
+    /// Returns whether a live worker set could ever hold the gang, and, for work that can't be
+    /// stopped, whether its workspace's guarantee could.
+    #[must_use]
+    pub fn could_hold(&mut self, ask: &Ask) -> bool {
+        let set = self.fleet.compile(&ask.allowed);
+        let space = self.space(&ask.workspace);
+        let level = self.level(set, ask.shape);
+        level.is_some_and(|l| ask.stoppable || self.promised(space, ask.shape, l))
+    }
+
+    /// Returns whether the job runs inside its workspace's guarantee.
+    #[must_use]
+    pub fn is_charged(&self, job: JobKey) -> bool {
+        self.jobs.get(&job).is_some_and(|j| !j.charges.is_empty())
+    }
+
+    /// Returns the number of waiting jobs.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.classes.values().map(|c| c.jobs.len()).sum()
+    }
+
+    pub(crate) fn space(&mut self, name: &str) -> SpaceKey {
+        if let Some(key) = self.by_space.get(name) {
+            return *key;
+        }
+        let key = SpaceKey(u16::try_from(self.spaces.len()).unwrap_or(u16::MAX));
+        self.spaces.push(Space {
+            name: name.to_owned(),
+            blocks: Vec::new(),
+            guarantee: 0,
+            quota: 0,
+            used: 0,
+            missing: 0,
+        });
+        self.by_space.insert(name.to_owned(), key);
+        key
+    }
+
+    pub(crate) fn space_of(&self, key: SpaceKey) -> &Space {
+        &self.spaces[usize::from(key.0)]
+    }
+
+    /// Returns the level of a gang, worked out once for each change of the fleet.
+    pub(crate) fn level(&mut self, set: SetKey, shape: Shape) -> Option<Level> {
+        let key = (set, shape.tasks, shape.accels);
+        let version = self.fleet.version;
+        if let Some((seen, level)) = self.levels.get(&key)
+            && *seen == version
+        {
+            return *level;
+        }
+        self.levels.retain(|_, (seen, _)| *seen == version);
+        let level = crate::place::level(&self.fleet, set, shape);
+        self.levels.insert(key, (version, level));
+        level
+    }
+
+    fn configure(&mut self, config: &Arc<Config>, revision: Revision) {
+        for job in self.pending.clone() {
+            self.requeue(job);
+        }
+        self.config = config.clone();
+        self.revision = revision;
+        self.fleet.mark(&config.vms);
+        for space in &mut self.spaces {
+            space.blocks.clear();
+            space.guarantee = 0;
+            space.quota = 0;
+        }
+        for key in self.blocks.keys() {
+            self.blocks.set_cells(&mut self.fleet, key, Vec::new());
+        }
+        let dc = self.dc.clone();
+        let mut arena = Vec::new();
+        for workspace in &config.workspaces {
+            let space = self.space(&workspace.name);
+            self.spaces[usize::from(space.0)].quota = workspace.quota;
+            let made = guarantee::blocks(workspace, &dc, space, &mut self.fleet);
+            arena.extend(made);
+        }
+        self.blocks.arena = arena;
+        for key in self.blocks.keys() {
+            let block = self.blocks.get(key);
+            let space = &mut self.spaces[usize::from(block.space.0)];
+            space.blocks.push(key);
+            space.guarantee += u32::from(block.size);
+        }
+        self.rank_yields();
+        self.adopt_all();
+        self.torn = true;
+        self.stale = true;
+    }
+
+    fn rank_yields(&mut self) {
+        let config = self.config.clone();
+        for job in self.jobs.values_mut() {
+            job.yields = yield_rank(&config, &job.ask);
+        }
+    }
+
+    fn put_worker(&mut self, now: UnixMs, vm: Vm, out: &mut Vec<Action>) {
+        if vm.role != Role::Worker || vm.dc != self.dc {
+            return;
+        }
+        let Some(worker) = self.fleet.put(vm) else {
+            return;
+        };
+        self.torn = true;
+        self.stale = true;
+        if self.fleet.slot(worker).closed {
+            self.unplan(worker);
+        }
+        if self.fleet.is_leaving(worker) {
+            self.clear_out(now, worker, out);
+        }
+    }
+
+    fn lose_worker(&mut self, name: &str) {
+        let Some(worker) = self.fleet.find(name) else {
+            return;
+        };
+        self.unplan(worker);
+        self.fleet.remove(worker);
+        self.torn = true;
+        self.stale = true;
+    }
+
+    /// Takes the place back from gangs that were about to start on a worker.
+    pub(crate) fn unplan(&mut self, worker: WorkerKey) {
+        let holds = self.fleet.holds(worker).to_vec();
+        for hold in holds {
+            let pending = self.jobs.get(&hold.job);
+            if pending.is_some_and(|j| j.stage == Stage::Pending) {
+                self.requeue(hold.job);
+            }
+        }
+    }
+
+    /// Stops what can be stopped on a worker that is about to go.
+    fn clear_out(&mut self, now: UnixMs, worker: WorkerKey, out: &mut Vec<Action>) {
+        let reason = Reason::WorkerLost(self.fleet.name(worker).to_owned());
+        for hold in self.fleet.holds(worker).to_vec() {
+            if self.jobs.get(&hold.job).is_some_and(|j| j.ask.stoppable) {
+                self.stop(now, hold.job, &reason, out);
+            }
+        }
+    }
+
+    fn wait(&mut self, ask: Ask, out: &mut Vec<Action>) {
+        let job = ask.job;
+        if self
+            .jobs
+            .get(&job)
+            .is_some_and(|j| j.stage == Stage::Waiting && j.ask == ask)
+        {
+            return;
+        }
+        self.end(job);
+        self.insert(ask);
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let (class, place) = (entry.class(), entry.place());
+        let known = self
+            .queue
+            .classes
+            .get(&class)
+            .and_then(|c| c.reason.clone());
+        self.queue.push(class, place);
+        match known {
+            Some(reason) => {
+                entry.reason = Some(reason.clone());
+                out.push(Action::Waits(job, reason));
+            }
+            None => {
+                self.fresh.insert(class);
+            }
+        }
+        if self.queue.head(class) == Some(place) {
+            self.fresh.insert(class);
+        }
+    }
+
+    fn insert(&mut self, ask: Ask) {
+        let space = self.space(&ask.workspace);
+        let set = self.fleet.compile(&ask.allowed);
+        let caller = self.queue.enter(space, &ask.caller);
+        let yields = yield_rank(&self.config, &ask);
+        let job = Job {
+            space,
+            caller,
+            set,
+            stage: Stage::Waiting,
+            spots: Vec::new(),
+            charges: Vec::new(),
+            pinned: false,
+            start: UnixMs::default(),
+            yields,
+            reason: None,
+            ask,
+        };
+        self.jobs.insert(job.ask.job, job);
+    }
+
+    fn hold(&mut self, now: UnixMs, ask: Ask, vms: &[String]) {
+        let job = ask.job;
+        self.end(job);
+        let mut tasks: BTreeMap<WorkerKey, u16> = BTreeMap::new();
+        for vm in vms {
+            if let Some(worker) = self.fleet.intern(vm) {
+                *tasks.entry(worker).or_default() += 1;
+            }
+        }
+        self.insert(ask);
+        let spots = tasks
+            .into_iter()
+            .map(|(worker, tasks)| Spot { worker, tasks });
+        self.take(job, spots.collect(), Stage::Running);
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.start = now;
+        }
+        self.adopt(job);
+        self.torn = true;
+    }
+
+    fn run(&mut self, job: JobKey) {
+        if let Some(entry) = self.jobs.get_mut(&job)
+            && entry.stage == Stage::Starting
+        {
+            entry.stage = Stage::Running;
+        }
+    }
+
+    fn end(&mut self, job: JobKey) {
+        self.release(job);
+        if let Some(entry) = self.jobs.remove(&job) {
+            self.queue.remove(entry.class(), entry.place());
+            self.queue.leave(entry.caller);
+        }
+    }
+
+    /// Gives back what a job holds and lets it wait again.
+    pub(crate) fn requeue(&mut self, job: JobKey) {
+        self.release(job);
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.stage = Stage::Waiting;
+            self.queue.push(entry.class(), entry.place());
+            self.fresh.insert(entry.class());
+        }
+    }
+
+    /// Counts a gang's accelerators at the workers.
+    pub(crate) fn take(&mut self, job: JobKey, spots: Vec<Spot>, stage: Stage) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        for (worker, accels) in needs(&spots, entry.ask.shape.accels) {
+            let slot = self.fleet.slot_mut(worker);
+            if stage == Stage::Pending {
+                slot.held += accels;
+            } else {
+                slot.used += accels;
+            }
+            self.fleet.holds[usize::from(worker.0)].push(Hold { job, accels });
+        }
+        self.spaces[usize::from(entry.space.0)].used += entry.ask.shape.total();
+        entry.spots = spots;
+        entry.stage = stage;
+    }
+
+    /// Gives back what a job holds.
+    pub(crate) fn release(&mut self, job: JobKey) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if entry.stage == Stage::Waiting {
+            return;
+        }
+        let (stage, pinned) = (entry.stage, std::mem::take(&mut entry.pinned));
+        let charges = std::mem::take(&mut entry.charges);
+        let needs = entry.needs();
+        entry.spots.clear();
+        entry.stage = Stage::Waiting;
+        entry.reason = None;
+        self.spaces[usize::from(entry.space.0)].used -= entry.ask.shape.total();
+        for charge in charges {
+            let (block, worker) = (charge.block, charge.worker);
+            self.blocks
+                .discharge(&mut self.fleet, block, worker, charge.accels);
+            self.torn |= self.degraded || self.blocks.get(block).missing() > 0;
+        }
+        for (worker, accels) in needs {
+            let slot = self.fleet.slot_mut(worker);
+            match stage {
+                Stage::Pending => slot.held -= accels,
+                _ => slot.used -= accels,
+            }
+            if stage == Stage::Stopping {
+                slot.stopping -= accels;
+            }
+            if pinned {
+                slot.pinned -= accels;
+            }
+            self.fleet.holds[usize::from(worker.0)].retain(|h| h.job != job);
+            self.fleet.vacate(worker);
+        }
+        self.pending.remove(&job);
+        self.torn |= pinned && self.degraded;
+        self.stale = true;
+    }
+
+    /// Stops a gang; one that hasn't started only loses its place.
+    pub(crate) fn stop(
+        &mut self,
+        now: UnixMs,
+        job: JobKey,
+        reason: &Reason,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        match entry.stage {
+            Stage::Pending => self.requeue(job),
+            Stage::Starting | Stage::Running => {
+                entry.stage = Stage::Stopping;
+                for (worker, accels) in entry.needs() {
+                    self.fleet.slot_mut(worker).stopping += accels;
+                }
+                out.push(Action::Stop {
+                    job,
+                    end: now.after(entry.ask.grace_ms),
+                    reason: reason.clone(),
+                });
+            }
+            Stage::Waiting | Stage::Stopping => {}
+        }
+    }
+
+    /// Covers the guarantees anew and tells whose state changed.
+    fn mend(&mut self, out: &mut Vec<Action>) {
+        let pinned: Vec<_> = self.jobs.values().filter(|j| j.pinned).collect();
+        for job in pinned.iter().map(|j| j.ask.job).collect::<Vec<_>>() {
+            self.adopt(job);
+        }
+        self.blocks.mend(&mut self.fleet);
+        self.torn = false;
+        self.degraded = self.blocks.missing() > 0;
+        for worker in self.fleet.keys() {
+            self.fleet.vacate(worker);
+        }
+        for space in &mut self.spaces {
+            let missing = space.blocks.iter().map(|b| self.blocks.get(*b).missing());
+            let missing = missing.sum();
+            if missing != space.missing {
+                space.missing = missing;
+                out.push(Action::Guarantee(space.name.clone(), missing));
+            }
+        }
+    }
+}
+
+/// Returns the index of the first yield selector that matches a job, or their number.
+fn yield_rank(config: &Config, ask: &Ask) -> u16 {
+    let by_name = |w: &&crate::config::Workspace| w.name == ask.workspace;
+    let mut labels = match config.workspaces.iter().find(by_name) {
+        Some(workspace) => workspace.labels.clone(),
+        None => BTreeMap::new(),
+    };
+    labels.extend(ask.labels.clone());
+    labels.insert("workspace".to_owned(), ask.workspace.clone());
+    let matches = |s: &Selector| s.matches(&labels);
+    let at = config.yields.iter().position(matches);
+    u16::try_from(at.unwrap_or(config.yields.len())).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/marigoldglade/src/reclaim.rs
@@ -0,0 +1,195 @@
+//! Which gangs yield when somebody else's claim needs their accelerators.
+//!
+//! A claim on some workers flows in; the gangs to stop and their cost flow out.
+
+use crate::fleet::Fleet;
+use crate::job::{Job, Jobs, Spot, Stage, needs};
+use crate::place::{Level, Wish};
+use crate::plan::{JobKey, WorkerKey};
+use crate::time::UnixMs;
+
+/// In what order gangs that nothing else tells apart yield.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Yield {
+    /// The operators' selectors, then the least work lost.
+    LeastLost,
+    /// The operators' selectors, then the youngest gang.
+    Youngest,
+    /// The operators' selectors alone, then the order of submission.
+    Selector,
+}
+
+/// Whose accelerators may be claimed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Claim {
+    /// A workspace claims its guarantee: all borrowers yield.
+    Own,
+    /// Urgent work: borrowers that are less urgent than this yield.
+    Urgent(u8),
+}
+
+/// The cost of a set of victims; none is the least.
+///
+/// The highest place in the yield order, the most urgent (as 9 less its urgency), the work lost.
+pub(crate) type Cost = Option<(u16, u8, u64)>;
+
+/// Gangs to stop.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Victims {
+    pub jobs: Vec<JobKey>,
+    pub cost: Cost,
+}
+
+impl Claim {
+    /// Returns whether the gang yields to this claim.
+    pub fn takes(self, job: &Job) -> bool {
+        let holds = matches!(job.stage, Stage::Pending | Stage::Starting | Stage::Running);
+        let borrows = holds && job.ask.stoppable && job.charges.is_empty();
+        borrows
+            && match self {
+                Self::Own => true,
+                Self::Urgent(urgency) => job.ask.urgency > urgency,
+            }
+    }
+}
+
+/// Returns a gang's place in the order of yielding.
+fn weight(job: &Job, order: Yield, now: UnixMs) -> (u16, u8, u64) {
+    let age = now.since(job.start);
+    let total = u64::from(job.ask.shape.total());
+    let lost = match order {
+        Yield::LeastLost if job.ask.checkpoint => job.ask.grace_ms.min(age) * total,
+        Yield::LeastLost => age * total,
+        Yield::Youngest => age,
+        Yield::Selector => 0,
+    };
+    (job.yields, 9_u8.saturating_sub(job.ask.urgency), lost)
+}
+
+/// Returns the gangs whose stop gives the claim what it needs on each worker, if there are such.
+pub(crate) fn victims(
+    fleet: &Fleet,
+    jobs: &Jobs,
+    needs: &[(WorkerKey, u8)],
+    claim: Claim,
+    order: Yield,
+    now: UnixMs,
+) -> Option<Victims> {
+    let mut found = Victims::default();
+    for (worker, need) in needs {
+        let mut room = fleet.slot(*worker).room();
+        if room >= *need {
+            continue;
+        }
+        let mut there: Vec<_> = fleet
+            .holds(*worker)
+            .iter()
+            .filter_map(|h| jobs.get(&h.job).map(|j| (h, j)))
+            .filter(|(_, j)| claim.takes(j))
+            .map(|(h, j)| (found.jobs.contains(&h.job), weight(j, order, now), h))
+            .collect();
+        there.sort_by_key(|(chosen, weight, hold)| (!*chosen, *weight, hold.job));
+        for (chosen, weight, hold) in there {
+            if room >= *need && !chosen {
+                break;
+            }
+            room += hold.accels;
+            if !chosen {
+                found.jobs.push(hold.job);
+                found.cost = Some(add(found.cost, weight));
+            }
+        }
+        if room < *need {
+            return None;
+        }
+    }
+    Some(found)
+}
+
+fn add(cost: Cost, weight: (u16, u8, u64)) -> (u16, u8, u64) {
+    let (yields, urgent, lost) = cost.unwrap_or_default();
+    (
+        yields.max(weight.0),
+        urgent.max(weight.1),
+        lost.saturating_add(weight.2),
+    )
+}
+
+/// Returns the place that costs the least to claim, and who has to yield there.
+pub(crate) fn cheapest(
+    fleet: &Fleet,
+    jobs: &Jobs,
+    wish: Wish,
+    claim: Claim,
+    order: Yield,
+    now: UnixMs,
+) -> Option<(Vec<Spot>, Victims)> {
+    let usable = |w: &WorkerKey| fleet.slot(*w).open() && fleet.allows(wish.set, *w);
+    let cost = |spots: Vec<Spot>| {
+        let needs = needs(&spots, wish.accels);
+        let victims = victims(fleet, jobs, &needs, claim, order, now)?;
+        Some((spots, victims))
+    };
+    let tasks = wish.tasks;
+    let places: Vec<Vec<Spot>> = match wish.level {
+        Level::Worker => {
+            let workers = fleet.keys().filter(usable);
+            workers.map(|worker| vec![Spot { worker, tasks }]).collect()
+        }
+        Level::Rack => {
+            let racks = fleet.racks.iter();
+            let members = racks.map(|r| r.iter().copied().filter(|w| usable(w)).collect());
+            members
+                .filter_map(|m| claimable(fleet, jobs, wish, claim, m))
+                .collect()
+        }
+        Level::Centre => {
+            let all = fleet.racks.iter().flatten().copied().filter(|w| usable(w));
+            claimable(fleet, jobs, wish, claim, all.collect())
+                .into_iter()
+                .collect()
+        }
+    };
+    places
+        .into_iter()
+        .filter_map(cost)
+        .min_by_key(|(_, v)| v.cost)
+}
+
+/// Spreads a gang over workers by what each would have if all that may be claimed were gone.
+fn claimable(
+    fleet: &Fleet,
+    jobs: &Jobs,
+    wish: Wish,
+    claim: Claim,
+    workers: Vec<WorkerKey>,
+) -> Option<Vec<Spot>> {
+    let room = |w: WorkerKey| {
+        let holds = fleet.holds(w).iter();
+        let takes = holds.filter(|h| jobs.get(&h.job).is_some_and(|j| claim.takes(j)));
+        let claimed: u8 = takes.map(|h| h.accels).sum();
+        fleet.slot(w).room() + claimed
+    };
+    let caps = workers
+        .into_iter()
+        .map(|w| (u16::from(room(w) / wish.accels), w));
+    let mut caps: Vec<_> = caps.collect();
+    // Workers with more free now come first among equals.
+    caps.sort_by_key(|(cap, w)| {
+        (
+            std::cmp::Reverse(*cap),
+            std::cmp::Reverse(fleet.slot(*w).room()),
+            *w,
+        )
+    });
+    let mut left = wish.tasks;
+    let mut spots = Vec::new();
+    for (cap, worker) in caps {
+        let tasks = cap.min(left);
+        if tasks > 0 {
+            spots.push(Spot { worker, tasks });
+        }
+        left -= tasks;
+    }
+    (left == 0).then_some(spots)
+}
--- /dev/null
+++ b/marigoldglade/tests/guarantee.rs
@@ -0,0 +1,250 @@
+//! Guarantees: after every decision each unused block can be had by stopping borrowers.
+
+#[path = "support/site.rs"]
+mod site;
+
+use marigoldglade::config::Config;
+use marigoldglade::guarantee;
+use marigoldglade::plan::{Ask, Event, JobKey};
+use marigoldglade::planner::Planner;
+use marigoldglade::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+use site::{Site, ask, promise, worker, workspace};
+
+const RACKS: usize = 2;
+const RACK_SIZE: usize = 3;
+
+/// Configurations that the whole fleet of 2 racks of 3 workers can serve.
+fn config(pick: usize) -> Config {
+    let workspaces = match pick % 5 {
+        0 => vec![
+            workspace("a", "", vec![promise(0, 2, 0)]),
+            workspace("b", "", vec![promise(0, 3, 4)]),
+        ],
+        1 => vec![
+            workspace("a", "", vec![promise(0, 2, 6)]),
+            workspace("b", "", vec![promise(0, 1, 3)]),
+        ],
+        2 => vec![
+            workspace("a", "rack = r0", vec![promise(0, 2, 4)]),
+            workspace("b", "", vec![promise(0, 2, 0), promise(0, 0, 2)]),
+        ],
+        3 => vec![
+            workspace("a", "rack = r1", vec![promise(0, 1, 2)]),
+            workspace("b", "rack != r1", vec![promise(0, 2, 0)]),
+        ],
+        _ => vec![workspace("a", "", vec![promise(0, 0, 1)])],
+    };
+    Config {
+        workspaces,
+        ..Config::default()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    Submit(Ask),
+    Run(usize),
+    End(usize),
+    Stopped(usize),
+    Refused(usize),
+    Lose(usize),
+    Return(usize),
+    Leave(usize),
+    Configure(usize),
+    Tick(u64),
+}
+
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let submit = (0..3_usize, 1..=24_u16, 1..=8_u8, 0..10_u8, any::<bool>());
+    let submit = submit.prop_map(|(space, tasks, accels, urgency, stoppable)| {
+        // Most gangs are small; the largest take more than a rack.
+        let tasks = if tasks > 8 { 1 } else { tasks };
+        Op::Submit(Ask {
+            urgency,
+            stoppable,
+            ..ask(["a", "b", "c"][space], tasks, accels)
+        })
+    });
+    let op = prop_oneof![
+        8 => submit,
+        3 => any::<usize>().prop_map(Op::Run),
+        4 => any::<usize>().prop_map(Op::End),
+        4 => any::<usize>().prop_map(Op::Stopped),
+        1 => any::<usize>().prop_map(Op::Refused),
+        1 => (0..RACKS * RACK_SIZE).prop_map(Op::Lose),
+        2 => (0..RACKS * RACK_SIZE).prop_map(Op::Return),
+        1 => (0..RACKS * RACK_SIZE).prop_map(Op::Leave),
+        1 => (0..5_usize).prop_map(Op::Configure),
+        2 => (0..100_000_u64).prop_map(Op::Tick),
+    ];
+    prop::collection::vec(op, 1..60)
+}
+
+fn pick<T: Copy>(items: &[T], at: usize) -> Option<T> {
+    (!items.is_empty()).then(|| items[at % items.len()])
+}
+
+fn apply(site: &mut Site, op: Op) {
+    let jobs: Vec<JobKey> = site.asks.keys().copied().collect();
+    let gangs: Vec<JobKey> = site.gangs.keys().copied().collect();
+    let stopping = |g: &&JobKey| site.gangs[*g].stopping;
+    let stopping: Vec<JobKey> = gangs.iter().filter(stopping).copied().collect();
+    let at = |i: usize| {
+        (
+            format!("r{}w{}", i / RACK_SIZE, i % RACK_SIZE),
+            format!("r{}", i / RACK_SIZE),
+        )
+    };
+    match op {
+        Op::Submit(ask) => {
+            site.submit(ask);
+        }
+        Op::Run(i) => pick(&gangs, i).into_iter().for_each(|j| site.run(j)),
+        Op::End(i) => pick(&jobs, i).into_iter().for_each(|j| site.end(j)),
+        Op::Stopped(i) => pick(&stopping, i).into_iter().for_each(|j| site.again(j)),
+        Op::Refused(i) => {
+            let starting: Vec<_> = gangs
+                .into_iter()
+                .filter(|g| !site.gangs[g].running)
+                .collect();
+            if let Some(job) = pick(&starting, i) {
+                let gang = site.gangs.remove(&job).expect("the gang is there");
+                site.step(Event::StartFailed(job, gang.vms[0].clone()));
+            }
+        }
+        Op::Lose(i) => site.lose(&at(i).0),
+        Op::Return(i) => site.put(worker(&at(i).0, &at(i).1)),
+        Op::Leave(i) => {
+            if let Some(vm) = site.workers.get(&at(i).0).cloned() {
+                site.put(marigoldglade::wire::Vm {
+                    leaving: true,
+                    ..vm
+                });
+            }
+        }
+        Op::Configure(i) => site.configure(config(i)),
+        Op::Tick(ms) => {
+            site.now = site.now.after(ms);
+            site.step(Event::Tick);
+        }
+    }
+}
+
+fn cases(count: u32, seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: count,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(256, 13))]
+
+    /// Against a packer that tries every way, over arrivals, ends, refusals, worker loss and
+    /// return and configuration changes.
+    #[test]
+    fn unused_blocks_can_be_had(first in 0..5_usize, ops in ops()) {
+        let mut site = Site::new(Planner::new(site::DC, 1), config(first), RACKS, RACK_SIZE);
+        for op in ops {
+            apply(&mut site, op);
+            site.check();
+        }
+    }
+
+    /// A guarantee is told as degraded only while no way to serve it exists, once nothing runs.
+    #[test]
+    fn mended_when_capacity_returns(first in 0..5_usize, ops in ops()) {
+        let mut site = Site::new(Planner::new(site::DC, 1), config(first), RACKS, RACK_SIZE);
+        for op in ops {
+            apply(&mut site, op);
+        }
+        for job in site.asks.keys().copied().collect::<Vec<_>>() {
+            site.end(job);
+        }
+        let degraded = site.missing.values().any(|m| *m > 0);
+        prop_assert_eq!(degraded, !site.packs());
+        for i in 0..RACKS * RACK_SIZE {
+            apply(&mut site, Op::Return(i));
+        }
+        prop_assert!(site.missing.values().all(|m| *m == 0));
+    }
+
+    /// A workspace that asks for its whole guarantee gets it, whatever the others do.
+    #[test]
+    fn claims_are_met(pick in 0..4_usize, ops in ops()) {
+        let mut site = Site::new(Planner::new(site::DC, 1), config(pick), RACKS, RACK_SIZE);
+        let keep = |op: &Op| matches!(op, Op::Submit(_) | Op::Run(_) | Op::End(_) | Op::Stopped(_));
+        for op in ops.into_iter().filter(keep) {
+            apply(&mut site, op);
+        }
+        let ours = site.asks.iter().filter(|(_, a)| a.workspace == "a");
+        for job in ours.map(|(j, _)| *j).collect::<Vec<_>>() {
+            site.end(job);
+        }
+        let sizes = site.config.workspaces[0].guarantee.iter().flat_map(guarantee::sizes);
+        let mut claims = Vec::new();
+        for size in sizes.collect::<Vec<_>>() {
+            let (tasks, accels) = (size.div_ceil(8), size.min(8) as u8);
+            let stoppable = false;
+            claims.push(site.submit(Ask { stoppable, ..ask("a", tasks, accels) }));
+        }
+        site.settle();
+        for claim in claims {
+            prop_assert!(site.gangs.contains_key(&claim), "{:?} of {:?}", claim, site.asks[&claim]);
+        }
+    }
+}
+
+#[rstest]
+#[case(0, 6, 0, true)]
+#[case(0, 7, 0, false)]
+#[case(1, 0, 0, false)]
+#[case(0, 5, 8, true)]
+#[case(0, 5, 9, false)]
+fn refuses_more_than_there_is(
+    #[case] racks: u16,
+    #[case] workers: u16,
+    #[case] accels: u16,
+    #[case] fits: bool,
+) {
+    let half = promise(racks, workers / 2, accels);
+    let rest = promise(0, workers - workers / 2, 0);
+    let config = Config {
+        workspaces: vec![
+            workspace("a", "", vec![half]),
+            workspace("b", "", vec![rest]),
+        ],
+        ..Config::default()
+    };
+    let vms: Vec<_> = (0..6)
+        .map(|i| worker(&format!("w{i}"), &format!("r{}", i / RACK_SIZE)))
+        .collect();
+    let verdict = guarantee::check(&config, &vms);
+    assert_eq!(verdict.is_ok(), fits, "{verdict:?}");
+    if let Err(e) = verdict {
+        assert_eq!(e.kind, Kind::Impossible);
+        assert!(
+            e.detail.contains(site::DC) && e.detail.contains("workspace '"),
+            "{e}"
+        );
+    }
+}
+
+#[test]
+fn an_old_shortage_blocks_no_other_change() {
+    let before = config(0);
+    let mut after = before.clone();
+    after.yields = vec![Selector::default()];
+    let vms: Vec<_> = (0..4)
+        .map(|i| worker(&format!("w{i}"), &format!("r{}", i / 2)))
+        .collect();
+    assert!(guarantee::check(&before, &vms).is_err());
+    guarantee::check_change(&before, &after, &vms).expect("nothing new is promised");
+    after.workspaces[1].guarantee.push(promise(0, 1, 0));
+    assert!(guarantee::check_change(&before, &after, &vms).is_err());
+}
--- /dev/null
+++ b/marigoldglade/tests/support/site.rs
@@ -0,0 +1,351 @@
+//! A small data centre around a planner: it obeys the actions and checks what must always hold.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use marigoldglade::api::Shape;
+use marigoldglade::config::{Block, Config, Workspace};
+use marigoldglade::guarantee;
+use marigoldglade::plan::{Action, Ask, Event, JobKey};
+use marigoldglade::planner::Planner;
+use marigoldglade::prelude::*;
+use marigoldglade::wire::{Role, Vm};
+
+pub const DC: &str = "kista";
+
+/// A gang that holds accelerators.
+#[derive(Clone, Debug)]
+pub struct Gang {
+    pub vms: Vec<String>,
+    pub stopping: bool,
+    pub running: bool,
+}
+
+/// The data centre.
+pub struct Site {
+    pub planner: Planner,
+    pub now: UnixMs,
+    pub config: Config,
+    pub workers: BTreeMap<String, Vm>,
+    pub asks: BTreeMap<JobKey, Ask>,
+    pub gangs: BTreeMap<JobKey, Gang>,
+    pub missing: BTreeMap<String, u32>,
+    /// All that the planner did, with the time.
+    pub log: Vec<(UnixMs, Action)>,
+    next: u32,
+}
+
+pub fn worker(name: &str, rack: &str) -> Vm {
+    Vm {
+        name: name.to_owned(),
+        addr: "127.0.0.1:1".to_owned(),
+        role: Role::Worker,
+        dc: DC.to_owned(),
+        rack: rack.to_owned(),
+        accels: 8,
+        slots: 0,
+        labels: Labels::new(),
+        leaving: false,
+    }
+}
+
+pub fn promise(racks: u16, workers: u16, accels: u16) -> Block {
+    Block {
+        dc: DC.to_owned(),
+        racks,
+        workers,
+        accels,
+    }
+}
+
+pub fn workspace(name: &str, place: &str, guarantee: Vec<Block>) -> Workspace {
+    Workspace {
+        name: name.to_owned(),
+        labels: Labels::new(),
+        r#where: Selector::parse(place).expect("the selector parses"),
+        guarantee,
+        quota: 0,
+    }
+}
+
+pub fn ask(workspace: &str, tasks: u16, accels: u8) -> Ask {
+    Ask {
+        job: JobKey(0),
+        workspace: workspace.to_owned(),
+        caller: "caller".to_owned(),
+        labels: Labels::new(),
+        urgency: 5,
+        allowed: [Selector::default(), Selector::default()],
+        shape: Shape { tasks, accels },
+        checkpoint: true,
+        stoppable: true,
+        grace_ms: 10_000,
+        run_ms: 60_000,
+        since: UnixMs(0),
+        end: UnixMs::MAX,
+    }
+}
+
+impl Site {
+    /// Makes `racks` racks of `size` workers, named `r0w0` and so on.
+    pub fn new(planner: Planner, config: Config, racks: usize, size: usize) -> Self {
+        let mut site = Self {
+            planner,
+            now: UnixMs(1_000_000),
+            config: Config::default(),
+            workers: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            gangs: BTreeMap::new(),
+            missing: BTreeMap::new(),
+            log: Vec::new(),
+            next: 0,
+        };
+        for rack in 0..racks {
+            for i in 0..size {
+                let vm = worker(&format!("r{rack}w{i}"), &format!("r{rack}"));
+                site.put(vm);
+            }
+        }
+        site.configure(config);
+        site
+    }
+
+    pub fn step(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.planner.step(self.now, event, &mut out);
+        for action in &out {
+            match action {
+                Action::Start(job, vms) => {
+                    let gang = Gang {
+                        vms: vms.clone(),
+                        stopping: false,
+                        running: false,
+                    };
+                    assert_eq!(vms.len(), usize::from(self.asks[job].shape.tasks));
+                    let inside = self.planner.is_charged(*job);
+                    assert!(
+                        inside || self.asks[job].stoppable,
+                        "{job:?} borrows for good"
+                    );
+                    assert!(
+                        self.gangs.insert(*job, gang).is_none(),
+                        "{job:?} started twice"
+                    );
+                }
+                Action::Stop { job, .. } => {
+                    assert!(self.asks[job].stoppable, "{job:?} can't be stopped");
+                    let gang = self.gangs.get_mut(job).expect("the gang holds something");
+                    assert!(!gang.stopping, "{job:?} stopped twice");
+                    gang.stopping = true;
+                }
+                Action::Guarantee(name, missing) => {
+                    self.missing.insert(name.clone(), *missing);
+                }
+                _ => {}
+            }
+        }
+        self.log.extend(out.into_iter().map(|a| (self.now, a)));
+    }
+
+    pub fn configure(&mut self, config: Config) {
+        self.config = config.clone();
+        self.step(Event::Config(Arc::new(config), Default::default()));
+    }
+
+    pub fn put(&mut self, vm: Vm) {
+        self.workers.insert(vm.name.clone(), vm.clone());
+        self.step(Event::Worker(vm));
+    }
+
+    /// Loses a worker; the gangs on it wait again.
+    pub fn lose(&mut self, name: &str) {
+        self.workers.remove(name);
+        self.step(Event::Gone(name.to_owned()));
+        let hit = self
+            .gangs
+            .iter()
+            .filter(|(_, g)| g.vms.iter().any(|v| v == name));
+        let hit: Vec<_> = hit.map(|(j, _)| *j).collect();
+        for job in hit {
+            self.again(job);
+        }
+    }
+
+    pub fn submit(&mut self, ask: Ask) -> JobKey {
+        let job = JobKey(self.next);
+        self.next += 1;
+        let since = self.now;
+        let ask = Ask { job, since, ..ask };
+        self.asks.insert(job, ask.clone());
+        self.step(Event::Wait(ask));
+        job
+    }
+
+    /// The gang holds nothing any more and waits again.
+    pub fn again(&mut self, job: JobKey) {
+        self.gangs.remove(&job);
+        let ask = self.asks[&job].clone();
+        self.step(Event::Wait(ask));
+    }
+
+    pub fn end(&mut self, job: JobKey) {
+        self.gangs.remove(&job);
+        self.asks.remove(&job);
+        self.step(Event::Ended(job));
+    }
+
+    pub fn run(&mut self, job: JobKey) {
+        if let Some(gang) = self.gangs.get_mut(&job) {
+            gang.running = true;
+            self.step(Event::Running(job));
+        }
+    }
+
+    /// Ends the stops that are under way.
+    pub fn settle(&mut self) {
+        loop {
+            let stopping = self.gangs.iter().filter(|(_, g)| g.stopping);
+            let stopping: Vec<_> = stopping.map(|(j, _)| *j).collect();
+            if stopping.is_empty() {
+                return;
+            }
+            for job in stopping {
+                self.again(job);
+            }
+        }
+    }
+
+    /// Checks what must hold after each decision.
+    pub fn check(&self) {
+        self.check_capacity();
+        self.check_adjacent();
+        if self.missing.values().all(|m| *m == 0) {
+            assert!(
+                self.packs(),
+                "a guarantee can't be had and none is told as degraded"
+            );
+        }
+    }
+
+    fn check_capacity(&self) {
+        let mut used: BTreeMap<&str, u32> = BTreeMap::new();
+        for (job, gang) in &self.gangs {
+            for vm in &gang.vms {
+                *used.entry(vm).or_default() += u32::from(self.asks[job].shape.accels);
+            }
+        }
+        for (vm, used) in used {
+            assert!(used <= 8, "{vm} holds {used}");
+        }
+    }
+
+    fn check_adjacent(&self) {
+        for (job, gang) in &self.gangs {
+            if self.asks[job].shape.total() <= 8 {
+                assert!(
+                    gang.vms.iter().all(|v| *v == gang.vms[0]),
+                    "{job:?} is split"
+                );
+            }
+        }
+    }
+
+    /// Returns whether all blocks fit the live workers at once, by trying every way, such that
+    /// each gang that can't be stopped, and each that the planner charges, lies in its own.
+    pub fn packs(&self) -> bool {
+        let names: Vec<&String> = self.workers.keys().collect();
+        // A worker that takes no new work serves a guarantee only by what runs inside it there.
+        let open = |vm: &Vm| if vm.leaving { 0 } else { 8_u32 };
+        let mut room: Vec<u32> = self.workers.values().map(open).collect();
+        let mut need = BTreeMap::new();
+        for (job, gang) in &self.gangs {
+            let ask = &self.asks[job];
+            let charged = self.planner.is_charged(*job);
+            if ask.stoppable && !charged {
+                continue;
+            }
+            for vm in &gang.vms {
+                let at = names.iter().position(|n| *n == vm);
+                let space = self
+                    .config
+                    .workspaces
+                    .iter()
+                    .position(|w| w.name == ask.workspace);
+                match (at, space) {
+                    (Some(at), Some(space)) if charged => {
+                        if self.workers[vm].leaving {
+                            room[at] += u32::from(ask.shape.accels);
+                        }
+                        *need.entry((space, at)).or_insert(0) += u32::from(ask.shape.accels);
+                    }
+                    // A configuration took the guarantee from under a gang that can't be stopped.
+                    (Some(at), _) if !self.workers[vm].leaving => {
+                        room[at] -= u32::from(ask.shape.accels);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let mut blocks = Vec::new();
+        for (i, workspace) in self.config.workspaces.iter().enumerate() {
+            let sizes = workspace.guarantee.iter().flat_map(guarantee::sizes);
+            blocks.extend(sizes.map(|s| (s, i)));
+        }
+        blocks.sort_by(|a, b| b.cmp(a));
+        let mut cover = BTreeMap::new();
+        self.pack(&blocks, &mut room, &mut cover, &need)
+    }
+
+    fn pack(
+        &self,
+        blocks: &[(u16, usize)],
+        room: &mut Vec<u32>,
+        cover: &mut BTreeMap<(usize, usize), u32>,
+        need: &BTreeMap<(usize, usize), u32>,
+    ) -> bool {
+        let Some((&(size, space), rest)) = blocks.split_first() else {
+            let covered =
+                |(k, n): (&(usize, usize), &u32)| cover.get(k).copied().unwrap_or(0) >= *n;
+            return need.iter().all(covered);
+        };
+        let place = &self.config.workspaces[space].r#where;
+        let (each, count) = (u32::from(size.min(8)), usize::from(size.div_ceil(8)));
+        let vms: Vec<&Vm> = self.workers.values().collect();
+        let fits: Vec<usize> = (0..vms.len())
+            .filter(|i| room[*i] >= each && place.matches(&vms[*i].seen_labels()))
+            .collect();
+        for group in groups(&fits, count) {
+            if group.iter().any(|i| vms[*i].rack != vms[group[0]].rack) {
+                continue;
+            }
+            for i in &group {
+                room[*i] -= each;
+                *cover.entry((space, *i)).or_default() += each;
+            }
+            let done = self.pack(rest, room, cover, need);
+            for i in &group {
+                room[*i] += each;
+                *cover.entry((space, *i)).or_default() -= each;
+            }
+            if done {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// Returns all ways to choose `count` of `items`.
+fn groups(items: &[usize], count: usize) -> Vec<Vec<usize>> {
+    if count == 0 {
+        return vec![Vec::new()];
+    }
+    let mut all = Vec::new();
+    for (i, item) in items.iter().enumerate() {
+        for mut rest in groups(&items[i + 1..], count - 1) {
+            rest.push(*item);
+            all.push(rest);
+        }
+    }
+    all
+}
