--- /dev/null
+++ b/marigoldglade/src/roles.rs
@@ -0,0 +1,289 @@
+//! Who owns which data centre, as one daemon knows it.
+//!
+//! Time, the members, the store's replies and changes and peers' words flow in; calls to the
+//! store, the start and end of this daemon's ownerships and news for peers flow out. It holds one
+//! [`owner::Owner`] a data centre and the newest known holder of each.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::owner::{self, Candidate, Cause, Holder, Owner};
+use crate::store::{Call, Fault, Reply, Revision};
+use crate::time::UnixMs;
+
+/// The most data centres.
+pub const CENTRE_LIMIT: usize = 64;
+/// The time between two tellings of the holders to a peer, in milliseconds.
+pub const TELL_MS: u64 = 5_000;
+
+/// A data centre within one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CentreKey(pub u8);
+
+/// What the filter is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// The data centres of the configuration; known ones are kept.
+    Centres(Vec<String>),
+    /// The living daemons, this one among them.
+    Members(Vec<Candidate>),
+    /// All owner keys, as the store had them at a revision.
+    Listed(Vec<Holder>, Revision),
+    /// An owner key was written.
+    Put(Holder, Revision),
+    /// The owner key of a data centre was deleted.
+    Gone(String, Revision),
+    /// A peer's word on holders.
+    Told(Vec<Holder>),
+    /// The outcome of a call.
+    Reply(CentreKey, u64, std::result::Result<Reply, Fault>),
+    /// Give all ownerships up and take no more.
+    Stop,
+}
+
+/// What the filter wants done, or tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Call the store until the deadline and give the outcome back with both numbers.
+    Call(CentreKey, u64, Call, UnixMs),
+    /// This daemon owns a data centre in this epoch until the deadline.
+    Started(String, Revision, UnixMs),
+    /// The ownership goes on until the deadline.
+    Extended(String, UnixMs),
+    /// The ownership ended.
+    Stopped(String, Cause),
+    /// A data centre has a new owner.
+    Changed(Holder),
+    /// Tell a random peer of the holders.
+    Tell(Vec<Holder>),
+}
+
+struct Centre {
+    owner: Owner,
+    /// The holder of the greatest epoch known; it may be gone.
+    holder: Option<Holder>,
+    /// The store's revision at which the key was last seen.
+    seen: Revision,
+}
+
+/// The ownerships of one daemon and the holders it knows.
+pub struct Roles {
+    name: String,
+    addr: SocketAddr,
+    centres: Vec<Centre>,
+    keys: BTreeMap<String, CentreKey>,
+    members: Vec<Candidate>,
+    next_tell: UnixMs,
+}
+
+impl Roles {
+    /// Starts with no data centre.
+    #[must_use]
+    pub fn new(name: &str, addr: SocketAddr) -> Self {
+        Self {
+            name: name.to_owned(),
+            addr,
+            centres: Vec::new(),
+            keys: BTreeMap::new(),
+            members: Vec::new(),
+            next_tell: UnixMs(0),
+        }
+    }
+
+    /// Returns the newest known holder of a data centre; it may be gone.
+    #[must_use]
+    pub fn holder(&self, dc: &str) -> Option<&Holder> {
+        self.centre(dc)?.holder.as_ref()
+    }
+
+    /// Returns the newest known holders.
+    #[must_use]
+    pub fn holders(&self) -> Vec<Holder> {
+        self.centres
+            .iter()
+            .filter_map(|c| c.holder.clone())
+            .collect()
+    }
+
+    /// Returns the epoch and deadline of this daemon's ownership of a data centre.
+    #[must_use]
+    pub fn held(&self, dc: &str) -> Option<(Revision, UnixMs)> {
+        self.centre(dc)?.owner.held()
+    }
+
+    /// Returns whether this daemon owns a data centre at `now`.
+    #[must_use]
+    pub fn may_act(&self, now: UnixMs, dc: &str) -> bool {
+        self.centre(dc).is_some_and(|c| c.owner.may_act(now))
+    }
+
+    /// Returns whether nothing is left to do after [`Event::Stop`].
+    #[must_use]
+    pub fn is_released(&self) -> bool {
+        self.centres.iter().all(|c| c.owner.is_released())
+    }
+
+    fn centre(&self, dc: &str) -> Option<&Centre> {
+        let key = self.keys.get(dc)?;
+        self.centres.get(usize::from(key.0))
+    }
+
+    /// Takes one event at `now`.
+    pub fn step(&mut self, now: UnixMs, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::Centres(names) => {
+                for name in names {
+                    self.add_centre(&name);
+                }
+            }
+            Event::Members(members) => self.members = members,
+            Event::Listed(holders, revision) => self.listed(now, &holders, revision, out),
+            Event::Put(holder, revision) => self.seen(now, Ok(holder), revision, out),
+            Event::Gone(dc, revision) => self.seen(now, Err(&dc), revision, out),
+            Event::Told(holders) => {
+                for holder in holders.into_iter().take(CENTRE_LIMIT) {
+                    self.known(holder, out);
+                }
+            }
+            Event::Reply(key, id, outcome) => {
+                self.owner_step(now, key, owner::Event::Reply(id, outcome), out);
+            }
+            Event::Stop => self.all(now, &owner::Event::Stop, out),
+        }
+    }
+
+    fn tick(&mut self, now: UnixMs, out: &mut Vec<Action>) {
+        let owned = self
+            .centres
+            .iter()
+            .filter(|c| c.owner.held().is_some())
+            .count();
+        let members = self.members.clone();
+        self.all(now, &owner::Event::Members(members, owned), out);
+        if self.next_tell.passed(now) {
+            self.next_tell = now.after(TELL_MS);
+            let holders = self.holders();
+            if !holders.is_empty() {
+                out.push(Action::Tell(holders));
+            }
+        }
+    }
+
+    fn add_centre(&mut self, name: &str) -> Option<CentreKey> {
+        if let Some(key) = self.keys.get(name) {
+            return Some(*key);
+        }
+        if self.centres.len() >= CENTRE_LIMIT {
+            return None;
+        }
+        let key = CentreKey(u8::try_from(self.centres.len()).ok()?);
+        self.keys.insert(name.to_owned(), key);
+        self.centres.push(Centre {
+            owner: Owner::new(name, &self.name, self.addr),
+            holder: None,
+            seen: 0,
+        });
+        Some(key)
+    }
+
+    fn listed(
+        &mut self,
+        now: UnixMs,
+        holders: &[Holder],
+        revision: Revision,
+        out: &mut Vec<Action>,
+    ) {
+        for holder in holders {
+            self.seen(now, Ok(holder.clone()), revision, out);
+        }
+        let absent: Vec<String> = self
+            .keys
+            .keys()
+            .filter(|dc| holders.iter().all(|h| h.dc != **dc))
+            .cloned()
+            .collect();
+        for dc in absent {
+            self.seen(now, Err(&dc), revision, out);
+        }
+    }
+
+    /// Takes what the store showed, unless it showed something newer before.
+    fn seen(
+        &mut self,
+        now: UnixMs,
+        what: std::result::Result<Holder, &str>,
+        revision: Revision,
+        out: &mut Vec<Action>,
+    ) {
+        let dc = match &what {
+            Ok(holder) => &holder.dc,
+            Err(dc) => *dc,
+        };
+        let Some(key) = self.add_centre(dc) else {
+            return;
+        };
+        let Some(centre) = self.centres.get_mut(usize::from(key.0)) else {
+            return;
+        };
+        if revision < centre.seen {
+            return;
+        }
+        centre.seen = revision;
+        self.owner_step(now, key, owner::Event::Seen(what.ok()), out);
+    }
+
+    fn known(&mut self, holder: Holder, out: &mut Vec<Action>) {
+        let Some(key) = self.add_centre(&holder.dc) else {
+            return;
+        };
+        let Some(centre) = self.centres.get_mut(usize::from(key.0)) else {
+            return;
+        };
+        if centre
+            .holder
+            .as_ref()
+            .is_none_or(|h| h.epoch < holder.epoch)
+        {
+            centre.holder = Some(holder.clone());
+            // Peers hear soon of a new owner.
+            self.next_tell = UnixMs(0);
+            out.push(Action::Changed(holder));
+        }
+    }
+
+    fn all(&mut self, now: UnixMs, event: &owner::Event, out: &mut Vec<Action>) {
+        let keys: Vec<CentreKey> = self.keys.values().copied().collect();
+        for key in keys {
+            self.owner_step(now, key, event.clone(), out);
+        }
+    }
+
+    fn owner_step(
+        &mut self,
+        now: UnixMs,
+        key: CentreKey,
+        event: owner::Event,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(centre) = self.centres.get_mut(usize::from(key.0)) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        centre.owner.step(now, event, &mut actions);
+        let dc = centre.owner.dc().to_owned();
+        for action in actions {
+            match action {
+                owner::Action::Call(id, call, end) => out.push(Action::Call(key, id, call, end)),
+                owner::Action::Started(epoch, end) => {
+                    out.push(Action::Started(dc.clone(), epoch, end));
+                }
+                owner::Action::Extended(end) => out.push(Action::Extended(dc.clone(), end)),
+                owner::Action::Stopped(cause) => out.push(Action::Stopped(dc.clone(), cause)),
+                owner::Action::Known(holder) => self.known(holder, out),
+            }
+        }
+    }
+}
