Read all YAML in one place, with file, line, column and field

Cause: settings and jobs told the library's own wording, the configuration told file:line:column and the field's path; the same reader stood twice. Conclusion: one reader; the settings table test walks the refusals.

--- a/marigoldglade/src/api.rs
+++ b/marigoldglade/src/api.rs
@@ -6,6 +6,7 @@
 use crate::error::{Error, Kind, Result, Run};
 use crate::label::{Labels, is_word};
 use crate::time::UnixMs;
+use crate::yaml;
 
 /// The header that names the caller.
 pub const CALLER_HEADER: &str = "mg-caller";
@@ -92,7 +93,7 @@
     ///
     /// [`Kind::BadInput`] with line, column and what was expected.
     pub fn parse(file: &str, text: &str) -> Result<Self> {
-        serde_saphyr::from_str(text).map_err(|e| bad(format!("{file}: {e}")))
+        yaml::read(file, text)
     }
 
     /// Checks everything that needs no configuration.
--- a/marigoldglade/src/config.rs
+++ b/marigoldglade/src/config.rs
@@ -8,6 +8,7 @@
 use crate::config_locate::{Place, locate};
 use crate::error::{Error, Kind, Result};
 use crate::label::{Labels, Selector};
+use crate::yaml;
 
 /// The whole configuration. Its version is the store's, not part of the text.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -151,7 +152,7 @@
             let detail = format!("{file}: expected at most {TEXT_LIMIT_BYTES} bytes");
             return Err(Error::new(Kind::TooLarge, detail));
         }
-        let config = Self::read(file, text)?;
+        let config = yaml::read_or_default(file, text)?;
         let lines: Vec<String> = check(&config)
             .into_iter()
             .map(|p| {
@@ -173,36 +174,4 @@
     pub fn to_yaml(&self) -> Result<String> {
         serde_saphyr::to_string(self).map_err(|e| Error::new(Kind::Internal, e.to_string()))
     }
-
-    fn read(file: &str, text: &str) -> Result<Self> {
-        if text.trim().is_empty() {
-            return Ok(Self::default());
-        }
-        let mut path = String::new();
-        let read = serde_saphyr::with_deserializer_from_str(text, |deserializer| {
-            serde_path_to_error::deserialize(deserializer).map_err(|e| {
-                path = e.path().to_string();
-                e.into_inner()
-            })
-        });
-        read.map_err(|e| {
-            let (line, column) = e.location().map_or((1, 1), |l| (l.line(), l.column()));
-            let detail = strip_place(&e.without_snippet().to_string());
-            // A path of one dot is the whole document.
-            let field = match path.as_str() {
-                "" | "." => String::new(),
-                path => format!("{path}: "),
-            };
-            Error::new(
-                Kind::BadInput,
-                format!("{file}:{line}:{column}: {field}{detail}"),
-            )
-        })
-    }
-}
-
-/// Removes the place that the YAML library puts behind its messages.
-fn strip_place(message: &str) -> String {
-    let end = message.find(" at line ").unwrap_or(message.len());
-    message[..end].to_owned()
 }
--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod store;
 pub mod time;
 pub mod wire;
+pub mod yaml;
--- a/marigoldglade/src/settings.rs
+++ b/marigoldglade/src/settings.rs
@@ -7,6 +7,7 @@
 
 use crate::error::{Error, Kind, Result};
 use crate::label::is_word;
+use crate::yaml;
 
 /// How log lines are written.
 #[derive(
@@ -119,8 +120,7 @@
     ///
     /// [`Kind::BadInput`] with file, line, column and what was expected.
     pub fn parse(file: &str, text: &str) -> Result<Self> {
-        let settings: Self = serde_saphyr::from_str(text)
-            .map_err(|e| Error::new(Kind::BadInput, format!("{file}: {e}")))?;
+        let settings: Self = yaml::read(file, text)?;
         settings
             .check()
             .map_err(|e| Error::new(e.kind, format!("{file}: {}", e.detail)))?;
--- a/marigoldgladed/tests/cli.rs
+++ b/marigoldgladed/tests/cli.rs
@@ -110,7 +110,7 @@
 fn checks_settings_and_names_the_line() {
     for (text, wanted) in [
         ("name: a\ndc: b\nlissten: 1\n", "lissten"),
-        ("name: a\nlisten: nowhere\n", "line 2"),
+        ("name: a\nlisten: nowhere\n", "settings.yaml:2:9: listen"),
     ] {
         let path = file("settings.yaml", text);
         let output = Command::new(program("marigoldgladed"))
