--- /dev/null
+++ b/marigoldglade/tests/owner/shelf.rs
@@ -0,0 +1,342 @@
+//! Candidates for one data centre around a fake store with leases, under a fake clock.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use marigoldglade::owner::{Action, Candidate, Cause, Event, Holder, Owner, PREFIX};
+use marigoldglade::store::{Body, Call, Compare, Done, Fault, Op, Outcome, Pair, Reply, Revision};
+use marigoldglade::time::UnixMs;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const TICK_MS: u64 = 100;
+/// How often a daemon reads the key anew, as after a watch that broke.
+const LIST_MS: u64 = 1_000;
+
+/// The store: one key, bound to a lease.
+#[derive(Default)]
+struct Store {
+    revision: Revision,
+    leases: BTreeMap<i64, u64>,
+    last: i64,
+    pair: Option<Pair>,
+}
+
+impl Store {
+    fn lapse(&mut self, now: u64) {
+        self.leases.retain(|_, end| *end > now);
+        let lease = self.pair.as_ref().map(|p| p.lease);
+        if lease.is_some_and(|l| !self.leases.contains_key(&l)) {
+            self.pair = None;
+            self.revision += 1;
+        }
+    }
+
+    fn call(&mut self, now: u64, call: &Call) -> Result<Reply, Fault> {
+        self.lapse(now);
+        let body = match call {
+            Call::Grant { ttl_s } => {
+                self.last += 1;
+                self.leases
+                    .insert(self.last, now + u64::from(*ttl_s) * 1_000);
+                Body::Lease {
+                    lease: self.last,
+                    ttl_s: *ttl_s,
+                }
+            }
+            Call::Renew { lease } => match self.leases.get_mut(lease) {
+                Some(end) => {
+                    *end = now + 10_000;
+                    Body::Lease {
+                        lease: *lease,
+                        ttl_s: 10,
+                    }
+                }
+                None => Body::Lease {
+                    lease: *lease,
+                    ttl_s: 0,
+                },
+            },
+            Call::Revoke { lease } => {
+                self.leases.remove(lease);
+                self.lapse(now);
+                Body::Revoked
+            }
+            Call::Txn(txn) => {
+                assert!(matches!(txn.when.as_slice(), [Compare::Absent(_)]));
+                let held = self.pair.is_none();
+                for op in if held { &txn.then } else { &txn.other } {
+                    if let Op::Put(key, value, lease) = op {
+                        if !self.leases.contains_key(lease) {
+                            return Err(Fault::Refused);
+                        }
+                        self.revision += 1;
+                        self.pair = Some(Pair {
+                            key: key.clone(),
+                            value: value.clone(),
+                            created: self.revision,
+                            changed: self.revision,
+                            lease: *lease,
+                        });
+                    }
+                }
+                let pairs = self.pair.iter().cloned().collect();
+                Body::Txn(Done {
+                    held,
+                    outcomes: vec![Outcome::Pairs(pairs)],
+                })
+            }
+            _ => return Err(Fault::Refused),
+        };
+        Ok(Reply {
+            revision: self.revision,
+            body,
+        })
+    }
+}
+
+/// What happens to calls.
+#[derive(Clone, Copy, Debug)]
+pub struct Weather {
+    pub delay_ms: u64,
+    pub lost_percent: u32,
+    pub down: bool,
+}
+
+impl Weather {
+    pub const CALM: Self = Self {
+        delay_ms: 10,
+        lost_percent: 0,
+        down: false,
+    };
+    pub const STORM: Self = Self {
+        delay_ms: 4_000,
+        lost_percent: 25,
+        down: false,
+    };
+    pub const DOWN: Self = Self {
+        delay_ms: 10,
+        lost_percent: 0,
+        down: true,
+    };
+}
+
+struct Daemon {
+    owner: Owner,
+    up: bool,
+    paused: bool,
+    /// How many thousandths this clock runs too fast or slow, and how far it is off.
+    drift: i64,
+    offset: u64,
+    next_list: u64,
+    replies: Vec<(u64, Result<Reply, Fault>)>,
+}
+
+struct Call1 {
+    at: u64,
+    from: usize,
+    id: u64,
+    call: Call,
+    back: u64,
+    lost: bool,
+}
+
+/// All of it.
+pub struct Shelf {
+    now: u64,
+    store: Store,
+    daemons: Vec<Daemon>,
+    calls: Vec<Call1>,
+    replies: Vec<(u64, usize, u64, Result<Reply, Fault>)>,
+    pub started: Vec<(usize, Revision)>,
+    pub stopped: Vec<(usize, Cause)>,
+    rng: ChaCha8Rng,
+}
+
+fn addr(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(i).expect("few")))
+}
+
+impl Shelf {
+    pub fn new(size: usize, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let daemons = (0..size)
+            .map(|i| Daemon {
+                owner: Owner::new("kista", &format!("entry-{i}"), addr(i)),
+                up: true,
+                paused: false,
+                drift: rng.random_range(-50..=50),
+                offset: rng.random_range(0..10_000_000),
+                next_list: 0,
+                replies: Vec::new(),
+            })
+            .collect();
+        Self {
+            now: 1_000_000,
+            store: Store::default(),
+            daemons,
+            calls: Vec::new(),
+            replies: Vec::new(),
+            started: Vec::new(),
+            stopped: Vec::new(),
+            rng,
+        }
+    }
+
+    fn clock(&self, i: usize) -> UnixMs {
+        let daemon = &self.daemons[i];
+        let drift = i64::try_from(self.now).expect("small") * daemon.drift / 1_000;
+        UnixMs(self.now.saturating_add_signed(drift) + daemon.offset)
+    }
+
+    pub fn run(&mut self, ms: u64, weather: Weather) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += TICK_MS;
+            self.store.lapse(self.now);
+            self.arrive(weather);
+            for i in 0..self.daemons.len() {
+                self.tick(i, weather);
+            }
+            self.assert_one();
+        }
+    }
+
+    fn tick(&mut self, i: usize, weather: Weather) {
+        let now = self.now;
+        if !self.daemons[i].up || self.daemons[i].paused {
+            return;
+        }
+        for (id, outcome) in std::mem::take(&mut self.daemons[i].replies) {
+            self.step(i, Event::Reply(id, outcome), weather);
+        }
+        if self.daemons[i].next_list <= now && !weather.down {
+            self.daemons[i].next_list = now + LIST_MS;
+            let seen = self.store.pair.as_ref().and_then(Holder::from_pair);
+            self.step(i, Event::Seen(seen), weather);
+        }
+        let members = self.candidates();
+        self.step(i, Event::Members(members, 0), weather);
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let up = (0..self.daemons.len()).filter(|i| self.daemons[*i].up);
+        up.map(|i| Candidate {
+            name: format!("entry-{i}"),
+            dc: "kista".to_owned(),
+        })
+        .collect()
+    }
+
+    fn step(&mut self, i: usize, event: Event, weather: Weather) {
+        let clock = self.clock(i);
+        let mut out = Vec::new();
+        self.daemons[i].owner.step(clock, event, &mut out);
+        for action in out {
+            match action {
+                Action::Call(id, call, _) => self.send(i, id, call, weather),
+                Action::Started(epoch, _) => self.started.push((i, epoch)),
+                Action::Stopped(cause) => self.stopped.push((i, cause)),
+                Action::Extended(_) | Action::Known(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, id: u64, call: Call, weather: Weather) {
+        let mut delay = || self.rng.random_range(1..=weather.delay_ms);
+        let (there, back) = (delay(), delay());
+        let draw = self.rng.random_range(0..100);
+        if weather.down || draw < weather.lost_percent / 2 {
+            let at = self.now + 1_500;
+            self.replies.push((at, from, id, Err(Fault::Unknown)));
+            return;
+        }
+        self.calls.push(Call1 {
+            at: self.now + there,
+            from,
+            id,
+            call,
+            back,
+            lost: draw < weather.lost_percent,
+        });
+    }
+
+    fn arrive(&mut self, weather: Weather) {
+        let now = self.now;
+        let (due, rest) = std::mem::take(&mut self.calls)
+            .into_iter()
+            .partition(|c| c.at <= now);
+        self.calls = rest;
+        let mut due: Vec<Call1> = due;
+        due.sort_by_key(|c| c.at);
+        for call in due {
+            let outcome = self.store.call(now, &call.call);
+            let outcome = if call.lost {
+                Err(Fault::Unknown)
+            } else {
+                outcome
+            };
+            self.replies
+                .push((now + call.back, call.from, call.id, outcome));
+        }
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.replies)
+            .into_iter()
+            .partition(|r| r.0 <= now);
+        self.replies = rest;
+        for (_, to, id, outcome) in due {
+            if self.daemons[to].paused {
+                self.daemons[to].replies.push((id, outcome));
+            } else if self.daemons[to].up {
+                self.step(to, Event::Reply(id, outcome), weather);
+            }
+        }
+    }
+
+    /// Returns the daemons that would act now.
+    pub fn acting(&self) -> Vec<usize> {
+        (0..self.daemons.len())
+            .filter(|i| self.daemons[*i].up && !self.daemons[*i].paused)
+            .filter(|i| self.daemons[*i].owner.may_act(self.clock(*i)))
+            .collect()
+    }
+
+    fn assert_one(&self) {
+        let acting = self.acting();
+        assert!(acting.len() <= 1, "{acting:?} own at {}", self.now);
+        assert!(
+            self.started
+                .windows(2)
+                .all(|w| w[0].1 < w[1].1 || w[0] == w[1])
+        );
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.daemons[i].up = false;
+    }
+
+    pub fn pause(&mut self, i: usize) {
+        self.daemons[i].paused = true;
+    }
+
+    /// Wakes a daemon; before it does anything else it must know whether it may act.
+    pub fn resume(&mut self, i: usize) {
+        self.daemons[i].paused = false;
+        self.assert_one();
+    }
+
+    pub fn stop(&mut self, i: usize, weather: Weather) {
+        self.step(i, Event::Stop, weather);
+    }
+
+    pub fn is_released(&self, i: usize) -> bool {
+        self.daemons[i].owner.is_released()
+    }
+
+    pub fn key(&self) -> String {
+        self.store
+            .pair
+            .as_ref()
+            .map(|p| p.key.replace(PREFIX, ""))
+            .unwrap_or_default()
+    }
+}
