--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -5,23 +5,35 @@
 //! generator, and input and output pass through plain structs of closures.
 
 pub mod api;
+mod blocks;
 pub mod config;
+pub mod config_accept;
 pub mod config_check;
 pub mod config_diff;
 pub mod config_edit;
 pub mod config_locate;
+mod decide;
 pub mod error;
 pub mod etcd;
 pub mod events;
+mod fleet;
 pub mod frame_auth;
+pub mod guarantee;
+mod job;
 pub mod label;
 pub mod member;
 pub mod mesh;
+pub mod order;
+mod own;
 pub mod owner;
+pub mod place;
 pub mod plan;
+pub mod planner;
 pub mod prelude;
+pub mod reclaim;
 pub mod roles;
 pub mod settings;
+pub mod spread;
 pub mod store;
 pub mod time;
 pub mod wire;
