--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -4,8 +4,11 @@
 //! owns a clock, a thread or a socket: time comes in as [`time::UnixMs`], randomness from a seeded
 //! generator, and input and output pass through plain structs of closures.
 
+pub mod admit;
 pub mod api;
 mod blocks;
+pub mod claim;
+pub mod classify;
 pub mod config;
 pub mod config_accept;
 pub mod config_check;
@@ -30,9 +33,15 @@
 pub mod plan;
 pub mod planner;
 pub mod prelude;
+pub mod queue;
 pub mod reclaim;
+pub mod requests;
+pub mod retry;
 pub mod roles;
+pub mod route;
 pub mod settings;
+pub mod share;
+pub mod slots;
 pub mod spread;
 pub mod store;
 pub mod time;
