Add the store client: budget by rank, breaker, retries, hedged reads

Cause: every part of the daemon called the store at will, with one address, and nothing bounded the calls after an outage.

Ruled out: one token bucket in the store itself (a write a token), and asking peers for tokens; the fixed share needs no word between daemons and holds while they are cut off.

--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -5,6 +5,8 @@
 //! generator, and input and output pass through plain structs of closures.
 
 pub mod api;
+pub mod breaker;
+pub mod budget;
 pub mod config;
 pub mod config_accept;
 pub mod config_check;
@@ -19,5 +21,6 @@
 pub mod settings;
 pub mod spread;
 pub mod store;
+pub mod store_client;
 pub mod time;
 pub mod wire;
--- a/marigoldglade/src/store.rs
+++ b/marigoldglade/src/store.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::budget::Cost;
 use crate::time::UnixMs;
 
 /// A key; keys are compared as bytes.
@@ -186,3 +187,41 @@
     #[expect(clippy::type_complexity, reason = "a closure is the whole interface")]
     pub call: Box<dyn Fn(&Call, UnixMs) -> std::result::Result<Reply, Fault> + Send + Sync>,
 }
+
+impl Txn {
+    fn writes(&self) -> bool {
+        self.then.iter().chain(&self.other).any(|op| match op {
+            Op::Get(_) | Op::List(_) => false,
+            Op::Put(..) | Op::Delete(_) => true,
+            Op::Txn(txn) => txn.writes(),
+        })
+    }
+}
+
+impl Call {
+    /// Returns what the call costs of the store's rates.
+    #[must_use]
+    pub fn cost(&self) -> Cost {
+        match self {
+            Self::Txn(txn) if txn.writes() => Cost::Write,
+            Self::Grant { .. } | Self::Renew { .. } | Self::Revoke { .. } => Cost::Write,
+            Self::Txn(_) | Self::Range { .. } | Self::Watch { .. } => Cost::Read,
+        }
+    }
+
+    /// Returns whether a second effect of the call does no harm; a lease that was granted twice
+    /// lapses.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        match self {
+            Self::Txn(txn) => !txn.writes(),
+            _ => true,
+        }
+    }
+
+    /// Returns whether the call waits for changes.
+    #[must_use]
+    pub const fn is_watch(&self) -> bool {
+        matches!(self, Self::Watch { .. })
+    }
+}
--- /dev/null
+++ b/marigoldglade/tests/store_client.rs
@@ -0,0 +1,415 @@
+//! The store client under outages, slowness and floods, with a fake clock and store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use marigoldglade::budget::{Cost, FLEET_READS_S, FLEET_WRITES_S, Rank, SHRINK_MS};
+use marigoldglade::store::{Body, Call, Fault, Op, Pair, Reply, Txn};
+use marigoldglade::store_client::{
+    Action, Addr, CallKey, Client, Event, FLIGHT_LIMIT, FlightKey, Outcome, Told, read_back,
+};
+use marigoldglade::time::{SECOND_MS, UnixMs};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+const STEP_MS: u64 = 10;
+const RANKS: [Rank; 6] = [
+    Rank::Lease,
+    Rank::Terminal,
+    Rank::Accept,
+    Rank::Claim,
+    Rank::Config,
+    Rank::Read,
+];
+
+fn write(key: &str) -> Call {
+    Call::Txn(Txn {
+        then: vec![Op::Put(key.to_owned(), Vec::new(), 0)],
+        ..Txn::default()
+    })
+}
+
+fn read() -> Call {
+    Call::Range {
+        prefix: "/a".to_owned(),
+        after: String::new(),
+        limit: 1,
+    }
+}
+
+fn reply() -> Reply {
+    Reply {
+        revision: 1,
+        body: Body::Revoked,
+    }
+}
+
+/// What the store does with a send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// Answers after so many milliseconds.
+    Answer(u64),
+    NotSent,
+    Refused,
+    /// Takes effect, but the answer is lost.
+    Lost,
+    /// Nothing comes back until the deadline.
+    Silent,
+}
+
+/// A client with its sends under way.
+struct Node {
+    client: Client,
+    last: u64,
+    /// Told results that are due.
+    due: Vec<(UnixMs, FlightKey, Told)>,
+    /// Sends in turn: when, where to, what it costs.
+    sent: Vec<(UnixMs, Addr, Cost, Rank)>,
+    ranks: BTreeMap<CallKey, Rank>,
+    finished: BTreeMap<CallKey, (UnixMs, Told)>,
+    /// Writes that took effect, by key.
+    effects: BTreeMap<String, u32>,
+}
+
+impl Node {
+    fn new(now: UnixMs, addrs: usize, members: u64, seed: u64) -> Self {
+        Self {
+            client: Client::new(now, addrs, members, seed),
+            last: 0,
+            due: Vec::new(),
+            sent: Vec::new(),
+            ranks: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            effects: BTreeMap::new(),
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: UnixMs,
+        rank: Rank,
+        call: Call,
+        end: UnixMs,
+        fate: &mut dyn FnMut(Addr) -> Fate,
+    ) -> CallKey {
+        self.last += 1;
+        let key = CallKey(self.last);
+        self.ranks.insert(key, rank);
+        let event = Event::Submit(key, rank, Arc::new(call), end);
+        self.step(now, event, fate);
+        key
+    }
+
+    fn step(&mut self, now: UnixMs, event: Event, fate: &mut dyn FnMut(Addr) -> Fate) {
+        let mut out = Vec::new();
+        self.client.step(now, event, &mut out);
+        for action in out {
+            match action {
+                Action::Send(flight, addr, call, end) => {
+                    self.sent.push((now, addr, call.cost(), Rank::Read));
+                    self.fly(now, flight, &call, end, fate(addr));
+                }
+                Action::Finish(key, told) => {
+                    let before = self.finished.insert(key, (now, told));
+                    assert!(before.is_none(), "{key:?} finished twice");
+                }
+                Action::Health(..) => {}
+            }
+        }
+    }
+
+    fn fly(&mut self, now: UnixMs, flight: FlightKey, call: &Call, end: UnixMs, fate: Fate) {
+        let effect = matches!(fate, Fate::Answer(_) | Fate::Lost);
+        if let (true, Call::Txn(txn)) = (effect, call) {
+            for op in &txn.then {
+                if let Op::Put(key, ..) = op {
+                    *self.effects.entry(key.clone()).or_default() += 1;
+                }
+            }
+        }
+        let (when, told) = match fate {
+            Fate::Answer(ms) if !end.passed(now.after(ms)) => (now.after(ms), Ok(reply())),
+            Fate::NotSent => (now.after(1), Err(Fault::NotSent)),
+            Fate::Refused => (now.after(1), Err(Fault::Refused)),
+            Fate::Lost => (now.after(1), Err(Fault::Unknown)),
+            Fate::Answer(_) | Fate::Silent => (end, Err(Fault::Unknown)),
+        };
+        self.due.push((when, flight, told));
+    }
+
+    fn tick(&mut self, now: UnixMs, fate: &mut dyn FnMut(Addr) -> Fate) {
+        let due = std::mem::take(&mut self.due);
+        let (now_due, later): (Vec<_>, Vec<_>) = due.into_iter().partition(|d| d.0.passed(now));
+        self.due = later;
+        for (_, flight, told) in now_due {
+            self.step(now, Event::Told(flight, told), fate);
+        }
+        self.step(now, Event::Tick, fate);
+    }
+}
+
+/// Returns the most sends of a kind in any second.
+fn peak(sent: &[(UnixMs, Cost)], cost: Cost) -> usize {
+    let mut times: Vec<u64> = sent.iter().filter(|s| s.1 == cost).map(|s| s.0.0).collect();
+    times.sort_unstable();
+    let mut start = 0;
+    let mut peak = 0;
+    for at in 0..times.len() {
+        while times[at] - times[start] >= SECOND_MS {
+            start += 1;
+        }
+        peak = peak.max(at + 1 - start);
+    }
+    peak
+}
+
+/// Runs a fleet whose daemons all flood the store, down from the 2nd to the 6th second.
+fn flood(members: u64, per_step: u64) -> Vec<(UnixMs, Cost)> {
+    let mut now = UnixMs(1_000_000);
+    let start = now;
+    let mut nodes: Vec<Node> = (0..members)
+        .map(|i| Node::new(now, 2, members, i))
+        .collect();
+    while now.since(start) < 10 * SECOND_MS {
+        let down = (2_000..6_000).contains(&now.since(start));
+        let mut fate = |_| if down { Fate::NotSent } else { Fate::Answer(5) };
+        for node in &mut nodes {
+            for i in 0..per_step {
+                let rank = RANKS[(i % 6) as usize];
+                let call = if i % 2 == 0 { write("/a") } else { read() };
+                node.submit(now, rank, call, now.after(3_000), &mut fate);
+            }
+            node.tick(now, &mut fate);
+        }
+        now = now.after(STEP_MS);
+    }
+    let sent = nodes.iter().flat_map(|n| &n.sent);
+    sent.map(|s| (s.0, s.2)).collect()
+}
+
+#[rstest]
+#[case(1, 60)]
+#[case(7, 12)]
+#[case(35, 6)]
+#[case(140, 2)]
+fn a_flood_and_an_outage_stay_inside_the_budget_of_the_fleet(
+    #[case] members: u64,
+    #[case] per_step: u64,
+) {
+    let sent = flood(members, per_step);
+    let (writes, reads) = (peak(&sent, Cost::Write), peak(&sent, Cost::Read));
+    assert!(
+        writes as u64 <= FLEET_WRITES_S,
+        "{writes} writes in a second"
+    );
+    assert!(reads as u64 <= FLEET_READS_S, "{reads} reads in a second");
+    assert!(writes > 0 && reads > 0);
+}
+
+#[test]
+fn fewer_members_count_late_and_more_at_once() {
+    let now = UnixMs(1_000_000);
+    let sends = |told: &[(u64, u64)]| {
+        let mut node = Node::new(now, 1, 10, 1);
+        let mut last = now;
+        for (ms, members) in told {
+            last = now.after(*ms);
+            node.step(last, Event::Members(*members), &mut |_| Fate::Answer(5));
+        }
+        let start = last;
+        while last.since(start) < 2 * SECOND_MS {
+            node.submit(last, Rank::Lease, write("/a"), last.after(50), &mut |_| {
+                Fate::Answer(5)
+            });
+            node.tick(last, &mut |_| Fate::Answer(5));
+            last = last.after(STEP_MS);
+        }
+        node.sent.iter().filter(|s| s.2 == Cost::Write).count()
+    };
+    let (ten, twenty) = (sends(&[]), sends(&[(0, 20)]));
+    assert!(twenty < ten, "{twenty} of {ten}");
+    assert_eq!(sends(&[(0, 1)]), ten);
+    assert_eq!(sends(&[(0, 1), (SHRINK_MS - 1, 1)]), ten);
+    assert!(sends(&[(0, 1), (SHRINK_MS, 1)]) > ten);
+    // A member that came back in between keeps the share small.
+    assert_eq!(sends(&[(0, 1), (1, 10), (SHRINK_MS, 1)]), ten);
+}
+
+#[test]
+fn leases_are_renewed_through_a_flood_of_lower_ranks() {
+    let mut now = UnixMs(1_000_000);
+    let mut node = Node::new(now, 1, 7, 1);
+    let fate = &mut |_| Fate::Answer(20);
+    let mut renewals = Vec::new();
+    for step in 0..1_000 {
+        for rank in [Rank::Accept, Rank::Claim, Rank::Read] {
+            node.submit(now, rank, write("/a"), now.after(2_000), fate);
+        }
+        if step % 100 == 0 {
+            let call = Call::Renew { lease: 1 };
+            let key = node.submit(now, Rank::Lease, call, now.after(SECOND_MS), fate);
+            renewals.push(key);
+        }
+        node.tick(now, fate);
+        now = now.after(STEP_MS);
+    }
+    for key in renewals {
+        let told = node.finished.get(&key);
+        assert!(matches!(told, Some((_, Ok(_)))), "{key:?}: {told:?}");
+    }
+}
+
+#[test]
+fn the_lowest_rank_gets_its_turn_in_a_flood_of_higher_ones() {
+    let mut now = UnixMs(1_000_000);
+    let mut node = Node::new(now, 1, 7, 1);
+    let fate = &mut |_| Fate::Answer(20);
+    let mut key = None;
+    for step in 0..500 {
+        node.submit(now, Rank::Accept, write("/a"), now.after(2_000), fate);
+        if step == 100 {
+            key = Some(node.submit(now, Rank::Config, write("/b"), now.after(2_000), fate));
+        }
+        node.tick(now, fate);
+        now = now.after(STEP_MS);
+    }
+    let told = key.and_then(|k| node.finished.get(&k));
+    assert!(matches!(told, Some((_, Ok(_)))), "{told:?}");
+}
+
+#[test]
+fn an_outage_is_told_at_once_and_its_end_is_found_without_traffic() {
+    let mut now = UnixMs(1_000_000);
+    let mut node = Node::new(now, 2, 1, 1);
+    for _ in 0..100 {
+        let end = now.after(10 * SECOND_MS);
+        node.submit(now, Rank::Accept, write("/a"), end, &mut |_| Fate::NotSent);
+        node.tick(now, &mut |_| Fate::NotSent);
+        now = now.after(STEP_MS);
+    }
+    assert!(!node.client.is_up());
+    let end = now.after(60 * SECOND_MS);
+    let key = node.submit(now, Rank::Accept, write("/a"), end, &mut |_| Fate::NotSent);
+    assert_eq!(node.finished.get(&key), Some(&(now, Err(Fault::NotSent))));
+    let back = now;
+    while !node.client.is_up() {
+        assert!(now.since(back) < 5 * SECOND_MS, "the return wasn't found");
+        now = node.client.next(now).max(now.after(STEP_MS));
+        node.tick(now, &mut |_| Fate::Answer(5));
+    }
+}
+
+#[test]
+fn a_silent_store_is_held_back_and_bounds_the_sends() {
+    let mut now = UnixMs(1_000_000);
+    let mut node = Node::new(now, 1, 1, 1);
+    for _ in 0..1_000 {
+        let end = now.after(SECOND_MS);
+        node.submit(now, Rank::Claim, write("/a"), end, &mut |_| Fate::Silent);
+        node.tick(now, &mut |_| Fate::Silent);
+        assert!(
+            node.due.len() <= FLIGHT_LIMIT + 1,
+            "{} sends",
+            node.due.len()
+        );
+        now = now.after(STEP_MS);
+    }
+    assert!(!node.client.is_up());
+}
+
+#[test]
+fn a_slow_read_is_answered_by_the_second_address() {
+    let mut now = UnixMs(1_000_000);
+    let mut node = Node::new(now, 2, 1, 1);
+    let start = now;
+    let fate = &mut |addr| match addr {
+        Addr(0) => Fate::Silent,
+        Addr(_) => Fate::Answer(5),
+    };
+    let key = node.submit(now, Rank::Read, read(), now.after(2_000), fate);
+    while !node.finished.contains_key(&key) {
+        now = now.after(STEP_MS);
+        node.tick(now, fate);
+    }
+    let (when, told) = &node.finished[&key];
+    assert!(told.is_ok() && when.since(start) < 500, "{told:?}");
+}
+
+fn any_fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        4 => (1..400_u64).prop_map(Fate::Answer),
+        2 => Just(Fate::NotSent),
+        1 => Just(Fate::Refused),
+        1 => Just(Fate::Lost),
+        1 => Just(Fate::Silent),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        cases: 300,
+        ..ProptestConfig::default()
+    })]
+
+    /// Each call ends once and by its deadline, a write takes effect at most once, and one that
+    /// is told not to have happened didn't.
+    #[test]
+    fn each_call_is_told_the_truth_once(
+        seed in any::<u64>(),
+        fates in prop::collection::vec(any_fate(), 1..50),
+        calls in prop::collection::vec((0..200_u64, 0..6_usize, 1..3_000_u64), 1..60),
+    ) {
+        let start = UnixMs(1_000_000);
+        let mut now = start;
+        let mut node = Node::new(now, 3, 1, seed);
+        let mut count = 0;
+        let mut fate = |_| {
+            count += 1;
+            fates[count % fates.len()]
+        };
+        let mut ends = BTreeMap::new();
+        for (ms, rank, end) in calls {
+            let until = now.after(ms);
+            while now < until {
+                now = now.after(STEP_MS);
+                node.tick(now, &mut fate);
+            }
+            let name = format!("/{}", node.last + 1);
+            let end = now.after(end);
+            let key = node.submit(now, RANKS[rank], write(&name), end, &mut fate);
+            ends.insert(key, (end, name));
+        }
+        for _ in 0..400 {
+            now = now.after(STEP_MS);
+            node.tick(now, &mut fate);
+        }
+        for (key, (end, name)) in ends {
+            let effects = node.effects.get(&name).copied().unwrap_or(0);
+            let (when, told) = node.finished.get(&key).expect("it finished");
+            prop_assert!(*when <= end.after(STEP_MS));
+            prop_assert!(effects <= 1, "{name}: {effects} effects");
+            match told {
+                Ok(_) => prop_assert_eq!(effects, 1),
+                Err(Fault::NotSent | Fault::Refused) => prop_assert_eq!(effects, 0),
+                Err(Fault::Unknown) => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn a_value_that_is_read_back_tells_whose_it_is() {
+    let pair = Pair {
+        key: "/a".to_owned(),
+        value: b"mine".to_vec(),
+        created: 1,
+        changed: 1,
+        lease: 0,
+    };
+    assert_eq!(read_back(None, |_| true), Outcome::Absent);
+    assert_eq!(read_back(Some(&pair), |v| v == b"mine"), Outcome::Mine);
+    assert_eq!(read_back(Some(&pair), |v| v == b"other"), Outcome::Other);
+}
