--- /dev/null
+++ b/marigoldgladed/src/roles.rs
@@ -0,0 +1,256 @@
+//! The ownerships of this daemon: the store's keys and the members flow in, starts and ends of
+//! ownership flow out to the job path.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use marigoldglade::events::Event;
+use marigoldglade::mesh::Payload;
+use marigoldglade::owner::{Candidate, Cause, Holder, PREFIX};
+use marigoldglade::prelude::*;
+use marigoldglade::roles::{self, Action, CentreKey};
+use marigoldglade::store::{Body, Call, Change, Revision};
+use marigoldglade::time::SECOND_MS;
+use tokio::sync::{broadcast, watch};
+
+use crate::app::App;
+use crate::clock;
+use crate::keeper::Rank;
+
+/// The time between steps, in milliseconds.
+const TICK_MS: u64 = 100;
+/// The time that listing the owners may take, in milliseconds.
+const LIST_MS: u64 = 2 * SECOND_MS;
+/// The time that a watch may wait, in milliseconds.
+const WATCH_MS: u64 = 60 * SECOND_MS;
+/// The changes of ownership that a slow part may fall behind.
+const TURN_LIMIT: usize = 256;
+
+/// A change of this daemon's ownerships.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// This daemon owns the data centre in this epoch.
+    Started(String, Revision),
+    /// It no longer does.
+    Stopped(String, Cause),
+}
+
+/// Who owns which data centre.
+pub(crate) struct Roles {
+    filter: Mutex<roles::Roles>,
+    turns: broadcast::Sender<Turn>,
+    /// Whether all was given up after a stop began.
+    released: watch::Sender<bool>,
+}
+
+impl Roles {
+    /// Makes one that owns nothing.
+    pub(crate) fn new(name: &str, mesh: std::net::SocketAddr) -> Self {
+        Self {
+            filter: Mutex::new(roles::Roles::new(name, mesh)),
+            turns: broadcast::Sender::new(TURN_LIMIT),
+            released: watch::Sender::new(false),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, roles::Roles> {
+        self.filter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the changes of this daemon's ownerships from now on. Who falls behind looks at
+    /// [`Roles::held`].
+    #[expect(
+        dead_code,
+        reason = "the job path removes this line when it takes it up"
+    )]
+    pub(crate) fn turns(&self) -> broadcast::Receiver<Turn> {
+        self.turns.subscribe()
+    }
+
+    /// Returns the epoch and deadline of this daemon's ownership of a data centre, if it may act
+    /// now. To be asked right before each use.
+    #[expect(
+        dead_code,
+        reason = "the job path removes this line when it takes it up"
+    )]
+    pub(crate) fn held(&self, dc: &str) -> Option<(Revision, UnixMs)> {
+        let now = clock::now();
+        self.lock().held(dc).filter(|(_, end)| now < *end)
+    }
+
+    /// Returns the newest known owner of a data centre; it may be gone.
+    #[expect(
+        dead_code,
+        reason = "the job path removes this line when it takes it up"
+    )]
+    pub(crate) fn holder(&self, dc: &str) -> Option<Holder> {
+        self.lock().holder(dc).cloned()
+    }
+
+    /// Returns the newest known owners.
+    pub(crate) fn holders(&self) -> Vec<Holder> {
+        self.lock().holders()
+    }
+}
+
+impl App {
+    /// Runs the ownerships until the task is aborted.
+    pub(crate) async fn follow_roles(self: Arc<Self>) {
+        let mut told = false;
+        loop {
+            if self.stop.stopping() && !told {
+                told = true;
+                self.step_roles(roles::Event::Stop);
+            }
+            self.step_roles(roles::Event::Centres(self.centres()));
+            self.step_roles(roles::Event::Members(self.candidates()));
+            self.step_roles(roles::Event::Tick);
+            if told {
+                let released = self.roles.lock().is_released();
+                self.roles.released.send_replace(released);
+            }
+            clock::sleep_until(clock::now().after(TICK_MS)).await;
+        }
+    }
+
+    /// Waits until a stopping daemon gave all ownerships up.
+    pub(crate) async fn released(&self) {
+        let mut released = self.roles.released.subscribe();
+        let _ = released.wait_for(|r| *r).await;
+    }
+
+    fn centres(&self) -> Vec<String> {
+        let own = self.settings.dc.clone();
+        let version = self.configs.current();
+        let named = version.iter().flat_map(|v| &v.config.centres);
+        [own]
+            .into_iter()
+            .chain(named.map(|c| c.name.clone()))
+            .collect()
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        self.mesh
+            .peers()
+            .into_iter()
+            .map(|e| Candidate {
+                name: e.name,
+                dc: e.dc,
+            })
+            .collect()
+    }
+
+    /// Takes a peer's word on owners.
+    pub(crate) fn told_owners(self: &Arc<Self>, holders: Vec<Holder>) {
+        self.step_roles(roles::Event::Told(holders));
+    }
+
+    fn step_roles(self: &Arc<Self>, event: roles::Event) {
+        let mut out = Vec::new();
+        self.roles.lock().step(clock::now(), event, &mut out);
+        for action in out {
+            self.act(action);
+        }
+    }
+
+    fn act(self: &Arc<Self>, action: Action) {
+        match action {
+            Action::Call(key, id, call, end) => {
+                tokio::spawn(Arc::clone(self).role_call(key, id, call, end));
+            }
+            Action::Started(dc, epoch, _) => {
+                log::info!("owns {dc} in epoch {epoch}");
+                let _ = self.roles.turns.send(Turn::Started(dc, epoch));
+            }
+            Action::Extended(..) => {}
+            Action::Stopped(dc, cause) => {
+                log::info!("no longer owns {dc}: {cause}");
+                let _ = self.roles.turns.send(Turn::Stopped(dc.clone(), cause));
+                self.note(Event::OwnerStopped { dc, cause });
+            }
+            Action::Changed(holder) => self.note(Event::OwnerChanged {
+                dc: holder.dc,
+                name: holder.name,
+                epoch: holder.epoch,
+            }),
+            Action::Tell(holders) => self.tell_owners(&holders),
+        }
+    }
+
+    fn tell_owners(self: &Arc<Self>, holders: &[Holder]) {
+        let peers = self.mesh.neighbours();
+        if peers.is_empty() {
+            return;
+        }
+        let pick = rand::random_range(0..peers.len());
+        self.tell(peers[pick].addr, Payload::Owners(holders.to_vec()));
+    }
+
+    async fn role_call(self: Arc<Self>, key: CentreKey, id: u64, call: Call, end: UnixMs) {
+        let outcome = self.keeper.call(Rank::Lease, call, end).await;
+        self.step_roles(roles::Event::Reply(key, id, outcome));
+    }
+
+    /// Follows the owner keys in the store until the task is aborted.
+    pub(crate) async fn follow_owners(self: Arc<Self>) {
+        loop {
+            if let Some(since) = self.list_owners().await {
+                self.watch_owners(since).await;
+            }
+            clock::sleep_until(clock::now().after(SECOND_MS)).await;
+        }
+    }
+
+    async fn list_owners(self: &Arc<Self>) -> Option<Revision> {
+        let call = Call::Range {
+            prefix: PREFIX.to_owned(),
+            after: String::new(),
+            limit: u32::try_from(roles::CENTRE_LIMIT).unwrap_or(u32::MAX),
+        };
+        let end = clock::now().after(LIST_MS);
+        let reply = self.keeper.call(Rank::Lease, call, end).await.ok()?;
+        let Body::Range { pairs, .. } = reply.body else {
+            return None;
+        };
+        let holders = pairs.iter().filter_map(Holder::from_pair).collect();
+        self.step_roles(roles::Event::Listed(holders, reply.revision));
+        Some(reply.revision)
+    }
+
+    /// Watches until a wait ends without an answer.
+    async fn watch_owners(self: &Arc<Self>, mut since: Revision) {
+        loop {
+            let call = Call::Watch {
+                prefix: PREFIX.to_owned(),
+                since,
+            };
+            let end = clock::now().after(WATCH_MS);
+            let Ok(reply) = self.keeper.call(Rank::Read, call, end).await else {
+                return;
+            };
+            let Body::Changes(changes) = reply.body else {
+                return;
+            };
+            for change in changes {
+                since = since.max(self.owner_changed(change));
+            }
+        }
+    }
+
+    fn owner_changed(self: &Arc<Self>, change: Change) -> Revision {
+        let (revision, event) = match change {
+            Change::Put(pair) => {
+                let revision = pair.changed;
+                let event = Holder::from_pair(&pair).map(|h| roles::Event::Put(h, revision));
+                (revision, event)
+            }
+            Change::Gone(key, revision) => {
+                let dc = key.strip_prefix(PREFIX).map(str::to_owned);
+                (revision, dc.map(|dc| roles::Event::Gone(dc, revision)))
+            }
+        };
+        if let Some(event) = event {
+            self.step_roles(event);
+        }
+        revision
+    }
+}
