--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod admit;
 pub mod api;
 mod blocks;
+pub mod breaker;
+pub mod budget;
 pub mod claim;
 pub mod classify;
 pub mod config;
@@ -44,6 +46,7 @@
 pub mod slots;
 pub mod spread;
 pub mod store;
+pub mod store_client;
 pub mod time;
 pub mod wire;
 pub mod yaml;
