--- a/marigoldglade/src/requests.rs
+++ b/marigoldglade/src/requests.rs
@@ -1,8 +1,8 @@
 //! The request path: classify, admit, queue, route, send, retry, answer.
 //!
 //! [`Event`]s flow in, [`Action`]s flow out, both of one daemon. The stages are the modules
-//! [`classify`](crate::classify), [`admit`](crate::admit), [`queue`](crate::queue),
-//! [`route`](crate::route) and [`retry`](crate::retry); this one composes them and keeps the
+//! [`classify`](mod@crate::classify), [`admit`](mod@crate::admit), [`queue`](mod@crate::queue),
+//! [`route`](mod@crate::route) and [`retry`](mod@crate::retry); this one composes them and keeps the
 //! requests that are on their way.
 
 mod dispatch;
