Run the store client and the configuration's spread in the daemon

Cause: the daemon called one store address without budget or breaker, learnt the configuration from the store alone, and told an operator whose answer was lost only that the store didn't answer.

The keeper now drives the client's decisions; the configuration is taken from the store's watch and from peers by stamp; the operators' routes gain the history, small edits and the conflict with what changed.

--- a/marigoldglade/src/mesh.rs
+++ b/marigoldglade/src/mesh.rs
@@ -13,6 +13,7 @@
 use crate::frame_auth::{self, End, NONCE_BYTES, Opener, Proof, Sealer, TAG_BYTES};
 use crate::member;
 use crate::owner;
+use crate::spread;
 use crate::time::UnixMs;
 
 /// The version of the frames; ends of different versions refuse each other.
@@ -54,6 +55,8 @@
     Member(member::Message),
     /// Who owns which data centre.
     Owners(Vec<owner::Holder>),
+    /// Versions of the configuration.
+    Config(spread::Message),
     /// The answer to a call that failed.
     Refused(Error),
     /// The answer to a call that has nothing to tell.
--- a/marigoldgladed/src/app.rs
+++ b/marigoldgladed/src/app.rs
@@ -63,7 +63,7 @@
     let admin = Admin::start(&mut settings)?;
     let app = Arc::new(App {
         stop: Stop::new(),
-        keeper: Keeper::new(settings.store.clone(), admin.store.clone()),
+        keeper: Keeper::new(&settings, admin.store.clone()),
         configs: Configs::new(),
         targets: Targets::new(),
         requests: Requests::new(),
@@ -75,6 +75,7 @@
         settings,
     });
     tokio::spawn(Arc::clone(&app).follow_configs());
+    tokio::spawn(Arc::clone(&app).follow_store());
     tokio::spawn(Arc::clone(&app).follow_targets());
     tokio::spawn(Arc::clone(&app).own_jobs());
     tokio::spawn(Arc::clone(&app).serve_mesh(mesh_listener));
--- a/marigoldgladed/src/configs.rs
+++ b/marigoldgladed/src/configs.rs
@@ -1,41 +1,41 @@
-//! The configuration in force: the store's document flows in, checked versions flow out.
+//! The configuration in force: what the store shows and peers tell flows in, checked versions
+//! flow out to all parts.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use bytes::Bytes;
-use hyper::StatusCode;
-use hyper::http::request::Parts;
 use marigoldglade::config::Config;
+use marigoldglade::config_accept::{Document, KEY, Stamp};
+use marigoldglade::events;
+use marigoldglade::mesh::Payload;
 use marigoldglade::prelude::*;
-use marigoldglade::store::{Body, Call, Compare, Fault, Op, Outcome, Pair, Revision, Txn};
+use marigoldglade::spread::{Action, Event, Message, Peer, Spread};
+use marigoldglade::store::{Body, Call, Change, Op, Outcome, Pair, Revision, Txn};
 use marigoldglade::time::SECOND_MS;
-use serde_json::json;
+use marigoldglade::wire::Role;
 use tokio::sync::watch;
 
 use crate::app::App;
 use crate::clock;
-use crate::front::{self, Answer};
 use crate::keeper::Rank;
 
-/// The key of the configuration.
-const KEY: &str = "/mg/config";
-/// The header with the version that an operator's change is based on.
-const BASE_HEADER: &str = "mg-base";
 /// The time a call for the configuration may take, in milliseconds.
-const CALL_MS: u64 = 2_000;
+pub(crate) const CALL_MS: u64 = 2_000;
 /// The time a watch may wait, in milliseconds.
 const WATCH_MS: u64 = 30 * SECOND_MS;
+/// The time between two looks at the members, in milliseconds.
+const TICK_MS: u64 = 100;
 
 /// A version in force.
 #[derive(Clone)]
 pub(crate) struct Version {
     pub(crate) number: Revision,
     pub(crate) config: Arc<Config>,
-    pub(crate) text: Arc<str>,
+    pub(crate) document: Arc<Document>,
 }
 
 /// The newest version that this daemon knows.
 pub(crate) struct Configs {
+    spread: Mutex<Spread>,
     current: watch::Sender<Option<Version>>,
 }
 
@@ -43,6 +43,7 @@
     /// Makes one that knows no version.
     pub(crate) fn new() -> Self {
         Self {
+            spread: Mutex::new(Spread::new(rand::random())),
             current: watch::Sender::new(None),
         }
     }
@@ -62,97 +63,159 @@
             .ok_or_else(|| Error::new(Kind::NotReady, "no configuration is known yet"))
     }
 
-    /// Puts a version in force unless a newer one is.
-    fn take(&self, pair: &Pair) -> Result<()> {
-        let text = String::from_utf8_lossy(&pair.value);
-        let config: Config = Config::parse("configuration", &text)?;
-        self.current.send_if_modified(|current| {
-            let newer = current.as_ref().is_none_or(|c| c.number < pair.changed);
-            if newer {
-                log::info!("configuration {} is in force", pair.changed);
-                *current = Some(Version {
-                    number: pair.changed,
-                    config: Arc::new(config),
-                    text: text.into(),
-                });
-            }
-            newer
-        });
-        Ok(())
+    /// Returns the stamp of the version in force.
+    pub(crate) fn stamp(&self) -> Stamp {
+        let version = self.current();
+        version.map_or_else(Stamp::default, |v| v.document.stamp.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Spread> {
+        self.spread.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl App {
     /// Keeps the configuration current until the daemon ends.
     pub(crate) async fn follow_configs(self: Arc<Self>) {
+        tokio::spawn(Arc::clone(&self).spread_configs());
         loop {
-            let end = clock::now().after(CALL_MS);
-            let get = Call::Txn(Txn {
-                then: vec![Op::Get(KEY.to_owned())],
-                ..Txn::default()
-            });
-            let since = match self.keeper.call(Rank::Config, get, end).await {
-                Ok(reply) => {
-                    if let Body::Txn(done) = &reply.body
-                        && let Some(Outcome::Pairs(pairs)) = done.outcomes.first()
-                        && let Some(pair) = pairs.first()
-                        && let Err(e) = self.configs.take(pair)
-                    {
-                        log::error!("the stored configuration can't be read: {e}");
-                    }
-                    reply.revision
-                }
-                Err(_) => {
-                    clock::sleep_until(clock::now().after(SECOND_MS)).await;
-                    continue;
-                }
-            };
-            let watch = Call::Watch {
-                prefix: KEY.to_owned(),
-                since,
-            };
-            let end = clock::now().after(WATCH_MS);
-            let _ = self.keeper.call(Rank::Config, watch, end).await;
+            if let Some(since) = self.read_config().await {
+                self.watch_config(since).await;
+            } else {
+                clock::sleep_until(clock::now().after(SECOND_MS)).await;
+            }
         }
     }
 
-    /// Shows the version in force.
-    pub(crate) fn show_config(&self) -> Result<Answer> {
-        let version = self.configs.need()?;
-        front::json(
-            StatusCode::OK,
-            &json!({"version": version.number, "text": &*version.text}),
-        )
-    }
-
-    /// Takes an operator's new configuration when it is based on the newest version.
-    pub(crate) async fn apply_config(&self, parts: &Parts, body: &Bytes) -> Result<Answer> {
-        let text = std::str::from_utf8(body)
-            .map_err(|_| Error::new(Kind::BadInput, "the configuration isn't UTF-8"))?;
-        Config::parse("configuration", text)?;
-        let base: Revision = front::header(parts, BASE_HEADER)?
-            .unwrap_or("0")
-            .parse()
-            .map_err(|_| Error::new(Kind::BadInput, format!("{BASE_HEADER}: not a number")))?;
-        let txn = Txn {
-            when: vec![Compare::Changed(KEY.to_owned(), base)],
-            then: vec![Op::Put(KEY.to_owned(), text.into(), 0)],
-            other: Vec::new(),
-        };
+    /// Reads the stored version; returns the store's revision.
+    async fn read_config(self: &Arc<Self>) -> Option<Revision> {
+        let get = Call::Txn(Txn {
+            then: vec![Op::Get(KEY.to_owned())],
+            ..Txn::default()
+        });
         let end = clock::now().after(CALL_MS);
-        let call = self.keeper.call(Rank::Config, Call::Txn(txn), end).await;
-        match call {
-            Ok(reply) => match reply.body {
-                Body::Txn(done) if done.held => {
-                    front::json(StatusCode::OK, &json!({"version": reply.revision}))
+        let reply = self.keeper.call(Rank::Config, get, end).await.ok()?;
+        if let Body::Txn(done) = &reply.body
+            && let Some(Outcome::Pairs(pairs)) = done.outcomes.first()
+        {
+            pairs.iter().for_each(|p| self.found_config(p));
+        }
+        Some(reply.revision)
+    }
+
+    /// Waits once for changes of the stored version.
+    async fn watch_config(self: &Arc<Self>, since: Revision) {
+        let watch = Call::Watch {
+            prefix: KEY.to_owned(),
+            since,
+        };
+        let end = clock::now().after(WATCH_MS);
+        let Ok(reply) = self.keeper.call(Rank::Config, watch, end).await else {
+            return;
+        };
+        if let Body::Changes(changes) = reply.body {
+            for change in changes {
+                if let Change::Put(pair) = change {
+                    self.found_config(&pair);
                 }
-                _ => Err(Error::new(
-                    Kind::Conflict,
-                    format!("version {base} isn't the newest"),
-                )),
-            },
-            Err(Fault::Unknown) => Err(Error::new(Kind::Unknown, "the store didn't answer")),
-            Err(_) => Err(Error::new(Kind::StoreDown, "the store can't be reached")),
+            }
+        }
+    }
+
+    fn found_config(self: &Arc<Self>, pair: &Pair) {
+        if pair.key != KEY {
+            return;
+        }
+        match Document::read(&pair.value) {
+            Some(document) => self.step_configs(Event::Found(document)),
+            None => log::error!("the value of {KEY} isn't a version of the configuration"),
+        }
+    }
+
+    /// Takes a version that was just accepted.
+    pub(crate) fn accepted_config(self: &Arc<Self>, document: Document) {
+        self.step_configs(Event::Found(document));
+    }
+
+    /// Takes what a peer told of the configuration.
+    pub(crate) fn told_config(self: &Arc<Self>, from: Peer, message: Message) {
+        self.step_configs(Event::Told(from, message));
+    }
+
+    /// Compares versions with peers, and tells the store's client how many daemons there are.
+    async fn spread_configs(self: Arc<Self>) {
+        let mut known = Vec::new();
+        loop {
+            let peers: Vec<Peer> = self.mesh.neighbours().iter().map(|e| e.addr).collect();
+            if peers != known {
+                known.clone_from(&peers);
+                self.step_configs(Event::Peers(peers));
+            }
+            self.step_configs(Event::Tick);
+            self.count_members();
+            clock::sleep_until(clock::now().after(TICK_MS)).await;
+        }
+    }
+
+    /// The mesh may see fewer daemons than there are, the VM list more.
+    fn count_members(&self) {
+        let listed = self.targets.list();
+        let listed = listed.iter().filter(|vm| vm.role == Role::Entry).count();
+        self.keeper.set_members(listed.max(self.mesh.peers().len()));
+    }
+
+    fn step_configs(self: &Arc<Self>, event: Event) {
+        let from_peer = matches!(event, Event::Told(..));
+        let mut out = Vec::new();
+        {
+            let mut spread = self.configs.lock();
+            spread.step(clock::now(), event, &mut out);
+            // Versions are put in force under the lock, so that they stay in order.
+            for action in &out {
+                if let Action::Apply(document, config) = action {
+                    self.apply(document, config, from_peer);
+                }
+            }
+        }
+        for action in out {
+            match action {
+                Action::Send(peer, message) => self.tell(peer, Payload::Config(message)),
+                Action::Unreadable(stamp, e) => {
+                    log::error!("version {} can't be read: {e}", stamp.number);
+                }
+                Action::Apply(..) => {}
+            }
+        }
+    }
+
+    fn apply(&self, document: &Arc<Document>, config: &Arc<Config>, from_peer: bool) {
+        let number = document.stamp.number;
+        let before = self.configs.stamp().number;
+        self.configs.current.send_replace(Some(Version {
+            number,
+            config: Arc::clone(config),
+            document: Arc::clone(document),
+        }));
+        log::info!("configuration {number} is in force");
+        if from_peer || before > 0 && number > before + 1 {
+            self.note(events::Event::ConfigCaughtUp {
+                revision: number,
+                from: before,
+            });
+        }
+    }
+
+    /// Notes when the store can't be reached and when it can again.
+    pub(crate) async fn follow_store(self: Arc<Self>) {
+        let mut health = self.keeper.health();
+        while health.changed().await.is_ok() {
+            let up = *health.borrow_and_update();
+            self.note(if up {
+                events::Event::StoreUp
+            } else {
+                let cause = "no address answers".to_owned();
+                events::Event::StoreDown { cause }
+            });
         }
     }
 }
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -15,6 +15,7 @@
 mod link;
 mod logs;
 mod mesh;
+mod operators;
 mod requests;
 mod roles;
 mod send;
--- a/marigoldgladed/src/mesh.rs
+++ b/marigoldgladed/src/mesh.rs
@@ -377,6 +377,10 @@
                 self.told_owners(holders);
                 Payload::Done
             }
+            Payload::Config(message) => {
+                self.told_config(peer.addr, message);
+                Payload::Done
+            }
             Payload::Refused(_) | Payload::Done => {
                 log::debug!("{} told nothing that was asked", peer.name);
                 Payload::Done
