Let the stand-in key-value service fail on demand

Cause: outages, lost answers, lapsed leases, dropped or replayed watches, stale reads, compaction and rate limits couldn't be produced in tests; a transaction that failed half way left its first writes behind.

Faults are set over HTTP (PUT /faults) or in process.

--- a/standin/src/kv.rs
+++ b/standin/src/kv.rs
@@ -1,44 +1,73 @@
 //! Stand-in for the key-value service, over etcd v3's JSON mapping.
 //!
 //! Paths: `/v3/kv/txn`, `/v3/kv/range`, `/v3/lease/grant`, `/v3/lease/keepalive`,
-//! `/v3/lease/revoke` and `/v3/watch`.
+//! `/v3/lease/revoke` and `/v3/watch`. `PUT /faults` takes [`Faults`], which stay until the next.
+
+mod state;
 
-use std::collections::BTreeMap;
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use marigoldglade::etcd::{from_base64, to_base64};
-use marigoldglade::time::{SECOND_MS, UnixMs};
+use marigoldglade::time::SECOND_MS;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tiny_http::Request;
 
+use self::state::{Range, State, event, number, writes};
 use crate::http::{Served, answer, answer_json, now, read_body, serve};
 
 /// How often a waiting watch tells its peer that it is alive, in milliseconds.
 const WATCH_PROGRESS_MS: u64 = 1_000;
 
-#[derive(Clone)]
-struct Entry {
-    value: Vec<u8>,
-    created: u64,
-    changed: u64,
-    lease: i64,
+/// How often a silent call looks whether it may go on, in milliseconds.
+const SILENT_LOOK_MS: u64 = 10;
+
+/// What goes wrong, until other faults are set.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Calls are answered with 503 and have no effect; watches end.
+    pub down: bool,
+    /// Calls get no answer and have no effect while this lasts.
+    pub silent: bool,
+    /// Calls take so much longer, in milliseconds.
+    pub slow_ms: u64,
+    /// So many writes take effect and are answered with 503.
+    pub lost: u32,
+    /// Reads show what was there when this was set.
+    pub stale: bool,
+    /// Watches start from the oldest revision there is, whatever they ask for.
+    pub replay: bool,
+    /// Leases that are there when this is set lapse.
+    pub lapse: bool,
+    /// Watches that are open when this is set end.
+    pub unwatch: bool,
+    /// Changes up to this revision are forgotten.
+    pub compact: u64,
+    /// Writes a second; those beyond are answered with 429. Zero is no bound.
+    pub writes: u32,
+    /// Reads a second; those beyond are answered with 429. Zero is no bound.
+    pub reads: u32,
 }
 
-struct Lease {
-    ttl_s: u64,
-    end: UnixMs,
+/// Calls of the running second.
+#[derive(Clone, Copy, Default)]
+struct Rate {
+    second: u64,
+    calls: u32,
 }
 
-#[derive(Default)]
-struct State {
-    revision: u64,
-    entries: BTreeMap<Vec<u8>, Entry>,
-    leases: BTreeMap<i64, Lease>,
-    /// Every change with its revision; `None` is a deletion.
-    changes: Vec<(u64, Vec<u8>, Option<Entry>)>,
+impl Rate {
+    fn allows(&mut self, limit: u32) -> bool {
+        let second = now().0 / SECOND_MS;
+        if second != self.second {
+            *self = Self { second, calls: 0 };
+        }
+        self.calls += 1;
+        limit == 0 || self.calls <= limit
+    }
 }
 
 /// A key-value service in this process.
@@ -46,6 +75,19 @@
 pub struct Kv {
     state: Mutex<State>,
     changed: Condvar,
+    faults: Mutex<Faulty>,
+}
+
+/// The faults and what they need to know.
+#[derive(Default)]
+struct Faulty {
+    faults: Faults,
+    /// What stale reads show.
+    old: Option<Box<State>>,
+    /// How often open watches were ended.
+    unwatched: u64,
+    writes: Rate,
+    reads: Rate,
 }
 
 /// Starts a service on `addr`.
@@ -54,7 +96,15 @@
 ///
 /// When the address can't be bound.
 pub fn start(addr: SocketAddr) -> std::io::Result<Served> {
-    let kv = Arc::new(Kv::default());
+    start_shared(addr, Arc::new(Kv::default()))
+}
+
+/// Starts a service on `addr` whose state and faults the caller keeps in hand.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn start_shared(addr: SocketAddr, kv: Arc<Kv>) -> std::io::Result<Served> {
     serve(addr, move |request| kv.handle(request))
 }
 
@@ -65,67 +115,159 @@
         state
     }
 
+    fn faulty(&self) -> MutexGuard<'_, Faulty> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        {
+            let mut state = self.lock();
+            if faults.lapse {
+                let leases: Vec<i64> = state.leases.keys().copied().collect();
+                for lease in leases {
+                    state.revoke(lease);
+                }
+            }
+            state.compacted = state.compacted.max(faults.compact);
+            let kept = state.compacted;
+            state.changes.retain(|(r, _, _)| *r > kept);
+            let mut faulty = self.faulty();
+            faulty.old = faults.stale.then(|| Box::new(state.clone()));
+            faulty.unwatched += u64::from(faults.unwatch || faults.down);
+            faulty.faults = faults;
+        }
+        self.changed.notify_all();
+    }
+
     fn handle(&self, mut request: Request) {
         let body = read_body(&mut request)
             .and_then(|b| serde_json::from_slice::<Value>(&b).ok())
             .unwrap_or(Value::Null);
         let path = request.url().to_owned();
+        if path == "/faults" {
+            return self.handle_faults(request, body);
+        }
+        let writes = path.starts_with("/v3/lease/") || path == "/v3/kv/txn" && writes(&body);
+        if let Some(status) = self.fail(writes) {
+            return answer(request, status, &[], Vec::new());
+        }
         if path == "/v3/watch" {
             return self.watch(request, &body["createRequest"]);
         }
-        let reply = {
-            let mut state = self.lock();
-            match path.as_str() {
-                "/v3/kv/txn" => state.txn_call(&body),
-                "/v3/kv/range" => Some(state.range(&body)),
-                "/v3/lease/grant" => Some(state.grant(number(&body["TTL"]))),
-                "/v3/lease/keepalive" => Some(state.renew(lease_id(&body))),
-                "/v3/lease/revoke" => Some(state.revoke(lease_id(&body))),
-                _ => None,
-            }
-        };
+        let reply = self.reply(&path, &body, writes);
         self.changed.notify_all();
+        if writes && self.loses_answer() {
+            return answer(request, 503, &[], Vec::new());
+        }
         match reply {
-            Some(mut reply) => {
-                reply["header"] = json!({"revision": self.lock().revision.to_string()});
-                let reply = if path == "/v3/lease/keepalive" {
-                    json!({"result": reply})
-                } else {
-                    reply
-                };
-                answer_json(request, 200, &reply);
+            Some(reply) if path == "/v3/lease/keepalive" => {
+                answer_json(request, 200, &json!({"result": reply}));
             }
+            Some(reply) => answer_json(request, 200, &reply),
             None => answer(request, 400, &[], Vec::new()),
         }
     }
 
+    fn handle_faults(&self, request: Request, body: Value) {
+        match serde_json::from_value(body) {
+            Ok(faults) => {
+                self.set_faults(faults);
+                answer(request, 204, &[], Vec::new());
+            }
+            Err(e) => answer(request, 400, &[], e.to_string().into_bytes()),
+        }
+    }
+
+    fn reply(&self, path: &str, body: &Value, writes: bool) -> Option<Value> {
+        let old = self.faulty().old.clone().filter(|_| !writes);
+        match old {
+            Some(mut old) => old.call(path, body),
+            None => self.lock().call(path, body),
+        }
+    }
+
+    /// Waits as the faults say; returns a status when the call fails without effect.
+    fn fail(&self, writes: bool) -> Option<u16> {
+        let (slow_ms, allowed) = {
+            let mut faulty = self.faulty();
+            let Faults {
+                writes: w,
+                reads: r,
+                slow_ms,
+                ..
+            } = faulty.faults;
+            let allowed = if writes {
+                faulty.writes.allows(w)
+            } else {
+                faulty.reads.allows(r)
+            };
+            (slow_ms, allowed)
+        };
+        if !allowed {
+            return Some(429);
+        }
+        std::thread::sleep(Duration::from_millis(slow_ms));
+        let mut silent = false;
+        while self.faulty().faults.silent {
+            silent = true;
+            std::thread::sleep(Duration::from_millis(SILENT_LOOK_MS));
+        }
+        (silent || self.faulty().faults.down).then_some(503)
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faulty = self.faulty();
+        let loses = faulty.faults.lost > 0;
+        faulty.faults.lost = faulty.faults.lost.saturating_sub(1);
+        loses
+    }
+
     /// Streams changes until the peer is gone.
     fn watch(&self, request: Request, create: &Value) {
         let range = Range::read(create);
         let mut next = number(&create["startRevision"]);
+        let (replay, unwatched) = {
+            let faulty = self.faulty();
+            (faulty.faults.replay, faulty.unwatched)
+        };
+        let compacted = self.lock().compacted;
+        if replay {
+            next = compacted + 1;
+        }
         let mut writer = request.into_writer();
         let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
                     transfer-encoding: chunked\r\n\r\n";
         if writer.write_all(head.as_bytes()).is_err() {
             return;
         }
+        if next != 0 && next <= compacted {
+            let result = json!({"header": {"revision": self.lock().revision.to_string()},
+                "canceled": true, "compactRevision": compacted.to_string()});
+            let _ = write_chunk(&mut writer, &format!("{}\n", json!({"result": result})));
+            let _ = write_chunk(&mut writer, "");
+            return;
+        }
         loop {
-            let (revision, events) = self.wait_events(&range, next);
+            let (revision, events) = self.wait_events(&range, next, unwatched);
+            if self.faulty().unwatched != unwatched {
+                let _ = write_chunk(&mut writer, "");
+                return;
+            }
             let mut result = json!({"header": {"revision": revision.to_string()}});
             if !events.is_empty() {
                 result["events"] = Value::Array(events);
             }
             next = revision + 1;
             let line = format!("{}\n", json!({"result": result}));
-            let chunk = format!("{:x}\r\n{line}\r\n", line.len());
-            if writer.write_all(chunk.as_bytes()).is_err() || writer.flush().is_err() {
+            if write_chunk(&mut writer, &line).is_err() {
                 return;
             }
         }
     }
 
     /// Waits for changes from revision `next` on, or until the progress interval is over.
-    fn wait_events(&self, range: &Range, next: u64) -> (u64, Vec<Value>) {
+    fn wait_events(&self, range: &Range, next: u64, unwatched: u64) -> (u64, Vec<Value>) {
         let end = now().after(WATCH_PROGRESS_MS);
         let mut state = self.lock();
         loop {
@@ -136,7 +278,8 @@
                 .map(event)
                 .collect();
             let left = end.since(now());
-            if !events.is_empty() || left == 0 {
+            let ended = self.faulty().unwatched != unwatched;
+            if !events.is_empty() || left == 0 || ended {
                 return (state.revision.max(next.saturating_sub(1)), events);
             }
             state = self
@@ -149,196 +292,9 @@
     }
 }
 
-fn event((revision, key, entry): &(u64, Vec<u8>, Option<Entry>)) -> Value {
-    match entry {
-        Some(entry) => json!({"type": "PUT", "kv": kv_json(key, entry)}),
-        None => json!({"type": "DELETE", "kv": {
-            "key": to_base64(key), "modRevision": revision.to_string()}}),
-    }
-}
-
-fn kv_json(key: &[u8], entry: &Entry) -> Value {
-    json!({
-        "key": to_base64(key),
-        "value": to_base64(&entry.value),
-        "createRevision": entry.created.to_string(),
-        "modRevision": entry.changed.to_string(),
-        "lease": entry.lease.to_string(),
-    })
-}
-
-fn number(value: &Value) -> u64 {
-    match value {
-        Value::String(text) => text.parse().unwrap_or(0),
-        other => other.as_u64().unwrap_or(0),
-    }
-}
-
-fn bytes(value: &Value) -> Vec<u8> {
-    value.as_str().and_then(from_base64).unwrap_or_default()
-}
-
-fn lease_id(body: &Value) -> i64 {
-    i64::try_from(number(&body["ID"])).unwrap_or(0)
-}
-
-fn items(value: &Value) -> &[Value] {
-    value.as_array().map_or(&[], Vec::as_slice)
-}
-
-struct Range {
-    start: Vec<u8>,
-    end: Vec<u8>,
-}
-
-impl Range {
-    fn read(body: &Value) -> Self {
-        Self {
-            start: bytes(&body["key"]),
-            end: bytes(&body["rangeEnd"]),
-        }
-    }
-
-    fn holds(&self, key: &[u8]) -> bool {
-        if self.end.is_empty() {
-            return key == self.start;
-        }
-        key >= self.start.as_slice() && (self.end == [0] || key < self.end.as_slice())
-    }
-}
-
-impl State {
-    fn lapse(&mut self, now: UnixMs) {
-        let lapsed: Vec<i64> = self
-            .leases
-            .iter()
-            .filter(|(_, l)| l.end.passed(now))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in lapsed {
-            self.revoke(id);
-        }
-    }
-
-    fn txn_call(&mut self, body: &Value) -> Option<Value> {
-        let before = self.revision;
-        // A transaction's writes share one revision.
-        let mut wrote = false;
-        let reply = self.txn(body, before + 1, &mut wrote);
-        if wrote {
-            self.revision = before + 1;
-        }
-        reply
-    }
-
-    fn txn(&mut self, body: &Value, revision: u64, wrote: &mut bool) -> Option<Value> {
-        let held = items(&body["compare"]).iter().all(|c| self.compare(c));
-        let branch = if held { "success" } else { "failure" };
-        let mut responses = Vec::new();
-        for op in items(&body[branch]) {
-            responses.push(self.op(op, revision, wrote)?);
-        }
-        Some(json!({"succeeded": held, "responses": responses}))
-    }
-
-    fn compare(&self, compare: &Value) -> bool {
-        let entry = self.entries.get(&bytes(&compare["key"]));
-        match compare["target"].as_str() {
-            Some("CREATE") => entry.map_or(0, |e| e.created) == number(&compare["createRevision"]),
-            Some("MOD") => entry.map_or(0, |e| e.changed) == number(&compare["modRevision"]),
-            _ => false,
-        }
-    }
-
-    fn op(&mut self, op: &Value, revision: u64, wrote: &mut bool) -> Option<Value> {
-        if let Some(range) = op.get("requestRange") {
-            return Some(json!({"responseRange": self.range(range)}));
-        }
-        if let Some(put) = op.get("requestPut") {
-            *wrote = true;
-            let lease = i64::try_from(number(&put["lease"])).unwrap_or(0);
-            if lease != 0 && !self.leases.contains_key(&lease) {
-                return None;
-            }
-            self.put(bytes(&put["key"]), bytes(&put["value"]), lease, revision);
-            return Some(json!({"responsePut": {}}));
-        }
-        if let Some(delete) = op.get("requestDeleteRange") {
-            *wrote |= self.delete(&bytes(&delete["key"]), revision);
-            return Some(json!({"responseDeleteRange": {}}));
-        }
-        let txn = self.txn(op.get("requestTxn")?, revision, wrote)?;
-        Some(json!({"responseTxn": txn}))
-    }
-
-    fn put(&mut self, key: Vec<u8>, value: Vec<u8>, lease: i64, revision: u64) {
-        let created = self.entries.get(&key).map_or(revision, |e| e.created);
-        let entry = Entry {
-            value,
-            created,
-            changed: revision,
-            lease,
-        };
-        self.changes
-            .push((revision, key.clone(), Some(entry.clone())));
-        self.entries.insert(key, entry);
-    }
-
-    fn delete(&mut self, key: &[u8], revision: u64) -> bool {
-        let found = self.entries.remove(key).is_some();
-        if found {
-            self.changes.push((revision, key.to_vec(), None));
-        }
-        found
-    }
-
-    fn range(&self, body: &Value) -> Value {
-        let range = Range::read(body);
-        let limit = match number(&body["limit"]) {
-            0 => usize::MAX,
-            n => usize::try_from(n).unwrap_or(usize::MAX),
-        };
-        let mut found = self
-            .entries
-            .range(range.start.clone()..)
-            .take_while(|(k, _)| range.holds(k));
-        let kvs: Vec<Value> = found
-            .by_ref()
-            .take(limit)
-            .map(|(k, e)| kv_json(k, e))
-            .collect();
-        json!({"kvs": kvs, "more": found.next().is_some()})
-    }
-
-    fn grant(&mut self, ttl_s: u64) -> Value {
-        let id = self.leases.keys().last().map_or(1, |last| last + 1);
-        let end = now().after(ttl_s * SECOND_MS);
-        self.leases.insert(id, Lease { ttl_s, end });
-        json!({"ID": id.to_string(), "TTL": ttl_s.to_string()})
-    }
-
-    fn renew(&mut self, id: i64) -> Value {
-        let ttl_s = self.leases.get_mut(&id).map_or(0, |lease| {
-            lease.end = now().after(lease.ttl_s * SECOND_MS);
-            lease.ttl_s
-        });
-        json!({"ID": id.to_string(), "TTL": ttl_s.to_string()})
-    }
-
-    fn revoke(&mut self, id: i64) -> Value {
-        self.leases.remove(&id);
-        let keys: Vec<Vec<u8>> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.lease == id && id != 0)
-            .map(|(k, _)| k.clone())
-            .collect();
-        if !keys.is_empty() {
-            self.revision += 1;
-        }
-        for key in keys {
-            self.delete(&key, self.revision);
-        }
-        json!({})
-    }
+/// Writes one chunk of a stream; an empty one ends it.
+fn write_chunk(writer: &mut impl std::io::Write, text: &str) -> std::io::Result<()> {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    writer.write_all(chunk.as_bytes())?;
+    writer.flush()
 }
