--- a/marigoldglade/src/mesh.rs
+++ b/marigoldglade/src/mesh.rs
@@ -13,6 +13,7 @@
 use crate::frame_auth::{self, End, NONCE_BYTES, Opener, Proof, Sealer, TAG_BYTES};
 use crate::member;
 use crate::owner;
+use crate::requests;
 use crate::spread;
 use crate::time::UnixMs;
 
@@ -57,6 +58,8 @@
     Owners(Vec<owner::Holder>),
     /// Versions of the configuration.
     Config(spread::Message),
+    /// Requests: shares and signs of targets.
+    Request(requests::Tell),
     /// The answer to a call that failed.
     Refused(Error),
     /// The answer to a call that has nothing to tell.
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -16,6 +16,7 @@
 mod logs;
 mod mesh;
 mod operators;
+mod pool;
 mod requests;
 mod roles;
 mod send;
