--- /dev/null
+++ b/marigoldgladed/tests/outage.rs
@@ -0,0 +1,166 @@
+//! Real daemons while the key-value service is away: what goes on, what is refused, what resumes.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{CONFIG, Daemon, Fleet, Told, call, job, submit, try_call, wait_for};
+use marigoldglade::api::{JobView, Problem, State};
+use marigoldglade::prelude::*;
+use rstest::rstest;
+
+const WHOLE: &str = "{}";
+
+fn faults(fleet: &Fleet, faults: &str) {
+    let url = format!("http://{}/faults", fleet.store.addr);
+    assert_eq!(call("PUT", &url, &[], faults).status, 204);
+}
+
+fn kind(told: &Told) -> Kind {
+    let problem: Problem = serde_json::from_str(&told.body).expect("a problem");
+    problem.kind
+}
+
+/// Returns the version in force at a daemon; zero is none.
+fn version(daemon: &Daemon) -> u64 {
+    let told = try_call("GET", &daemon.url("config"), &[], "");
+    let value = told.and_then(|t| serde_json::from_str::<serde_json::Value>(&t.body).ok());
+    value.and_then(|v| v["version"].as_u64()).unwrap_or(0)
+}
+
+fn put(daemon: &Daemon, base: &str, key: &str, text: &str) -> Told {
+    let headers = [("mg-base", base), ("idempotency-key", key)];
+    call("PUT", &daemon.url("config"), &headers, text)
+}
+
+/// Submits jobs until one is refused as provably not run; the others must not say so.
+fn wait_for_refusal(daemon: &Daemon) {
+    let mut count = 0;
+    wait_for("a refusal", || {
+        count += 1;
+        let told = submit(daemon, &job(&format!("during-{count}"), 1, 1, ""));
+        assert_ne!(told.status, 201, "a job was accepted without the store");
+        let refused = kind(&told) == Kind::StoreDown;
+        assert_eq!(told.run == "no", refused, "{}", told.body);
+        refused.then_some(())
+    });
+}
+
+#[rstest]
+#[case::answering_503("{\"down\": true}")]
+#[case::silent("{\"silent\": true}")]
+fn requests_go_on_jobs_are_refused_and_all_resumes(#[case] outage: &str) {
+    let fleet = Fleet::start_many(2, 2, 2, CONFIG);
+    fleet.warm();
+    let daemon = fleet.first();
+    let told = submit(daemon, &job("before", 1, 8, "run_ms=600000"));
+    assert_eq!(told.status, 201, "{}", told.body);
+    let before: JobView = serde_json::from_str(&told.body).expect("a view");
+    let state = |id: &str| daemon.job(id).map(|v| v.state);
+    wait_for("a running job", || {
+        state(&before.id).filter(|s| *s == State::Running)
+    });
+
+    faults(&fleet, outage);
+    wait_for_refusal(daemon);
+    for _ in 0..20 {
+        let headers = [("mg-labels", "tier=gate"), ("mg-idempotent", "true")];
+        let told = call("POST", &daemon.url("request/helmet"), &headers, "on");
+        assert_eq!((told.status, told.body.as_str()), (200, "on"));
+    }
+    let told = put(daemon, "1", "during", CONFIG);
+    assert_eq!((kind(&told), told.run.as_str()), (Kind::StoreDown, "no"));
+    assert_eq!(state(&before.id), Some(State::Running));
+
+    faults(&fleet, WHOLE);
+    wait_for("an accepted job", || {
+        let told = submit(daemon, &job("after", 1, 1, ""));
+        matches!(told.status, 200 | 201 | 409).then_some(())
+    });
+    let text = format!("{CONFIG}vms: [{{name: worker-1, drain: true}}]\n");
+    wait_for("an accepted version", || {
+        let told = put(daemon, "1", "after", &text);
+        (told.status == 200).then_some(())
+    });
+    for daemon in &fleet.daemons {
+        wait_for("version 2", || (version(daemon) == 2).then_some(()));
+    }
+}
+
+#[test]
+fn a_version_spreads_and_a_fresh_daemon_boots_while_the_store_is_down() {
+    let fleet = Fleet::start_many(2, 0, 0, CONFIG);
+    for daemon in &fleet.daemons {
+        wait_for("version 1", || (version(daemon) == 1).then_some(()));
+    }
+    faults(&fleet, "{\"down\": true}");
+    let alone = fleet.daemon("alone", &[]);
+    assert!(!alone.ready());
+    let told = call("GET", &alone.url("config"), &[], "");
+    assert_eq!((kind(&told), told.run.as_str()), (Kind::NotReady, "no"));
+    let peers: Vec<_> = fleet.daemons.iter().map(|d| d.mesh).collect();
+    let fresh = fleet.daemon("fresh", &peers);
+    wait_for("a ready fresh daemon", || fresh.ready().then_some(()));
+    assert_eq!(version(&fresh), 1);
+    assert!(!alone.ready());
+}
+
+#[test]
+fn an_accept_whose_answer_is_lost_is_told_as_accepted() {
+    let fleet = Fleet::start(0, 0, CONFIG);
+    let text = format!("{CONFIG}vms: [{{name: worker-1, drain: true}}]\n");
+    faults(&fleet, "{\"lost\": 1}");
+    let told = put(fleet.first(), "1", "lost", &text);
+    assert_eq!(told.status, 200, "{}", told.body);
+    let again = put(fleet.first(), "1", "lost", &text);
+    assert_eq!(
+        again.status, 200,
+        "the same key is the same change: {}",
+        again.body
+    );
+    let other = put(fleet.first(), "1", "other", CONFIG);
+    assert_eq!(kind(&other), Kind::Conflict);
+    assert!(other.body.contains("vms.worker-1: added"), "{}", other.body);
+    assert_eq!(version(fleet.first()), 2);
+}
+
+/// Returns how many calls for the configuration the store has answered to a daemon.
+fn config_calls(daemon: &Daemon) -> u64 {
+    let told = call("GET", &format!("http://{}/metrics", daemon.admin), &[], "");
+    let ours = |l: &&str| l.contains("store_calls") && l.contains("rank=\"config\"");
+    let counts = told.body.lines().filter(ours);
+    let last = |l: &str| l.rsplit(' ').next().and_then(|n| n.parse::<u64>().ok());
+    counts.filter_map(last).sum()
+}
+
+#[test]
+fn old_revisions_from_the_store_never_bring_an_old_version_back() {
+    let fleet = Fleet::start(0, 0, CONFIG);
+    let daemon = fleet.first();
+    faults(&fleet, "{\"stale\": true}");
+    let text = format!("{CONFIG}vms: [{{name: worker-1, drain: true}}]\n");
+    let told = put(daemon, "1", "second", &text);
+    assert_eq!(told.status, 200, "{}", told.body);
+    let before = config_calls(daemon);
+    // Each drop makes the daemon read version 1 and watch it being written once more.
+    wait_for("reads of the past", || {
+        faults(
+            &fleet,
+            "{\"stale\": true, \"replay\": true, \"unwatch\": true}",
+        );
+        assert_eq!(version(daemon), 2);
+        (config_calls(daemon) > before + 10).then_some(())
+    });
+    assert_eq!(version(daemon), 2);
+}
+
+#[test]
+fn a_promise_that_does_not_fit_is_refused_by_name() {
+    let fleet = Fleet::start(0, 1, CONFIG);
+    let text = CONFIG.replace("workers: 1", "workers: 9");
+    let told = wait_for("a refusal", || {
+        let told = put(fleet.first(), "1", "big", &text);
+        (told.status != 200).then_some(told)
+    });
+    assert_eq!(kind(&told), Kind::Impossible);
+    assert!(told.body.contains("register") && told.body.contains("kista"));
+}
