Test relays, waking and slow clocks, and measure membership and capacity

Cause: three mechanisms of membership and three of ownership could be switched off without a failing test. New cases cut one link, pause in the middle of probes, slow the owner's clock and lose the create's answer.

--- /dev/null
+++ b/bench/src/capacity/owners.rs
@@ -0,0 +1,107 @@
+//! Ownership: the store calls of an owner, and what a new one and a mesh frame cost.
+
+use std::net::SocketAddr;
+
+use marigoldglade::frame_auth::{End, session};
+use marigoldglade::mesh::{self, Frame, Payload, Way};
+use marigoldglade::owner::Candidate;
+use marigoldglade::roles::{Action, Event, Roles};
+use marigoldglade::store::{Body, Call, Done, Outcome, Pair, Reply};
+use marigoldglade::time::UnixMs;
+
+use crate::meter::{cost_us, print_line, state_bytes};
+
+const CENTRES: [usize; 3] = [1, 3, 7];
+const FRAMES: [usize; 4] = [64, 512, 4_096, 65_536];
+/// The time that is counted, in milliseconds.
+const SPAN_MS: u64 = 600_000;
+/// The time between steps, in milliseconds.
+const TICK_MS: u64 = 100;
+
+fn addr() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000))
+}
+
+fn reply(call: &Call) -> Reply {
+    let body = match call {
+        Call::Txn(txn) => {
+            let pair = txn.then.iter().find_map(|op| match op {
+                marigoldglade::store::Op::Put(key, value, lease) => Some(Pair {
+                    key: key.clone(),
+                    value: value.clone(),
+                    created: 9,
+                    changed: 9,
+                    lease: *lease,
+                }),
+                _ => None,
+            });
+            Body::Txn(Done {
+                held: true,
+                outcomes: vec![Outcome::Pairs(pair.into_iter().collect())],
+            })
+        }
+        _ => Body::Lease {
+            lease: 7,
+            ttl_s: 10,
+        },
+    };
+    Reply { revision: 9, body }
+}
+
+/// Runs an owner of so many data centres on a store that always answers; gives its calls.
+fn calls(centres: usize) -> f64 {
+    let mut roles = Roles::new("entry-0", addr());
+    let mut now = UnixMs(1_796_376_553_794);
+    let names = (0..centres).map(|i| format!("dc{i}")).collect();
+    let mut out = Vec::new();
+    let me = Candidate {
+        name: "entry-0".to_owned(),
+        dc: "dc0".to_owned(),
+    };
+    roles.step(now, Event::Centres(names), &mut out);
+    roles.step(now, Event::Members(vec![me]), &mut out);
+    roles.step(now, Event::Listed(Vec::new(), 1), &mut out);
+    let end = now.after(SPAN_MS);
+    let mut count = 0;
+    while now < end {
+        roles.step(now, Event::Tick, &mut out);
+        while let Some(action) = out.pop() {
+            if let Action::Call(key, id, call, _) = action {
+                count += 1;
+                roles.step(now, Event::Reply(key, id, Ok(reply(&call))), &mut out);
+            }
+        }
+        now = now.after(TICK_MS);
+    }
+    f64::from(count)
+}
+
+pub(super) fn run() {
+    println!("\nownership, x = data centres that one daemon owns");
+    let seconds = SPAN_MS as f64 / 1_000.0;
+    let rate = CENTRES.map(|n| (n as f64, calls(n) / seconds));
+    print_line("store calls a second", "calls/s", &rate, 1.0);
+    let cpu = CENTRES.map(|n| (n as f64, cost_us(|| calls(n)) / seconds));
+    print_line("decisions, a second of them", "cpu us", &cpu, 1.0);
+    println!("\nmesh frame, x = bytes of its payload");
+    let cost = FRAMES.map(|n| (n as f64, cost_us(|| carry(n))));
+    print_line("encode, seal, open, decode", "cpu us", &cost, 1_024.0);
+    let state = state_bytes(1_000, || session(b"key", End::Client, b"a", b"b"));
+    println!("state of a link's authentication: {state:.0} bytes");
+}
+
+fn carry(size: usize) -> bool {
+    let detail = "x".repeat(size);
+    let error = marigoldglade::error::Error::new(marigoldglade::error::Kind::Shed, detail);
+    let frame = Frame {
+        way: Way::Tell,
+        payload: Payload::Refused(error),
+    };
+    let (mut sealer, _) = session(b"key", End::Client, b"a", b"b");
+    let (_, mut opener) = session(b"key", End::Server, b"a", b"b");
+    let sealed = sealer.seal(&mesh::encode(&frame).unwrap_or_default());
+    opener
+        .open(&sealed)
+        .and_then(mesh::decode::<Frame>)
+        .is_ok_and(|f| f == frame)
+}
--- /dev/null
+++ b/bench/src/capacity/workers.rs
@@ -0,0 +1,113 @@
+//! The worker watcher: what one exchange with a worker costs, by encoding and by what it renews.
+
+use marigoldglade::mesh;
+use marigoldglade::time::UnixMs;
+use marigoldglade::wire::{Order, Orders, Stand, TaskId, Told};
+use serde::{Deserialize, Serialize};
+
+use super::{CENTRES, TASKS, WORKERS};
+use crate::meter::{Line, cost_us, print_line};
+
+const SIZES: [usize; 4] = [1, 2, 4, 8];
+/// The head of a request as the daemon sends it, and of a worker's answer.
+const HEADS: [&str; 2] = [
+    "POST /v1/orders HTTP/1.1\r\nhost: 10.100.100.100:8080\r\ncontent-type: application/json\r\ncontent-length: 1000\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nServer: tiny-http (Rust)\r\nDate: Fri, 04 Dec 2026 09:00:00 GMT\r\nContent-Type: application/json\r\nContent-Length: 1000\r\n\r\n",
+];
+/// IP and TCP headers with timestamps of a request, an answer and the acknowledgements.
+const PACKET_BYTES: f64 = 4.0 * 52.0;
+/// A daemon's bytes a second for control.
+const BUDGET: f64 = 8_000.0;
+
+/// A renewal of everything that a worker runs, by the digest of its task list.
+#[derive(Serialize, Deserialize)]
+struct Renewal {
+    epoch: u64,
+    digest: u64,
+    end: UnixMs,
+}
+
+fn task(i: usize) -> TaskId {
+    TaskId {
+        job: format!("dc0/workspace-17/sweep-2026-12-04-{i:04}"),
+        attempt: 1,
+        index: u16::try_from(i).unwrap_or(0),
+    }
+}
+
+fn orders(tasks: usize) -> Orders {
+    let end = UnixMs(1_796_376_553_794);
+    let renew = |i| Order::Renew { task: task(i), end };
+    Orders {
+        epoch: 123_456,
+        orders: (0..tasks).map(renew).collect(),
+    }
+}
+
+fn told(tasks: usize) -> Vec<Told> {
+    let told = |i| Told {
+        task: task(i),
+        stand: Stand::Running,
+        result: String::new(),
+    };
+    (0..tasks).map(told).collect()
+}
+
+fn json_bytes(tasks: usize) -> f64 {
+    let bodies = [
+        serde_json::to_vec(&orders(tasks)).unwrap_or_default(),
+        serde_json::to_vec(&told(tasks)).unwrap_or_default(),
+    ];
+    bodies.iter().map(|b| b.len() as f64).sum::<f64>() + heads()
+}
+
+fn cbor_bytes(tasks: usize) -> f64 {
+    let bodies = [
+        mesh::encode(&orders(tasks)).unwrap_or_default(),
+        mesh::encode(&told(tasks)).unwrap_or_default(),
+    ];
+    bodies.iter().map(|b| b.len() as f64).sum::<f64>() + heads()
+}
+
+fn heads() -> f64 {
+    HEADS.iter().map(|h| h.len() as f64).sum::<f64>() + PACKET_BYTES
+}
+
+pub(super) fn run() {
+    println!("\nworker watcher, one exchange with one worker, x = tasks it renews");
+    let points = |f: &dyn Fn(usize) -> f64| SIZES.map(|n| (n as f64, f(n)));
+    let json = points(&json_bytes);
+    let each = TASKS / WORKERS;
+    print_line("a renewal a task, JSON (today)", "bytes", &json, each);
+    let cbor = points(&cbor_bytes);
+    print_line("a renewal a task, CBOR", "bytes", &cbor, each);
+    let digest = renewal_bytes();
+    println!("one renewal a worker by digest, CBOR over HTTP: {digest:.0} bytes");
+    let cost = points(&|n| cost_us(|| exchange(n)));
+    print_line("encode and decode, JSON", "cpu us", &cost, each);
+    println!("interval in s at which the bytes of one watcher fit {BUDGET} bytes/s:");
+    println!("workers  JSON a task  CBOR a task  digest a worker");
+    let (json, cbor) = (Line::fit(&json).at(each), Line::fit(&cbor).at(each));
+    for workers in [8.0, 32.0, WORKERS / CENTRES, WORKERS] {
+        let fit = |bytes: f64| workers * bytes / BUDGET;
+        let [a, b, c] = [json, cbor, digest].map(fit);
+        println!("{workers:>7.0} {a:>12.1} {b:>12.1} {c:>16.1}");
+    }
+}
+
+fn exchange(tasks: usize) -> bool {
+    let out = serde_json::to_vec(&orders(tasks)).unwrap_or_default();
+    let back = serde_json::to_vec(&told(tasks)).unwrap_or_default();
+    let told: Result<Vec<Told>, _> = serde_json::from_slice(&back);
+    out.len() + told.map_or(0, |t| t.len()) > 0
+}
+
+fn renewal_bytes() -> f64 {
+    let renewal = Renewal {
+        epoch: 123_456,
+        digest: u64::MAX,
+        end: UnixMs(1_796_376_553_794),
+    };
+    let body = mesh::encode(&renewal).unwrap_or_default().len() as f64;
+    2.0 * body + heads()
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,11 @@
 //! Benchmarks that drive the shipping decisions; one subcommand a matter, each prints a table.
 
+mod capacity;
+#[path = "../../marigoldglade/tests/member/fleet.rs"]
+#[expect(dead_code, reason = "the tests use more of it")]
+mod fleet;
+mod membership;
+mod meter;
 mod path;
 
 use clap::Command;
@@ -9,9 +15,13 @@
         .about("Benchmarks of marigoldglade")
         .subcommand_required(true)
         .subcommand(path::command())
+        .subcommand(membership::command())
+        .subcommand(capacity::command())
         .get_matches();
     match matches.subcommand() {
         Some(("path", sub)) => path::run(sub),
+        Some(("membership", sub)) => membership::run(sub),
+        Some(("capacity", sub)) => capacity::run(sub),
         _ => unreachable!("clap knows the subcommands"),
     }
 }
--- a/marigoldglade/tests/member.rs
+++ b/marigoldglade/tests/member.rs
@@ -88,6 +88,32 @@
     assert!(fleet.refuted(4));
 }
 
+#[rstest]
+fn a_daemon_that_wakes_accuses_nobody() {
+    let mut fleet = Fleet::new(7, 3, 11);
+    fleet.run(SETTLE_MS, Weather::CALM);
+    for turn in 0..10 {
+        fleet.pause(4);
+        fleet.run(20_000 + 100 * turn, Weather::CALM);
+        fleet.resume(4);
+        fleet.run(SETTLE_MS, Weather::CALM);
+    }
+    assert!((0..7).all(|i| !fleet.accuses(i, 4)));
+    fleet.assert_agreed();
+}
+
+#[rstest]
+fn a_broken_link_between_two_daemons_accuses_neither() {
+    for other in 1..7 {
+        let mut fleet = Fleet::new(7, 3, 12);
+        fleet.run(SETTLE_MS, Weather::CALM);
+        fleet.split(0, other);
+        fleet.run(SETTLE_MS, Weather::CALM);
+        assert!((0..7).all(|i| !fleet.accuses(i, i)));
+        fleet.assert_agreed();
+    }
+}
+
 #[rstest]
 fn a_region_cut_off_for_an_hour_comes_back() {
     let mut fleet = Fleet::new(21, 7, 7);
--- a/marigoldglade/tests/member/fleet.rs
+++ b/marigoldglade/tests/member/fleet.rs
@@ -57,6 +57,7 @@
     messages: BTreeMap<u64, Message>,
     count: u64,
     severed: Vec<bool>,
+    split: Option<(usize, usize)>,
     largest: usize,
     replaced: usize,
     rng: ChaCha8Rng,
@@ -77,6 +78,7 @@
             messages: BTreeMap::new(),
             count: 0,
             severed: vec![false; size],
+            split: None,
             largest: 0,
             replaced: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -124,7 +126,8 @@
                 return;
             };
             let message = self.messages.remove(&id).expect("under way");
-            if self.severed[from] != self.severed[to] || !self.daemons[to].up {
+            let split = self.split == Some((from, to)) || self.split == Some((to, from));
+            if split || self.severed[from] != self.severed[to] || !self.daemons[to].up {
                 continue;
             }
             let daemon = &mut self.daemons[to];
@@ -224,6 +227,18 @@
         self.severed = (0..self.daemons.len()).map(side).collect();
     }
 
+    /// Cuts the link between two daemons, which both still reach all others.
+    pub fn split(&mut self, a: usize, b: usize) {
+        self.split = Some((a, b));
+    }
+
+    /// Returns whether anyone but `but` was ever held for suspect or dead by `by`.
+    pub fn accuses(&self, by: usize, but: usize) -> bool {
+        let name = &self.daemons[but].members.me().name;
+        let accusing = |e: &Entry| e.name != *name && e.state > State::Alive;
+        self.daemons[by].changes.iter().any(accusing)
+    }
+
     pub fn heal(&mut self) {
         self.severed.fill(false);
     }
--- a/marigoldglade/tests/owner.rs
+++ b/marigoldglade/tests/owner.rs
@@ -77,6 +77,32 @@
     assert_eq!(shelf.acting().len(), 1);
 }
 
+#[rstest]
+#[case(Weather::CALM)]
+#[case(Weather::SLOW)]
+fn an_owner_whose_clock_is_slow_ends_before_the_next_begins(#[case] weather: Weather) {
+    for seed in 0..24 {
+        let mut shelf = Shelf::new(3, seed);
+        for i in 0..3 {
+            shelf.set_drift(i, -100);
+        }
+        shelf.run(6_000, weather);
+        let first = shelf.acting()[0];
+        shelf.cut(first);
+        shelf.run(2 * LEASE_MS, Weather::CALM);
+        assert_ne!(shelf.acting(), [first]);
+        assert_eq!(shelf.acting().len(), 1);
+    }
+}
+
+#[rstest]
+fn an_owner_whose_key_was_created_without_an_answer_finds_it() {
+    let mut shelf = Shelf::new(1, 6);
+    shelf.lose_next();
+    shelf.run(LEASE_MS / 2, Weather::CALM);
+    assert_eq!(shelf.acting(), [0]);
+}
+
 fn members(centres: usize, each: usize) -> Vec<Candidate> {
     (0..centres * each)
         .map(|i| Candidate {
--- a/marigoldglade/tests/owner/shelf.rs
+++ b/marigoldglade/tests/owner/shelf.rs
@@ -11,7 +11,7 @@
 
 const TICK_MS: u64 = 100;
 /// How often a daemon reads the key anew, as after a watch that broke.
-const LIST_MS: u64 = 1_000;
+const LIST_MS: u64 = 100;
 
 /// The store: one key, bound to a lease.
 #[derive(Default)]
@@ -114,6 +114,12 @@
         lost_percent: 25,
         down: false,
     };
+    /// Answers come just before their deadline.
+    pub const SLOW: Self = Self {
+        delay_ms: 720,
+        lost_percent: 0,
+        down: false,
+    };
     pub const DOWN: Self = Self {
         delay_ms: 10,
         lost_percent: 0,
@@ -125,6 +131,8 @@
     owner: Owner,
     up: bool,
     paused: bool,
+    /// Whether its calls no longer reach the store.
+    cut: bool,
     /// How many thousandths this clock runs too fast or slow, and how far it is off.
     drift: i64,
     offset: u64,
@@ -132,7 +140,7 @@
     replies: Vec<(u64, Result<Reply, Fault>)>,
 }
 
-struct Call1 {
+struct Flight {
     at: u64,
     from: usize,
     id: u64,
@@ -146,10 +154,12 @@
     now: u64,
     store: Store,
     daemons: Vec<Daemon>,
-    calls: Vec<Call1>,
+    calls: Vec<Flight>,
     replies: Vec<(u64, usize, u64, Result<Reply, Fault>)>,
     pub started: Vec<(usize, Revision)>,
     pub stopped: Vec<(usize, Cause)>,
+    /// Whether the answer of the next transaction is lost.
+    lose_next: bool,
     rng: ChaCha8Rng,
 }
 
@@ -165,6 +175,7 @@
                 owner: Owner::new("kista", &format!("entry-{i}"), addr(i)),
                 up: true,
                 paused: false,
+                cut: false,
                 drift: rng.random_range(-50..=50),
                 offset: rng.random_range(0..10_000_000),
                 next_list: 0,
@@ -179,6 +190,7 @@
             replies: Vec::new(),
             started: Vec::new(),
             stopped: Vec::new(),
+            lose_next: false,
             rng,
         }
     }
@@ -246,18 +258,20 @@
         let mut delay = || self.rng.random_range(1..=weather.delay_ms);
         let (there, back) = (delay(), delay());
         let draw = self.rng.random_range(0..100);
-        if weather.down || draw < weather.lost_percent / 2 {
+        if weather.down || self.daemons[from].cut || draw < weather.lost_percent / 2 {
             let at = self.now + 1_500;
             self.replies.push((at, from, id, Err(Fault::Unknown)));
             return;
         }
-        self.calls.push(Call1 {
+        let lose = self.lose_next && matches!(call, Call::Txn(_));
+        self.lose_next &= !lose;
+        self.calls.push(Flight {
             at: self.now + there,
             from,
             id,
             call,
             back,
-            lost: draw < weather.lost_percent,
+            lost: lose || draw < weather.lost_percent,
         });
     }
 
@@ -267,7 +281,7 @@
             .into_iter()
             .partition(|c| c.at <= now);
         self.calls = rest;
-        let mut due: Vec<Call1> = due;
+        let mut due: Vec<Flight> = due;
         due.sort_by_key(|c| c.at);
         for call in due {
             let outcome = self.store.call(now, &call.call);
@@ -332,6 +346,20 @@
         self.daemons[i].owner.is_released()
     }
 
+    pub fn cut(&mut self, i: usize) {
+        self.daemons[i].cut = true;
+    }
+
+    /// Loses the answer of the next transaction, whose effect remains.
+    pub fn lose_next(&mut self) {
+        self.lose_next = true;
+    }
+
+    /// Sets how many thousandths a clock runs too fast; only before anything ran.
+    pub fn set_drift(&mut self, i: usize, drift: i64) {
+        self.daemons[i].drift = drift;
+    }
+
     pub fn key(&self) -> String {
         self.store
             .pair
