Measure whole daemons at rest, and pause in the middle of lost probes

Cause: the wake test delivered what had waited, and slow answers were as slow on the way there, so that two mechanisms could be switched off. Both cases now lose or delay just what the mechanism is for.

--- a/bench/src/capacity/placement.rs
+++ b/bench/src/capacity/placement.rs
@@ -76,6 +76,10 @@
     let job = JobKey(1_000_000);
     let mut out = Vec::new();
     planner.step(NOW, Event::Wait(ask(job.0, 8)), &mut out);
+    let started = out
+        .iter()
+        .any(|a| matches!(a, Action::Start(j, _) if *j == job));
+    assert!(started, "there is room for one more gang");
     planner.step(NOW, Event::Running(job), &mut out);
     planner.step(NOW, Event::Ended(job), &mut out);
     out.len()
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod meter;
 mod path;
+mod whole;
 
 use clap::Command;
 
@@ -17,11 +18,13 @@
         .subcommand(path::command())
         .subcommand(membership::command())
         .subcommand(capacity::command())
+        .subcommand(whole::command())
         .get_matches();
     match matches.subcommand() {
         Some(("path", sub)) => path::run(sub),
         Some(("membership", sub)) => membership::run(sub),
         Some(("capacity", sub)) => capacity::run(sub),
+        Some(("whole", sub)) => whole::run(sub),
         _ => unreachable!("clap knows the subcommands"),
     }
 }
--- a/marigoldglade/tests/member.rs
+++ b/marigoldglade/tests/member.rs
@@ -95,7 +95,7 @@
     for turn in 0..10 {
         fleet.pause(4);
         fleet.run(20_000 + 100 * turn, Weather::CALM);
-        fleet.resume(4);
+        fleet.resume_without_inbox(4);
         fleet.run(SETTLE_MS, Weather::CALM);
     }
     assert!((0..7).all(|i| !fleet.accuses(i, 4)));
--- a/marigoldglade/tests/member/fleet.rs
+++ b/marigoldglade/tests/member/fleet.rs
@@ -223,6 +223,12 @@
         }
     }
 
+    /// Wakes a daemon whose links broke while it was paused.
+    pub fn resume_without_inbox(&mut self, i: usize) {
+        self.daemons[i].inbox.clear();
+        self.resume(i);
+    }
+
     pub fn cut(&mut self, side: impl Fn(usize) -> bool) {
         self.severed = (0..self.daemons.len()).map(side).collect();
     }
--- a/marigoldglade/tests/owner.rs
+++ b/marigoldglade/tests/owner.rs
@@ -84,9 +84,9 @@
     for seed in 0..24 {
         let mut shelf = Shelf::new(3, seed);
         for i in 0..3 {
-            shelf.set_drift(i, -100);
+            shelf.set_drift(i, -150);
         }
-        shelf.run(6_000, weather);
+        shelf.run(9_000, weather);
         let first = shelf.acting()[0];
         shelf.cut(first);
         shelf.run(2 * LEASE_MS, Weather::CALM);
--- a/marigoldglade/tests/owner/shelf.rs
+++ b/marigoldglade/tests/owner/shelf.rs
@@ -99,6 +99,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Weather {
     pub delay_ms: u64,
+    /// How long answers take at most.
+    pub back_ms: u64,
     pub lost_percent: u32,
     pub down: bool,
 }
@@ -106,22 +108,26 @@
 impl Weather {
     pub const CALM: Self = Self {
         delay_ms: 10,
+        back_ms: 10,
         lost_percent: 0,
         down: false,
     };
     pub const STORM: Self = Self {
         delay_ms: 4_000,
+        back_ms: 4_000,
         lost_percent: 25,
         down: false,
     };
     /// Answers come just before their deadline.
     pub const SLOW: Self = Self {
-        delay_ms: 720,
+        delay_ms: 20,
+        back_ms: 1_400,
         lost_percent: 0,
         down: false,
     };
     pub const DOWN: Self = Self {
         delay_ms: 10,
+        back_ms: 10,
         lost_percent: 0,
         down: true,
     };
@@ -255,8 +261,8 @@
     }
 
     fn send(&mut self, from: usize, id: u64, call: Call, weather: Weather) {
-        let mut delay = || self.rng.random_range(1..=weather.delay_ms);
-        let (there, back) = (delay(), delay());
+        let there = self.rng.random_range(1..=weather.delay_ms);
+        let back = self.rng.random_range(1..=weather.back_ms);
         let draw = self.rng.random_range(0..100);
         if weather.down || self.daemons[from].cut || draw < weather.lost_percent / 2 {
             let at = self.now + 1_500;
