--- a/bench/src/capacity/workers.rs
+++ b/bench/src/capacity/workers.rs
@@ -1,14 +1,18 @@
 //! The worker watcher: what one exchange with a worker costs, by encoding and by what it renews.
 
+use marigoldglade::label::Labels;
 use marigoldglade::mesh;
 use marigoldglade::time::UnixMs;
-use marigoldglade::wire::{Order, Orders, Stand, TaskId, Told};
+use marigoldglade::wire::{Order, Orders, Role, Stand, TaskId, Told, Vm};
 use serde::{Deserialize, Serialize};
 
 use super::{CENTRES, TASKS, WORKERS};
-use crate::meter::{Line, cost_us, print_line};
+use crate::meter::{Line, cost_us, print_line, state_bytes};
 
 const SIZES: [usize; 4] = [1, 2, 4, 8];
+const LISTS: [usize; 4] = [50, 300, 1_200, 2_400];
+/// The plan's workers with their runners and daemons.
+const VMS: f64 = 1_200.0;
 /// The head of a request as the daemon sends it, and of a worker's answer.
 const HEADS: [&str; 2] = [
     "POST /v1/orders HTTP/1.1\r\nhost: 10.100.100.100:8080\r\ncontent-type: application/json\r\ncontent-length: 1000\r\n\r\n",
@@ -73,7 +77,47 @@
     HEADS.iter().map(|h| h.len() as f64).sum::<f64>() + PACKET_BYTES
 }
 
+/// The VM list as it is read, with so many workers.
+fn vm_list(workers: usize) -> Vec<u8> {
+    let vm = |i| Vm {
+        name: format!("worker-{i:04}"),
+        addr: "10.100.100.100:8080".to_owned(),
+        role: Role::Worker,
+        dc: format!("dc{}", i % 7),
+        rack: format!("dc{}-rack-{:02}", i % 7, i / 8),
+        accels: 8,
+        slots: 0,
+        labels: Labels::new(),
+        leaving: false,
+    };
+    let vms: Vec<Vm> = (0..workers).map(vm).collect();
+    serde_json::to_vec(&vms).unwrap_or_default()
+}
+
+fn run_list() {
+    println!("\nVM list, read whole, x = VMs");
+    let points = |f: &dyn Fn(usize) -> f64| LISTS.map(|n| (n as f64, f(n)));
+    let bytes = points(&|n| vm_list(n).len() as f64);
+    print_line("answer", "bytes", &bytes, VMS);
+    let cost = points(&|n| {
+        let text = vm_list(n);
+        cost_us(|| serde_json::from_slice::<Vec<Vm>>(&text).is_ok())
+    });
+    print_line("decode", "cpu us", &cost, VMS);
+    let state = points(&|n| {
+        let text = vm_list(n);
+        state_bytes(32, || serde_json::from_slice::<Vec<Vm>>(&text))
+    });
+    print_line("state", "bytes", &state, VMS);
+    let whole = Line::fit(&bytes).at(VMS);
+    println!(
+        "interval at which reading it whole fits {BUDGET} bytes/s: {:.1} s",
+        whole / BUDGET
+    );
+}
+
 pub(super) fn run() {
+    run_list();
     println!("\nworker watcher, one exchange with one worker, x = tasks it renews");
     let points = |f: &dyn Fn(usize) -> f64| SIZES.map(|n| (n as f64, f(n)));
     let json = points(&json_bytes);
--- a/bench/src/whole.rs
+++ b/bench/src/whole.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::io::{BufRead as _, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
 use std::time::Duration;
@@ -39,7 +39,8 @@
         .arg(workers)
 }
 
-struct Process(Child);
+/// A process that was started here and ends on drop.
+pub(crate) struct Process(Child);
 
 impl Drop for Process {
     fn drop(&mut self) {
@@ -48,15 +49,17 @@
     }
 }
 
-struct Daemon {
+/// A daemon and where it shows its metrics.
+pub(crate) struct Daemon {
     process: Process,
-    admin: SocketAddr,
+    pub(crate) admin: SocketAddr,
 }
 
 #[derive(Clone, Copy, Default)]
-struct Sample {
-    cpu_s: f64,
-    memory: f64,
+/// What a daemon spent since its start.
+pub(crate) struct Sample {
+    pub(crate) cpu_s: f64,
+    pub(crate) memory: f64,
     frames: f64,
     bytes: f64,
     calls: f64,
@@ -91,7 +94,7 @@
     }
 }
 
-fn measure(bins: &PathBuf, size: usize, workers: usize) -> [f64; 5] {
+fn measure(bins: &Path, size: usize, workers: usize) -> [f64; 5] {
     let (_store, store) = standin(bins, "standin-kv");
     let (_vms, vms) = standin(bins, "standin-vms");
     list_workers(vms, workers);
@@ -117,7 +120,7 @@
     ]
 }
 
-fn standin(bins: &PathBuf, name: &str) -> (Process, SocketAddr) {
+pub(crate) fn standin(bins: &Path, name: &str) -> (Process, SocketAddr) {
     let mut child = Command::new(bins.join(name))
         .stdout(Stdio::piped())
         .spawn()
@@ -140,19 +143,28 @@
             })
         })
         .collect();
-    let put = ureq::put(format!("http://{vms}/v1/vms")).send_json(&list);
-    assert!(put.is_ok(), "the VM list takes the workers");
+    put_vms(vms, &list);
+}
+
+pub(crate) fn put_vms(vms: SocketAddr, list: &[serde_json::Value]) {
+    let put = ureq::put(format!("http://{vms}/v1/vms")).send_json(list);
+    assert!(put.is_ok(), "the VM list is replaced");
 }
 
 /// Ports that the kernel just chose; held together so that none is given twice.
-fn free_ports(count: usize) -> Vec<SocketAddr> {
+pub(crate) fn free_ports(count: usize) -> Vec<SocketAddr> {
     let bound: Vec<_> = (0..count)
         .filter_map(|_| std::net::TcpListener::bind("127.0.0.1:0").ok())
         .collect();
     bound.iter().filter_map(|l| l.local_addr().ok()).collect()
 }
 
-fn start(bins: &PathBuf, i: usize, ports: &[SocketAddr], [store, vms]: [SocketAddr; 2]) -> Daemon {
+pub(crate) fn start(
+    bins: &Path,
+    i: usize,
+    ports: &[SocketAddr],
+    [store, vms]: [SocketAddr; 2],
+) -> Daemon {
     let [listen, mesh, admin] = [ports[3 * i], ports[3 * i + 1], ports[3 * i + 2]];
     let text = format!(
         "name: entry-{i}\ndc: dc{}\nlisten: {listen}\nmesh: {mesh}\nadmin: {admin}\n\
@@ -176,7 +188,7 @@
     }
 }
 
-fn sample(daemon: &Daemon) -> Sample {
+pub(crate) fn sample(daemon: &Daemon) -> Sample {
     let id = daemon.process.0.id();
     let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
     let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
