Drain room for large gangs and quarantine workers that fail what others run

Cause: a stream of small jobs starved gangs of 64 and 128, and a worker that fails all it starts drew work for ever since it is always free.

A gang that needs more than one worker and finds no place gets an area; nothing of its urgency or less may start there, and after 60 s the smaller gangs in it are stopped. Declared run times play no part. Inside its own guarantee the smaller gangs of its workspace yield as well. Faults count against a worker as far as neither the job nor its caller fails elsewhere.

Ruled out: a hard back-off for each worker that failed (a caller whose jobs always fail would slow the whole fleet down); backfill into the area by declared run times (off by 10 times).

Seen before: the stream tests failed, first since small jobs took room that stops had promised to the gang, then since the workspace's own small jobs claimed the block back from it.

--- a/marigoldglade/src/decide.rs
+++ b/marigoldglade/src/decide.rs
@@ -5,6 +5,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
 
+use crate::fleet::Slot;
 use crate::job::{Charge, Spot, Stage, needs};
 use crate::order::{ClassKey, Order, Rank};
 use crate::own::Own;
@@ -33,6 +34,7 @@
     /// Starts what can be started.
     pub(crate) fn decide(&mut self, now: UnixMs, out: &mut Vec<Action>) {
         self.start_pending(now, out);
+        self.check_drain();
         let classes: Vec<_> = if std::mem::take(&mut self.stale) {
             self.queue.classes.keys().copied().collect()
         } else {
@@ -121,7 +123,8 @@
             level,
         };
         let Some(found) = self.find(now, class, job, wish, failed) else {
-            return Some(self.no_block(wish));
+            let drained = self.drain_for(now, class, job, wish, out);
+            return drained.or_else(|| Some(self.blocked(class, job, wish)));
         };
         self.commit(now, class, job, found, out);
         None
@@ -136,7 +139,8 @@
         wish: Wish,
         failed: &mut BTreeSet<(Wish, u8)>,
     ) -> Option<Found> {
-        let own = self.own_place(now, job, wish);
+        let away = self.keeps_away(class, job);
+        let own = self.own_place(now, job, wish, away);
         if let Some(own) = own.as_ref()
             && (own.victims.cost.is_none() || !class.stoppable)
         {
@@ -145,16 +149,15 @@
         if !class.stoppable {
             return None;
         }
-        if !failed.contains(&(wish, class.urgency)) {
-            let spots = self.borrow_place(wish, |_, slot| slot.free());
-            if let Some(spots) = spots {
-                return Some(Found::Outside(spots, Victims::default()));
-            }
+        if !failed.contains(&(wish, class.urgency))
+            && let Some(spots) = self.borrow_free(now, class, job, wish, away)
+        {
+            return Some(Found::Outside(spots, Victims::default()));
         }
         if let Some(own) = own {
             return Some(Found::Inside(own));
         }
-        if !failed.insert((wish, class.urgency)) {
+        if self.drains_inside(job) || !failed.insert((wish, class.urgency)) {
             return None;
         }
         let claim = Claim::Urgent(class.urgency);
@@ -165,10 +168,30 @@
             claim,
             self.policy.victim,
             now,
+            away,
         )?;
         Some(Found::Outside(spots, victims))
     }
 
+    /// Returns a free place outside the guarantee; workers that failed of late come last.
+    fn borrow_free(
+        &self,
+        now: UnixMs,
+        class: ClassKey,
+        job: JobKey,
+        wish: Wish,
+        away: bool,
+    ) -> Option<Vec<Spot>> {
+        if let Some(spots) = self.probe_place(class, job, wish) {
+            return Some(spots);
+        }
+        let free = |slot: Slot| if slot.drain && away { 0 } else { slot.free() };
+        let quarantine = &self.quarantine;
+        let shuns = |w| quarantine.is_cool(now, w) || quarantine.avoids(job, w);
+        self.borrow_place(wish, |w, slot| if shuns(w) { 0 } else { free(slot) })
+            .or_else(|| self.borrow_place(wish, |_, slot| free(slot)))
+    }
+
     /// Takes a place for a job, stops who has to yield and starts the job when it can.
     fn commit(
         &mut self,
@@ -202,7 +225,13 @@
         }
     }
 
-    fn preempt(&mut self, now: UnixMs, victim: JobKey, by: ClassKey, out: &mut Vec<Action>) {
+    pub(crate) fn preempt(
+        &mut self,
+        now: UnixMs,
+        victim: JobKey,
+        by: ClassKey,
+        out: &mut Vec<Action>,
+    ) {
         let Some(entry) = self.jobs.get(&victim) else {
             return;
         };
@@ -255,6 +284,15 @@
         }
     }
 
+    /// Returns why a gang that found no place waits.
+    fn blocked(&self, class: ClassKey, job: JobKey, wish: Wish) -> Reason {
+        let fits = || self.borrow_place(wish, |_, slot| slot.free()).is_some();
+        if class.stoppable && self.keeps_away(class, job) && fits() {
+            return Reason::Reserved;
+        }
+        self.no_block(wish)
+    }
+
     /// Returns the reason of a gang for which there is no block.
     fn no_block(&self, wish: Wish) -> Reason {
         let mut holders: Vec<_> = self.spaces.iter().filter(|s| s.used > 0).collect();
--- /dev/null
+++ b/marigoldglade/src/drain.rs
@@ -0,0 +1,181 @@
+//! Draining an area for a large gang, so that a stream of small jobs can't starve it.
+//!
+//! A large gang that finds no place flows in; the area that is kept for it flows out, and after a
+//! deadline the stops of the smaller gangs that are still there. Declared run times play no part.
+
+use crate::job::Stage;
+use crate::order::ClassKey;
+use crate::place::{Level, Wish};
+use crate::plan::{Action, JobKey, Reason, WorkerKey};
+use crate::planner::Planner;
+use crate::reclaim::{Claim, cheapest};
+use crate::time::UnixMs;
+
+/// How long an area may become empty by itself before smaller gangs are stopped there, in
+/// milliseconds.
+pub const DRAIN_MS: u64 = 60_000;
+
+/// The area that is kept for a large gang.
+pub(crate) struct Drain {
+    pub job: JobKey,
+    pub class: ClassKey,
+    pub workers: Vec<WorkerKey>,
+    /// Whether the area is made of blocks of the gang's own workspace.
+    pub inside: bool,
+    /// When smaller gangs are stopped.
+    pub end: UnixMs,
+}
+
+impl Planner {
+    /// Returns whether a class has to keep away from drained workers.
+    pub(crate) fn keeps_away(&self, class: ClassKey, job: JobKey) -> bool {
+        self.drain
+            .as_ref()
+            .is_some_and(|d| d.job != job && class.urgency >= d.class.urgency)
+    }
+
+    /// Returns whether blocks of its own workspace are kept for a gang.
+    pub(crate) fn drains_inside(&self, job: JobKey) -> bool {
+        self.drain
+            .as_ref()
+            .is_some_and(|d| d.job == job && d.inside)
+    }
+
+    /// Forgets the area when its gang waits no more.
+    pub(crate) fn check_drain(&mut self) {
+        let Some(drain) = &self.drain else {
+            return;
+        };
+        let job = self.jobs.get(&drain.job);
+        if job.is_none_or(|j| j.stage != Stage::Waiting || j.class() != drain.class) {
+            self.clear_drain();
+        }
+    }
+
+    fn clear_drain(&mut self) {
+        for worker in self.drain.take().into_iter().flat_map(|d| d.workers) {
+            self.fleet.slot_mut(worker).drain = false;
+        }
+        self.stale = true;
+    }
+
+    /// Keeps an area for a gang that found no place, and stops what is there at the deadline.
+    pub(crate) fn drain_for(
+        &mut self,
+        now: UnixMs,
+        class: ClassKey,
+        job: JobKey,
+        wish: Wish,
+        out: &mut Vec<Action>,
+    ) -> Option<Reason> {
+        if !self.policy.drain || wish.level == Level::Worker {
+            return None;
+        }
+        let urgent = |d: &Drain| class.urgency < d.class.urgency;
+        if self.drain.as_ref().is_some_and(urgent) {
+            self.clear_drain();
+        }
+        match &self.drain {
+            None => self.open_drain(now, class, job, wish)?,
+            Some(drain) if drain.job != job => return None,
+            Some(drain) if drain.end.passed(now) => self.close_drain(now, class, wish, out),
+            Some(_) => {}
+        }
+        Some(Reason::Reclaiming)
+    }
+
+    fn open_drain(&mut self, now: UnixMs, class: ClassKey, job: JobKey, wish: Wish) -> Option<()> {
+        let inside = self.promised(class.space, class.shape(), wish.level);
+        let workers = if inside {
+            self.own_area(class, wish)
+        } else {
+            self.other_area(now, class, wish)?
+        };
+        for worker in &workers {
+            self.fleet.slot_mut(*worker).drain = true;
+        }
+        self.drain = Some(Drain {
+            job,
+            class,
+            workers,
+            inside,
+            end: now.after(DRAIN_MS),
+        });
+        Some(())
+    }
+
+    /// Stops the smaller gangs in the area; when none is left to stop, another area is taken.
+    fn close_drain(&mut self, now: UnixMs, class: ClassKey, wish: Wish, out: &mut Vec<Action>) {
+        let Some(drain) = &self.drain else {
+            return;
+        };
+        let (job, workers) = (drain.job, drain.workers.clone());
+        let claim = large(class, wish);
+        let holds = workers.iter().flat_map(|w| self.fleet.holds(*w));
+        let taken = holds.filter(|h| self.jobs.get(&h.job).is_some_and(|j| claim.takes(j)));
+        let mut victims: Vec<_> = taken.map(|h| h.job).collect();
+        victims.sort_unstable();
+        victims.dedup();
+        for victim in &victims {
+            self.preempt(now, *victim, class, out);
+        }
+        let leaving = |w: &WorkerKey| self.fleet.slot(*w).stopping > 0;
+        if victims.is_empty() && !workers.iter().any(leaving) {
+            self.clear_drain();
+            // A second area needs no second wait.
+            if self.open_drain(now, class, job, wish).is_some()
+                && let Some(drain) = &mut self.drain
+            {
+                drain.end = now;
+            }
+        }
+    }
+
+    /// Returns the workers outside its guarantee that are cheapest to empty for a gang.
+    fn other_area(&self, now: UnixMs, class: ClassKey, wish: Wish) -> Option<Vec<WorkerKey>> {
+        if !class.stoppable {
+            return None;
+        }
+        let claim = large(class, wish);
+        let order = self.policy.victim;
+        let (spots, _) = cheapest(&self.fleet, &self.jobs, wish, claim, order, now, false)?;
+        Some(spots.into_iter().map(|s| s.worker).collect())
+    }
+
+    /// Returns the workers of the workspace's own blocks that are emptiest for a gang.
+    fn own_area(&self, class: ClassKey, wish: Wish) -> Vec<WorkerKey> {
+        let each = |key| {
+            let block = self.blocks.get(key);
+            let tasks = usize::from(block.cell_size() / wish.accels) * block.cells.len();
+            let used: u32 = block.cells.iter().map(|c| u32::from(c.used)).sum();
+            (tasks, used, key)
+        };
+        let blocks = self.space_of(class.space).blocks.iter().map(|k| each(*k));
+        let mut blocks: Vec<_> = blocks.collect();
+        let tasks = usize::from(wish.tasks);
+        if wish.level == Level::Centre {
+            blocks.sort_by_key(|(n, used, k)| (std::cmp::Reverse(*n), *used, *k));
+        } else {
+            blocks.retain(|(n, ..)| *n >= tasks);
+            blocks.sort_by_key(|(n, used, k)| (*used, *n, *k));
+        }
+        let mut left = tasks;
+        let mut workers = Vec::new();
+        for (n, _, key) in blocks {
+            if left == 0 {
+                break;
+            }
+            left = left.saturating_sub(n);
+            workers.extend(self.blocks.get(key).cells.iter().map(|c| c.worker));
+        }
+        workers
+    }
+}
+
+fn large(class: ClassKey, wish: Wish) -> Claim {
+    Claim::Large {
+        urgency: class.urgency,
+        total: u32::from(wish.tasks) * u32::from(wish.accels),
+        space: class.space,
+    }
+}
--- a/marigoldglade/src/fleet.rs
+++ b/marigoldglade/src/fleet.rs
@@ -41,6 +41,10 @@
     pub closed: bool,
     /// Whether it is under suspicion.
     pub suspect: bool,
+    /// Whether a suspect may be tried with one task.
+    pub probe: bool,
+    /// Whether it is kept for a large gang.
+    pub drain: bool,
 }
 
 impl Slot {
--- a/marigoldglade/src/own.rs
+++ b/marigoldglade/src/own.rs
@@ -39,9 +39,18 @@
     }
 
     /// Returns the cheapest place for a waiting gang inside its workspace's guarantee.
-    pub(crate) fn own_place(&mut self, now: UnixMs, job: JobKey, wish: Wish) -> Option<Own> {
+    ///
+    /// `away` keeps it off the workers that are drained for another gang of its workspace.
+    pub(crate) fn own_place(
+        &mut self,
+        now: UnixMs,
+        job: JobKey,
+        wish: Wish,
+        away: bool,
+    ) -> Option<Own> {
         let space = self.jobs.get(&job)?.space;
-        let here = self.own_here(now, space, wish);
+        let away = away && self.drain.as_ref().is_some_and(|d| d.class.space == space);
+        let here = self.own_here(now, space, wish, away);
         if here.as_ref().is_some_and(|own| own.victims.cost.is_none())
             || wish.level == Level::Centre
         {
@@ -52,17 +61,17 @@
         };
         let cost = here.as_ref().and_then(|own| own.victims.cost);
         let bar = here.is_some().then_some(cost);
-        self.move_cheaper(now, block, wish, bar).or(here)
+        self.move_cheaper(now, block, wish, bar, away).or(here)
     }
 
     /// Returns the cheapest place where the blocks lie now.
-    fn own_here(&self, now: UnixMs, space: SpaceKey, wish: Wish) -> Option<Own> {
+    fn own_here(&self, now: UnixMs, space: SpaceKey, wish: Wish, away: bool) -> Option<Own> {
         let blocks = &self.space_of(space).blocks;
         if wish.level == Level::Centre {
-            return self.own_in(now, blocks, wish);
+            return self.own_in(now, blocks, wish, away);
         }
         let options = blocks.iter().filter_map(|key| {
-            let own = self.own_in(now, &[*key], wish)?;
+            let own = self.own_in(now, &[*key], wish, away)?;
             let block = self.blocks.get(*key);
             Some(((own.victims.cost, !block.bound(), block.size, *key), own))
         });
@@ -70,12 +79,13 @@
     }
 
     /// Returns the place for a gang in the free cells of some blocks.
-    fn own_in(&self, now: UnixMs, blocks: &[BlockKey], wish: Wish) -> Option<Own> {
+    fn own_in(&self, now: UnixMs, blocks: &[BlockKey], wish: Wish, away: bool) -> Option<Own> {
         let mut caps = Vec::new();
         for key in blocks {
             for cell in &self.blocks.get(*key).cells {
                 let slot = self.fleet.slot(cell.worker);
-                let fits = slot.open() && self.fleet.allows(wish.set, cell.worker);
+                let kept = slot.drain && away;
+                let fits = slot.open() && !kept && self.fleet.allows(wish.set, cell.worker);
                 let tasks = u16::from((cell.size - cell.used) / wish.accels);
                 if fits && tasks > 0 {
                     caps.push((tasks, cell.worker, *key));
@@ -121,13 +131,15 @@
         block: BlockKey,
         wish: Wish,
         bar: Option<Cost>,
+        away: bool,
     ) -> Option<Own> {
         let mut places = self.places(now, block, wish);
-        places.retain(|(cost, _)| bar.is_none_or(|b| *cost < b));
+        let kept = |w: &WorkerKey| away && self.fleet.slot(*w).drain;
+        places.retain(|(cost, ws)| bar.is_none_or(|b| *cost < b) && !ws.iter().any(kept));
         places.sort();
         for (_, workers) in places.into_iter().take(MOVE_TRIES) {
             if self.blocks.relocate(&mut self.fleet, block, &workers) {
-                return self.own_in(now, &[block], wish);
+                return self.own_in(now, &[block], wish, away);
             }
         }
         None
--- a/marigoldglade/src/planner.rs
+++ b/marigoldglade/src/planner.rs
@@ -9,6 +9,7 @@
 use crate::api::Shape;
 use crate::blocks::{BlockKey, Blocks, SpaceKey};
 use crate::config::Config;
+use crate::drain::Drain;
 use crate::fleet::{Fleet, Hold, SetKey};
 use crate::guarantee;
 use crate::job::{Job, Jobs, Spot, Stage, needs};
@@ -16,6 +17,7 @@
 use crate::order::{ClassKey, Order, Queue};
 use crate::place::{Fit, Level};
 use crate::plan::{Action, Ask, Event, JobKey, Reason, WorkerKey};
+use crate::quarantine::Quarantine;
 use crate::reclaim::Yield;
 use crate::store::Revision;
 use crate::time::UnixMs;
@@ -79,6 +81,8 @@
     pub(crate) jobs: Jobs,
     pub(crate) pending: BTreeSet<JobKey>,
     pub(crate) queue: Queue,
+    pub(crate) drain: Option<Drain>,
+    pub(crate) quarantine: Quarantine,
     /// Classes that weren't tried since they changed.
     pub(crate) fresh: BTreeSet<ClassKey>,
     /// Whether every class is to be tried again.
@@ -99,7 +103,7 @@
 
     /// Makes a planner with other choices than the default.
     #[must_use]
-    pub fn with_policy(dc: &str, _seed: u64, policy: Policy) -> Self {
+    pub fn with_policy(dc: &str, seed: u64, policy: Policy) -> Self {
         Self {
             dc: dc.to_owned(),
             policy,
@@ -112,6 +116,8 @@
             jobs: Jobs::new(),
             pending: BTreeSet::new(),
             queue: Queue::default(),
+            drain: None,
+            quarantine: Quarantine::new(seed),
             fresh: BTreeSet::new(),
             stale: false,
             torn: false,
@@ -130,8 +136,13 @@
             Event::Holds(ask, vms) => self.hold(now, ask, &vms),
             Event::Running(job) => self.run(job),
             Event::Ended(job) => self.end(job),
-            Event::StartFailed(job, _) => self.requeue(job),
-            Event::TaskFailed(..) | Event::TaskDone(..) | Event::Tick => {}
+            Event::StartFailed(job, vm) => {
+                self.judge(now, job, &vm, false, out);
+                self.requeue(job);
+            }
+            Event::TaskFailed(job, vm) => self.judge(now, job, &vm, false, out),
+            Event::TaskDone(job, vm) => self.judge(now, job, &vm, true, out),
+            Event::Tick => self.tick(now, out),
         }
         if self.torn {
             self.mend(out);
@@ -262,6 +273,7 @@
             return;
         };
         self.unplan(worker);
+        self.quarantine.forget(worker);
         self.fleet.remove(worker);
         self.torn = true;
         self.stale = true;
@@ -365,6 +377,11 @@
         self.torn = true;
     }
 
+    fn tick(&mut self, now: UnixMs, out: &mut Vec<Action>) {
+        self.review(now, out);
+        self.stale |= self.drain.as_ref().is_some_and(|d| d.end.passed(now));
+    }
+
     fn run(&mut self, job: JobKey) {
         if let Some(entry) = self.jobs.get_mut(&job)
             && entry.stage == Stage::Starting
--- a/marigoldglade/src/reclaim.rs
+++ b/marigoldglade/src/reclaim.rs
@@ -2,6 +2,7 @@
 //!
 //! A claim on some workers flows in; the gangs to stop and their cost flow out.
 
+use crate::blocks::SpaceKey;
 use crate::fleet::Fleet;
 use crate::job::{Job, Jobs, Spot, Stage, needs};
 use crate::place::{Level, Wish};
@@ -26,6 +27,16 @@
     Own,
     /// Urgent work: borrowers that are less urgent than this yield.
     Urgent(u8),
+    /// A large gang that waited long: smaller borrowers that aren't more urgent yield, and so do
+    /// smaller gangs inside the guarantee of its own workspace.
+    Large {
+        /// The large gang's urgency.
+        urgency: u8,
+        /// Its accelerators.
+        total: u32,
+        /// Its workspace.
+        space: SpaceKey,
+    },
 }
 
 /// The cost of a set of victims; none is the least.
@@ -44,12 +55,20 @@
     /// Returns whether the gang yields to this claim.
     pub fn takes(self, job: &Job) -> bool {
         let holds = matches!(job.stage, Stage::Pending | Stage::Starting | Stage::Running);
-        let borrows = holds && job.ask.stoppable && job.charges.is_empty();
-        borrows
-            && match self {
-                Self::Own => true,
-                Self::Urgent(urgency) => job.ask.urgency > urgency,
+        let borrows = job.charges.is_empty();
+        let yields = match self {
+            Self::Own => borrows,
+            Self::Urgent(urgency) => borrows && job.ask.urgency > urgency,
+            Self::Large {
+                urgency,
+                total,
+                space,
+            } => {
+                let smaller = job.ask.urgency >= urgency && job.ask.shape.total() < total;
+                smaller && (borrows || job.space == space)
             }
+        };
+        holds && job.ask.stoppable && yields
     }
 }
 
@@ -116,6 +135,8 @@
 }
 
 /// Returns the place that costs the least to claim, and who has to yield there.
+///
+/// `away` keeps it off the workers that are drained for a large gang.
 pub(crate) fn cheapest(
     fleet: &Fleet,
     jobs: &Jobs,
@@ -123,8 +144,12 @@
     claim: Claim,
     order: Yield,
     now: UnixMs,
+    away: bool,
 ) -> Option<(Vec<Spot>, Victims)> {
-    let usable = |w: &WorkerKey| fleet.slot(*w).open() && fleet.allows(wish.set, *w);
+    let usable = |w: &WorkerKey| {
+        let slot = fleet.slot(*w);
+        slot.open() && !(slot.drain && away) && fleet.allows(wish.set, *w)
+    };
     let cost = |spots: Vec<Spot>| {
         let needs = needs(&spots, wish.accels);
         let victims = victims(fleet, jobs, &needs, claim, order, now)?;
--- a/marigoldglade/tests/guarantee.rs
+++ b/marigoldglade/tests/placement/guarantee.rs
@@ -1,8 +1,6 @@
 //! Guarantees: after every decision each unused block can be had by stopping borrowers.
 
-#[path = "support/site.rs"]
-mod site;
-
+use crate::site::{Site, ask, promise, worker, workspace};
 use marigoldglade::config::Config;
 use marigoldglade::guarantee;
 use marigoldglade::plan::{Ask, Event, JobKey};
@@ -11,7 +9,6 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
-use site::{Site, ask, promise, worker, workspace};
 
 const RACKS: usize = 2;
 const RACK_SIZE: usize = 3;
@@ -149,7 +146,7 @@
     /// return and configuration changes.
     #[test]
     fn unused_blocks_can_be_had(first in 0..5_usize, ops in ops()) {
-        let mut site = Site::new(Planner::new(site::DC, 1), config(first), RACKS, RACK_SIZE);
+        let mut site = Site::new(Planner::new(crate::site::DC, 1), config(first), RACKS, RACK_SIZE);
         for op in ops {
             apply(&mut site, op);
             site.check();
@@ -159,7 +156,7 @@
     /// A guarantee is told as degraded only while no way to serve it exists, once nothing runs.
     #[test]
     fn mended_when_capacity_returns(first in 0..5_usize, ops in ops()) {
-        let mut site = Site::new(Planner::new(site::DC, 1), config(first), RACKS, RACK_SIZE);
+        let mut site = Site::new(Planner::new(crate::site::DC, 1), config(first), RACKS, RACK_SIZE);
         for op in ops {
             apply(&mut site, op);
         }
@@ -177,7 +174,7 @@
     /// A workspace that asks for its whole guarantee gets it, whatever the others do.
     #[test]
     fn claims_are_met(pick in 0..4_usize, ops in ops()) {
-        let mut site = Site::new(Planner::new(site::DC, 1), config(pick), RACKS, RACK_SIZE);
+        let mut site = Site::new(Planner::new(crate::site::DC, 1), config(pick), RACKS, RACK_SIZE);
         let keep = |op: &Op| matches!(op, Op::Submit(_) | Op::Run(_) | Op::End(_) | Op::Stopped(_));
         for op in ops.into_iter().filter(keep) {
             apply(&mut site, op);
@@ -229,7 +226,7 @@
     if let Err(e) = verdict {
         assert_eq!(e.kind, Kind::Impossible);
         assert!(
-            e.detail.contains(site::DC) && e.detail.contains("workspace '"),
+            e.detail.contains(crate::site::DC) && e.detail.contains("workspace '"),
             "{e}"
         );
     }
--- a/marigoldglade/tests/support/site.rs
+++ b/marigoldglade/tests/placement/site.rs
@@ -1,6 +1,6 @@
 //! A small data centre around a planner: it obeys the actions and checks what must always hold.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use marigoldglade::api::Shape;
@@ -30,6 +30,8 @@
     pub asks: BTreeMap<JobKey, Ask>,
     pub gangs: BTreeMap<JobKey, Gang>,
     pub missing: BTreeMap<String, u32>,
+    /// Workers under suspicion.
+    pub out: BTreeSet<String>,
     /// All that the planner did, with the time.
     pub log: Vec<(UnixMs, Action)>,
     next: u32,
@@ -97,6 +99,7 @@
             asks: BTreeMap::new(),
             gangs: BTreeMap::new(),
             missing: BTreeMap::new(),
+            out: BTreeSet::new(),
             log: Vec::new(),
             next: 0,
         };
@@ -141,6 +144,12 @@
                 Action::Guarantee(name, missing) => {
                     self.missing.insert(name.clone(), *missing);
                 }
+                Action::Quarantine(vm, _) => {
+                    self.out.insert(vm.clone());
+                }
+                Action::Trust(vm) => {
+                    self.out.remove(vm);
+                }
                 _ => {}
             }
         }
@@ -160,6 +169,7 @@
     /// Loses a worker; the gangs on it wait again.
     pub fn lose(&mut self, name: &str) {
         self.workers.remove(name);
+        self.out.remove(name);
         self.step(Event::Gone(name.to_owned()));
         let hit = self
             .gangs
@@ -227,7 +237,7 @@
         }
     }
 
-    fn check_capacity(&self) {
+    pub fn check_capacity(&self) {
         let mut used: BTreeMap<&str, u32> = BTreeMap::new();
         for (job, gang) in &self.gangs {
             for vm in &gang.vms {
@@ -255,7 +265,7 @@
     pub fn packs(&self) -> bool {
         let names: Vec<&String> = self.workers.keys().collect();
         // A worker that takes no new work serves a guarantee only by what runs inside it there.
-        let open = |vm: &Vm| if vm.leaving { 0 } else { 8_u32 };
+        let open = |vm: &Vm| if self.closed(vm) { 0 } else { 8_u32 };
         let mut room: Vec<u32> = self.workers.values().map(open).collect();
         let mut need = BTreeMap::new();
         for (job, gang) in &self.gangs {
@@ -273,13 +283,13 @@
                     .position(|w| w.name == ask.workspace);
                 match (at, space) {
                     (Some(at), Some(space)) if charged => {
-                        if self.workers[vm].leaving {
+                        if self.closed(&self.workers[vm]) {
                             room[at] += u32::from(ask.shape.accels);
                         }
                         *need.entry((space, at)).or_insert(0) += u32::from(ask.shape.accels);
                     }
                     // A configuration took the guarantee from under a gang that can't be stopped.
-                    (Some(at), _) if !self.workers[vm].leaving => {
+                    (Some(at), _) if !self.closed(&self.workers[vm]) => {
                         room[at] -= u32::from(ask.shape.accels);
                     }
                     _ => {}
@@ -296,6 +306,11 @@
         self.pack(&blocks, &mut room, &mut cover, &need)
     }
 
+    /// Returns whether a worker takes no new work.
+    fn closed(&self, vm: &Vm) -> bool {
+        vm.leaving || self.out.contains(&vm.name)
+    }
+
     fn pack(
         &self,
         blocks: &[(u16, usize)],
