Keep room free for urgent work

Cause: a planned stop takes its grace, 10 s, so urgent work in a full fleet can't start within 1.2 s by stopping others. The planner keeps free what came within one refill, and one gang more, bounded by an eighth of the fleet; stops fill it up again.

--- a/marigoldglade/src/decide.rs
+++ b/marigoldglade/src/decide.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Fills up what urgent work took.
+    pub(crate) fn refill(&mut self, now: UnixMs, out: &mut Vec<Action>) {
+        if std::mem::take(&mut self.reserve_torn) {
+            self.keep_reserve(now, out);
+        }
+    }
+
     /// Returns the rank of a class's head.
     fn rank(&self, class: ClassKey) -> Option<Rank> {
         let (span, since, job) = self.queue.head(class)?;
@@ -185,7 +192,12 @@
         if let Some(spots) = self.probe_place(class, job, wish) {
             return Some(spots);
         }
-        let free = |slot: Slot| if slot.drain && away { 0 } else { slot.free() };
+        let urgent = Self::takes_reserve(class);
+        let free = |slot: Slot| match slot {
+            Slot { drain: true, .. } if away => 0,
+            _ if urgent => slot.free(),
+            _ => slot.free().saturating_sub(slot.warm),
+        };
         let quarantine = &self.quarantine;
         let shuns = |w| quarantine.is_cool(now, w) || quarantine.avoids(job, w);
         self.borrow_place(wish, |w, slot| if shuns(w) { 0 } else { free(slot) })
@@ -216,6 +228,7 @@
         let needs = needs(&spots, class.accels);
         let ready = needs.iter().all(|(w, n)| self.fleet.slot(*w).free() >= *n);
         self.charge(job, charges);
+        self.reserve_torn |= Self::takes_reserve(class);
         if ready {
             self.start(now, job, spots, out);
         } else {
--- a/marigoldglade/src/fleet.rs
+++ b/marigoldglade/src/fleet.rs
@@ -31,6 +31,8 @@
     pub stopping: u8,
     /// Promised to gangs that wait for others to stop.
     pub held: u8,
+    /// Kept free for urgent work.
+    pub warm: u8,
     /// Covered by blocks of guarantees.
     pub cells: u8,
     /// Held by gangs that can't be stopped and lie outside their guarantee.
--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod prelude;
 pub mod quarantine;
 pub mod reclaim;
+pub mod reserve;
 pub mod roles;
 pub mod settings;
 pub mod store;
--- a/marigoldglade/src/planner.rs
+++ b/marigoldglade/src/planner.rs
@@ -19,6 +19,7 @@
 use crate::plan::{Action, Ask, Event, JobKey, Reason, WorkerKey};
 use crate::quarantine::Quarantine;
 use crate::reclaim::Yield;
+use crate::reserve::Reserve;
 use crate::store::Revision;
 use crate::time::UnixMs;
 use crate::wire::{Role, Vm};
@@ -83,6 +84,9 @@
     pub(crate) queue: Queue,
     pub(crate) drain: Option<Drain>,
     pub(crate) quarantine: Quarantine,
+    pub(crate) reserve: Reserve,
+    /// Whether urgent work took what was kept free.
+    pub(crate) reserve_torn: bool,
     /// Classes that weren't tried since they changed.
     pub(crate) fresh: BTreeSet<ClassKey>,
     /// Whether every class is to be tried again.
@@ -118,6 +122,8 @@
             queue: Queue::default(),
             drain: None,
             quarantine: Quarantine::new(seed),
+            reserve: Reserve::default(),
+            reserve_torn: false,
             fresh: BTreeSet::new(),
             stale: false,
             torn: false,
@@ -132,7 +138,7 @@
             Event::Config(config, revision) => self.configure(&config, revision),
             Event::Worker(vm) => self.put_worker(now, vm, out),
             Event::Gone(name) => self.lose_worker(&name),
-            Event::Wait(ask) => self.wait(ask, out),
+            Event::Wait(ask) => self.wait(now, ask, out),
             Event::Holds(ask, vms) => self.hold(now, ask, &vms),
             Event::Running(job) => self.run(job),
             Event::Ended(job) => self.end(job),
@@ -148,6 +154,7 @@
             self.mend(out);
         }
         self.decide(now, out);
+        self.refill(now, out);
     }
 
     /// Returns whether a live worker set could ever hold the gang, and, for work that can't be
@@ -300,7 +307,7 @@
         }
     }
 
-    fn wait(&mut self, ask: Ask, out: &mut Vec<Action>) {
+    fn wait(&mut self, now: UnixMs, ask: Ask, out: &mut Vec<Action>) {
         let job = ask.job;
         if self
             .jobs
@@ -309,6 +316,9 @@
         {
             return;
         }
+        if !self.jobs.contains_key(&job) {
+            self.see_urgent(now, &ask);
+        }
         self.end(job);
         self.insert(ask);
         let Some(entry) = self.jobs.get_mut(&job) else {
@@ -379,6 +389,7 @@
 
     fn tick(&mut self, now: UnixMs, out: &mut Vec<Action>) {
         self.review(now, out);
+        self.keep_reserve(now, out);
         self.stale |= self.drain.as_ref().is_some_and(|d| d.end.passed(now));
     }
 
--- a/marigoldglade/src/quarantine.rs
+++ b/marigoldglade/src/quarantine.rs
@@ -183,6 +183,20 @@
         due.map(|(w, _)| *w).collect()
     }
 
+    /// Trusts the workers again whose jobs and callers failed elsewhere too, as it turned out.
+    pub fn cleared(&mut self) -> Vec<WorkerKey> {
+        let out = self
+            .records
+            .iter()
+            .filter(|(_, r)| r.trust != Trust::Full && r.probes == 0);
+        let cleared = out.filter(|(w, _)| self.weight(**w) < TRIP_MILLI / 2);
+        let cleared: Vec<_> = cleared.map(|(w, _)| *w).collect();
+        for worker in &cleared {
+            self.records.remove(worker);
+        }
+        cleared
+    }
+
     /// Puts a worker under suspicion; returns until when.
     pub fn suspect(&mut self, now: UnixMs, worker: WorkerKey) -> UnixMs {
         let record = self.records.entry(worker).or_default();
--- a/marigoldglade/src/reclaim.rs
+++ b/marigoldglade/src/reclaim.rs
@@ -3,10 +3,11 @@
 //! A claim on some workers flows in; the gangs to stop and their cost flow out.
 
 use crate::blocks::SpaceKey;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Slot};
 use crate::job::{Job, Jobs, Spot, Stage, needs};
 use crate::place::{Level, Wish};
 use crate::plan::{JobKey, WorkerKey};
+use crate::reserve::URGENT;
 use crate::time::UnixMs;
 
 /// In what order gangs that nothing else tells apart yield.
@@ -70,6 +71,14 @@
         };
         holds && job.ask.stoppable && yields
     }
+
+    /// Returns what the claim finds free on a worker once the stopping gangs are gone.
+    fn room(self, slot: Slot) -> u8 {
+        match self {
+            Self::Own | Self::Urgent(URGENT) => slot.room(),
+            _ => slot.room().saturating_sub(slot.warm),
+        }
+    }
 }
 
 /// Returns a gang's place in the order of yielding.
@@ -96,7 +105,7 @@
 ) -> Option<Victims> {
     let mut found = Victims::default();
     for (worker, need) in needs {
-        let mut room = fleet.slot(*worker).room();
+        let mut room = claim.room(fleet.slot(*worker));
         if room >= *need {
             continue;
         }
@@ -193,7 +202,7 @@
         let holds = fleet.holds(w).iter();
         let takes = holds.filter(|h| jobs.get(&h.job).is_some_and(|j| claim.takes(j)));
         let claimed: u8 = takes.map(|h| h.accels).sum();
-        fleet.slot(w).room() + claimed
+        claim.room(fleet.slot(w)) + claimed
     };
     let caps = workers
         .into_iter()
--- /dev/null
+++ b/marigoldglade/src/reserve.rs
@@ -0,0 +1,142 @@
+//! Accelerators that are kept free for urgent work.
+//!
+//! Urgent gangs that come flow in; the workers on which others leave room, and the gangs that
+//! have to stop for it, flow out. A stop takes its grace, so what urgent work may need within one
+//! grace has to be free before it comes.
+
+use std::collections::VecDeque;
+
+use crate::api::WORKER_ACCELS;
+use crate::order::ClassKey;
+use crate::plan::{Action, Ask, WorkerKey};
+use crate::planner::Planner;
+use crate::reclaim::{Claim, victims};
+use crate::time::UnixMs;
+
+/// The least urgent work for which room is kept.
+pub const URGENT: u8 = 0;
+/// How long an urgent gang is remembered, in milliseconds.
+pub const MEMORY_MS: u64 = 600_000;
+/// The time within which a stop gives room back, in milliseconds.
+pub const REFILL_MS: u64 = 20_000;
+/// One in this many accelerators may be kept free at most.
+pub const FLEET_SHARE: u32 = 8;
+/// The most urgent gangs that are remembered.
+const MEMORY_LIMIT: usize = 1_024;
+
+/// Urgent gangs that came of late.
+#[derive(Default)]
+pub(crate) struct Reserve {
+    seen: VecDeque<(UnixMs, u8)>,
+    /// Workers that are kept free, and how many accelerators of each.
+    pub workers: Vec<(WorkerKey, u8)>,
+}
+
+impl Reserve {
+    /// Remembers an urgent gang that fits a worker.
+    fn see(&mut self, now: UnixMs, accels: u8) {
+        if self.seen.len() >= MEMORY_LIMIT {
+            self.seen.pop_front();
+        }
+        self.seen.push_back((now, accels));
+    }
+
+    /// Returns the blocks to keep free, and the size of each.
+    ///
+    /// The most that came within one refill, and one more.
+    fn target(&mut self, now: UnixMs) -> (u32, u8) {
+        while self
+            .seen
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > MEMORY_MS)
+        {
+            self.seen.pop_front();
+        }
+        let size = self.seen.iter().map(|(_, a)| *a).max().unwrap_or(0);
+        let mut most = 0;
+        let mut from = 0;
+        for (i, (at, _)) in self.seen.iter().enumerate() {
+            while at.since(self.seen[from].0) > REFILL_MS {
+                from += 1;
+            }
+            most = most.max(i + 1 - from);
+        }
+        let count = if size == 0 { 0 } else { most + 1 };
+        (u32::try_from(count).unwrap_or(u32::MAX), size)
+    }
+}
+
+impl Planner {
+    /// Notes an urgent gang that came.
+    pub(crate) fn see_urgent(&mut self, now: UnixMs, ask: &Ask) {
+        let total = u8::try_from(ask.shape.total()).unwrap_or(u8::MAX);
+        if self.policy.reserve && ask.urgency <= URGENT && total <= WORKER_ACCELS {
+            self.reserve.see(now, total.next_power_of_two());
+        }
+    }
+
+    /// Chooses the workers that are kept free anew and stops what is in the way.
+    pub(crate) fn keep_reserve(&mut self, now: UnixMs, out: &mut Vec<Action>) {
+        if !self.policy.reserve {
+            return;
+        }
+        let (count, size) = self.reserve.target(now);
+        for (worker, _) in std::mem::take(&mut self.reserve.workers) {
+            self.fleet.slot_mut(worker).warm = 0;
+        }
+        if size == 0 {
+            return;
+        }
+        let limit = self.fleet.slots.iter().filter(|s| s.open());
+        let limit: u32 = limit.map(|s| u32::from(s.accels)).sum::<u32>() / FLEET_SHARE;
+        let mut left = count.min(limit / u32::from(size));
+        let mut costs = self.reserve_costs(now, size);
+        costs.sort();
+        for (_, worker) in costs {
+            let mut blocks = 0;
+            while left > 0 && self.warm_up(now, worker, size * (blocks + 1), out) {
+                blocks += 1;
+                left -= 1;
+            }
+        }
+    }
+
+    /// Returns the workers by what a block there costs; those with room cost nothing.
+    fn reserve_costs(&self, now: UnixMs, size: u8) -> Vec<((crate::reclaim::Cost, u8), WorkerKey)> {
+        let cost = |w: WorkerKey| {
+            let order = self.policy.victim;
+            let claim = Claim::Urgent(URGENT);
+            let v = victims(&self.fleet, &self.jobs, &[(w, size)], claim, order, now)?;
+            Some(((v.cost, self.fleet.slot(w).room()), w))
+        };
+        let open = self.fleet.keys().filter(|w| self.fleet.slot(*w).open());
+        open.filter_map(cost).collect()
+    }
+
+    /// Keeps `accels` of a worker free, if that can be; stops what is there.
+    fn warm_up(
+        &mut self,
+        now: UnixMs,
+        worker: WorkerKey,
+        accels: u8,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let needs = [(worker, accels)];
+        let (claim, order) = (Claim::Urgent(URGENT), self.policy.victim);
+        let Some(found) = victims(&self.fleet, &self.jobs, &needs, claim, order, now) else {
+            return false;
+        };
+        for victim in found.jobs {
+            self.stop(now, victim, &crate::plan::Reason::Reserved, out);
+        }
+        self.fleet.slot_mut(worker).warm = accels;
+        self.reserve.workers.retain(|(w, _)| *w != worker);
+        self.reserve.workers.push((worker, accels));
+        true
+    }
+
+    /// Returns whether work of a class may take what is kept free.
+    pub(crate) fn takes_reserve(class: ClassKey) -> bool {
+        class.urgency <= URGENT
+    }
+}
--- a/marigoldglade/src/suspect.rs
+++ b/marigoldglade/src/suspect.rs
@@ -85,6 +85,10 @@
 
     /// Lets time pass: probes those whose time is over, suspects those that the cap held back.
     pub(crate) fn review(&mut self, now: UnixMs, out: &mut Vec<Action>) {
+        for worker in self.quarantine.cleared() {
+            self.set_suspect(worker, false, false);
+            out.push(Action::Trust(self.fleet.name(worker).to_owned()));
+        }
         for worker in self.quarantine.release(now) {
             self.set_suspect(worker, true, true);
         }
--- a/marigoldglade/tests/placement/quarantine.rs
+++ b/marigoldglade/tests/placement/quarantine.rs
@@ -18,7 +18,7 @@
 }
 
 /// Runs `rounds` seconds with more small jobs, from each caller in turn, than fit; tasks on `holes` and tasks
-/// of a caller named `bad` fail at once, others end well after three seconds. Returns how many
+/// of callers whose names begin with `bad` fail at once, others end well after three seconds. Returns how many
 /// tasks failed on each worker.
 fn play(
     site: &mut Site,
@@ -45,7 +45,7 @@
             .collect();
         for (job, vm) in held {
             let end = *ends.entry(job).or_insert(site.now.after(3_000));
-            if holes.contains(vm.as_str()) || site.asks[&job].caller == "bad" {
+            if holes.contains(vm.as_str()) || site.asks[&job].caller.starts_with("bad") {
                 *failures.entry(vm.clone()).or_insert(0) += 1;
                 site.step(Event::TaskFailed(job, vm));
                 site.end(job);
@@ -85,6 +85,7 @@
 #[rstest]
 #[case::among_good_ones(&["x", "bad", "y"])]
 #[case::alone(&["bad"])]
+#[case::several(&["bad1", "bad2", "x", "bad3", "bad4"])]
 fn jobs_that_fail_everywhere_condemn_no_worker(#[case] callers: &[&str]) {
     let mut site = site(2, 4);
     let failures = play(&mut site, &BTreeSet::new(), callers, 300);
