--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -4,9 +4,15 @@
 //! owns a clock, a thread or a socket: time comes in as [`time::UnixMs`], randomness from a seeded
 //! generator, and input and output pass through plain structs of closures.
 
+pub mod admit;
 pub mod api;
 mod blocks;
+pub mod breaker;
+pub mod budget;
+pub mod claim;
+pub mod classify;
 pub mod config;
+pub mod config_accept;
 pub mod config_check;
 pub mod config_diff;
 pub mod config_edit;
@@ -31,11 +37,20 @@
 pub mod planner;
 pub mod prelude;
 pub mod quarantine;
+pub mod queue;
 pub mod reclaim;
+pub mod requests;
 pub mod reserve;
+pub mod retry;
 pub mod roles;
+pub mod route;
 pub mod settings;
+pub mod share;
+pub mod slots;
+pub mod spread;
 pub mod store;
+pub mod store_client;
 mod suspect;
 pub mod time;
 pub mod wire;
+pub mod yaml;
--- a/marigoldglade/src/reserve.rs
+++ b/marigoldglade/src/reserve.rs
@@ -70,7 +70,7 @@
     /// Notes an urgent gang that came.
     pub(crate) fn see_urgent(&mut self, now: UnixMs, ask: &Ask) {
         let total = u8::try_from(ask.shape.total()).unwrap_or(u8::MAX);
-        if self.policy.reserve && ask.urgency <= URGENT && total <= WORKER_ACCELS {
+        if self.policy.reserve && ask.urgency == URGENT && total <= WORKER_ACCELS {
             self.reserve.see(now, total.next_power_of_two());
         }
     }
@@ -137,6 +137,6 @@
 
     /// Returns whether work of a class may take what is kept free.
     pub(crate) fn takes_reserve(class: ClassKey) -> bool {
-        class.urgency <= URGENT
+        class.urgency == URGENT
     }
 }
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -15,9 +15,11 @@
 mod link;
 mod logs;
 mod mesh;
+mod pool;
 mod requests;
 mod roles;
 mod send;
+mod spans;
 mod stop;
 mod targets;
 
@@ -83,7 +85,10 @@
         return Ok(());
     }
     logs::start(&settings.log)?;
+    spans::start(&settings.name, settings.log.spans);
     app::run(settings, |s| {
         println!("listen {} mesh {} admin {}", s.listen, s.mesh, s.admin);
-    })
+    })?;
+    spans::flush();
+    Ok(())
 }
