--- a/marigoldglade/src/reclaim.rs
+++ b/marigoldglade/src/reclaim.rs
@@ -2,10 +2,12 @@
 //!
 //! A claim on some workers flows in; the gangs to stop and their cost flow out.
 
-use crate::fleet::Fleet;
+use crate::blocks::SpaceKey;
+use crate::fleet::{Fleet, Slot};
 use crate::job::{Job, Jobs, Spot, Stage, needs};
 use crate::place::{Level, Wish};
 use crate::plan::{JobKey, WorkerKey};
+use crate::reserve::URGENT;
 use crate::time::UnixMs;
 
 /// In what order gangs that nothing else tells apart yield.
@@ -26,6 +28,16 @@
     Own,
     /// Urgent work: borrowers that are less urgent than this yield.
     Urgent(u8),
+    /// A large gang that waited long: smaller borrowers that aren't more urgent yield, and so do
+    /// smaller gangs inside the guarantee of its own workspace.
+    Large {
+        /// The large gang's urgency.
+        urgency: u8,
+        /// Its accelerators.
+        total: u32,
+        /// Its workspace.
+        space: SpaceKey,
+    },
 }
 
 /// The cost of a set of victims; none is the least.
@@ -44,12 +56,28 @@
     /// Returns whether the gang yields to this claim.
     pub fn takes(self, job: &Job) -> bool {
         let holds = matches!(job.stage, Stage::Pending | Stage::Starting | Stage::Running);
-        let borrows = holds && job.ask.stoppable && job.charges.is_empty();
-        borrows
-            && match self {
-                Self::Own => true,
-                Self::Urgent(urgency) => job.ask.urgency > urgency,
+        let borrows = job.charges.is_empty();
+        let yields = match self {
+            Self::Own => borrows,
+            Self::Urgent(urgency) => borrows && job.ask.urgency > urgency,
+            Self::Large {
+                urgency,
+                total,
+                space,
+            } => {
+                let smaller = job.ask.urgency >= urgency && job.ask.shape.total() < total;
+                smaller && (borrows || job.space == space)
             }
+        };
+        holds && job.ask.stoppable && yields
+    }
+
+    /// Returns what the claim finds free on a worker once the stopping gangs are gone.
+    fn room(self, slot: Slot) -> u8 {
+        match self {
+            Self::Own | Self::Urgent(URGENT) => slot.room(),
+            _ => slot.room().saturating_sub(slot.warm),
+        }
     }
 }
 
@@ -77,7 +105,7 @@
 ) -> Option<Victims> {
     let mut found = Victims::default();
     for (worker, need) in needs {
-        let mut room = fleet.slot(*worker).room();
+        let mut room = claim.room(fleet.slot(*worker));
         if room >= *need {
             continue;
         }
@@ -116,6 +144,8 @@
 }
 
 /// Returns the place that costs the least to claim, and who has to yield there.
+///
+/// `away` keeps it off the workers that are drained for a large gang.
 pub(crate) fn cheapest(
     fleet: &Fleet,
     jobs: &Jobs,
@@ -123,8 +153,12 @@
     claim: Claim,
     order: Yield,
     now: UnixMs,
+    away: bool,
 ) -> Option<(Vec<Spot>, Victims)> {
-    let usable = |w: &WorkerKey| fleet.slot(*w).open() && fleet.allows(wish.set, *w);
+    let usable = |w: &WorkerKey| {
+        let slot = fleet.slot(*w);
+        slot.open() && !(slot.drain && away) && fleet.allows(wish.set, *w)
+    };
     let cost = |spots: Vec<Spot>| {
         let needs = needs(&spots, wish.accels);
         let victims = victims(fleet, jobs, &needs, claim, order, now)?;
@@ -168,7 +202,7 @@
         let holds = fleet.holds(w).iter();
         let takes = holds.filter(|h| jobs.get(&h.job).is_some_and(|j| claim.takes(j)));
         let claimed: u8 = takes.map(|h| h.accels).sum();
-        fleet.slot(w).room() + claimed
+        claim.room(fleet.slot(w)) + claimed
     };
     let caps = workers
         .into_iter()
