Let the daemon make the CLI's edits, and show marks, history and diffs

Cause: the CLI edited the configuration itself and lost races it could have won; the same edit stood in the library; the VM list hid labels and drains. Ruled out: keeping the CLI's own field-by-field comparison; the library compares by section and name, as the history does. Conclusion: one editor and one comparison; workspace set and drop, config history N.

--- a/marigoldglade-cli/src/args.rs
+++ b/marigoldglade-cli/src/args.rs
@@ -44,7 +44,7 @@
         )
         .subcommands(job_commands())
         .subcommand(config_command())
-        .subcommand(Command::new("workspace").about("List workspaces, guarantees and quotas"))
+        .subcommand(workspace_command())
         .subcommand(vm_command())
         .subcommand(Command::new("fleet").about("Show who holds what, and guarantees in force"))
         .subcommand(Command::new("events").about("Show recent repairs and their causes"))
@@ -145,7 +145,28 @@
                 .arg(file_arg())
                 .arg(base),
         )
-        .subcommand(Command::new("history").about("List earlier versions"))
+        .subcommand(
+            Command::new("history")
+                .about("List earlier versions, or print one")
+                .arg(Arg::new("version").value_parser(value_parser!(u64))),
+        )
+}
+
+fn workspace_command() -> Command {
+    Command::new("workspace")
+        .about("List workspaces, set one, drop one")
+        .subcommand_required(true)
+        .subcommand(Command::new("list").about("List workspaces, guarantees and quotas"))
+        .subcommand(
+            Command::new("set")
+                .about("Add a workspace from a file, or replace the one with its name")
+                .arg(file_arg()),
+        )
+        .subcommand(
+            Command::new("drop")
+                .about("Remove a workspace")
+                .arg(Arg::new("name").required(true)),
+        )
 }
 
 fn vm_command() -> Command {
--- a/marigoldglade-cli/src/configs.rs
+++ b/marigoldglade-cli/src/configs.rs
@@ -1,9 +1,13 @@
 //! Commands of operators on the configuration: get, check, diff, apply, history, workspaces.
 
 use clap::ArgMatches;
-use marigoldglade::config::Config;
+use marigoldglade::api::CALLER_HEADER;
+use marigoldglade::config::{Config, Workspace};
+use marigoldglade::config_diff;
+use marigoldglade::config_edit::Edit;
 use marigoldglade::prelude::*;
-use serde_json::{Value, json};
+use marigoldglade::yaml;
+use serde_json::json;
 
 use crate::call::Client;
 use crate::jobs::read_file;
@@ -13,9 +17,9 @@
 const BASE_HEADER: &str = "mg-base";
 
 /// A configuration with the version it has in the store; version 0 is none.
-pub(crate) struct Version {
-    pub(crate) number: u64,
-    pub(crate) text: String,
+struct Version {
+    number: u64,
+    text: String,
 }
 
 /// Runs a `config` command.
@@ -39,7 +43,7 @@
             println!("{file}: the configuration is good");
             Ok(())
         }
-        Some(("diff", sub)) => diff(client, sub),
+        Some(("diff", sub)) => diff(client, output, sub),
         Some(("apply", sub)) => {
             let (file, text) = read_file(sub)?;
             Config::parse(&file, &text)?;
@@ -51,17 +55,13 @@
             println!("version {version} was accepted");
             Ok(())
         }
-        Some(("history", _)) => {
-            let value = client.json("GET", "config/history", &[], &[])?;
-            show::rows(output, &value, &[]);
-            Ok(())
-        }
+        Some(("history", sub)) => history(client, output, sub),
         _ => Err(Error::new(Kind::BadInput, "a config command is missing")),
     }
 }
 
 /// Returns the configuration in force; an empty one when there is none yet.
-pub(crate) fn current(client: &Client) -> Result<Version> {
+fn current(client: &Client) -> Result<Version> {
     match client.json("GET", "config", &[], &[]) {
         Ok(value) => Ok(Version {
             number: value["version"].as_u64().unwrap_or(0),
@@ -76,14 +76,14 @@
 }
 
 /// Puts a text in force when `base` is the newest version; returns the new version.
-pub(crate) fn apply(client: &Client, base: u64, text: &str) -> Result<u64> {
-    let headers = [(BASE_HEADER, base.to_string())];
+fn apply(client: &Client, base: u64, text: &str) -> Result<u64> {
+    let headers = [(BASE_HEADER, base.to_string()), author()];
     let value = client.json("PUT", "config", &headers, text.as_bytes())?;
     Ok(value["version"].as_u64().unwrap_or(0))
 }
 
 /// Lists the workspaces of the configuration in force.
-pub(crate) fn workspaces(client: &Client, output: Output) -> Result<()> {
+fn workspaces(client: &Client, output: Output) -> Result<()> {
     let version = current(client)?;
     let config = Config::parse("configuration", &version.text)?;
     let value = serde_json::to_value(&config.workspaces)
@@ -96,36 +96,61 @@
     Ok(())
 }
 
-/// Shows each field that differs, by its path.
-fn diff(client: &Client, matches: &ArgMatches) -> Result<()> {
+/// Shows what a file would change, by section and name.
+fn diff(client: &Client, output: Output, matches: &ArgMatches) -> Result<()> {
     let (file, text) = read_file(matches)?;
-    let to_value = |config: Config| {
-        serde_json::to_value(config).map_err(|e| Error::new(Kind::Internal, e.to_string()))
+    let new = Config::parse(&file, &text)?;
+    let old = Config::parse("configuration", &current(client)?.text)?;
+    let changes = config_diff::diff(&old, &new);
+    let value =
+        serde_json::to_value(changes).map_err(|e| Error::new(Kind::Internal, e.to_string()))?;
+    show::rows(output, &value, &["section", "name", "edit"]);
+    Ok(())
+}
+
+/// Lists earlier versions, or prints one.
+fn history(client: &Client, output: Output, matches: &ArgMatches) -> Result<()> {
+    let Some(number) = matches.get_one::<u64>("version") else {
+        let value = client.json("GET", "config/history", &[], &[])?;
+        show::rows(output, &value, &["version", "at", "author", "changes"]);
+        return Ok(());
     };
-    let new = to_value(Config::parse(&file, &text)?)?;
-    let old = to_value(Config::parse("configuration", &current(client)?.text)?)?;
-    let mut lines = Vec::new();
-    compare("", &old, &new, &mut lines);
-    for line in lines {
-        println!("{line}");
+    let value = client.json("GET", &format!("config/history/{number}"), &[], &[])?;
+    if output == Output::Json {
+        show::rows(output, &value, &[]);
+    } else {
+        println!("{}", value["text"].as_str().unwrap_or_default().trim_end());
     }
     Ok(())
 }
 
-fn compare(path: &str, old: &Value, new: &Value, out: &mut Vec<String>) {
-    match (old, new) {
-        (a, b) if a == b => {}
-        (Value::Object(a), Value::Object(b)) => {
-            let keys: std::collections::BTreeSet<&String> = a.keys().chain(b.keys()).collect();
-            for key in keys {
-                compare(&format!("{path}.{key}"), &old[key], &new[key], out);
-            }
+/// Has a daemon make one edit of the newest version.
+pub(crate) fn edit(client: &Client, edit: &Edit) -> Result<()> {
+    let body = serde_json::to_vec(edit).map_err(|e| Error::new(Kind::Internal, e.to_string()))?;
+    let headers = [author()];
+    let value = client.json("POST", "config/edits", &headers, &body)?;
+    println!("version {} was accepted", value["version"]);
+    Ok(())
+}
+
+/// Returns the header with who makes a change, for the history.
+fn author() -> (&'static str, String) {
+    let user = std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned());
+    (CALLER_HEADER, user)
+}
+
+/// Runs a `workspace` command.
+pub(crate) fn run_workspace(client: &Client, output: Output, matches: &ArgMatches) -> Result<()> {
+    match matches.subcommand() {
+        Some(("set", sub)) => {
+            let (file, text) = read_file(sub)?;
+            let workspace: Workspace = yaml::read(&file, &text)?;
+            edit(client, &Edit::SetWorkspace { workspace })
         }
-        (Value::Array(a), Value::Array(b)) => {
-            for i in 0..a.len().max(b.len()) {
-                compare(&format!("{path}[{i}]"), &old[i], &new[i], out);
-            }
+        Some(("drop", sub)) => {
+            let name = sub.get_one::<String>("name").cloned().unwrap_or_default();
+            edit(client, &Edit::DropWorkspace { name })
         }
-        _ => out.push(format!("{}: {old} -> {new}", path.trim_start_matches('.'))),
+        _ => workspaces(client, output),
     }
 }
--- a/marigoldglade-cli/src/main.rs
+++ b/marigoldglade-cli/src/main.rs
@@ -45,7 +45,7 @@
         "explain" => jobs::explain(&client, output, sub),
         "request" => jobs::request(&client, sub),
         "config" => configs::run(&client, output, sub),
-        "workspace" => configs::workspaces(&client, output),
+        "workspace" => configs::run_workspace(&client, output, sub),
         "vm" => vms::run(&client, output, sub),
         "fleet" => list(&client, output, "fleet"),
         "events" => list(&client, output, "events"),
--- a/marigoldglade-cli/src/vms.rs
+++ b/marigoldglade-cli/src/vms.rs
@@ -1,99 +1,54 @@
 //! Commands of operators on VMs: list, label, drain. Labels and drains are configuration.
 
 use clap::ArgMatches;
-use marigoldglade::config::{Config, VmMark};
+use marigoldglade::config_edit::Edit;
 use marigoldglade::prelude::*;
 
 use crate::call::Client;
 use crate::configs;
 use crate::show::{self, Output};
 
-/// How often an edit is made again when another operator was first.
-const EDIT_TRIES: usize = 5;
+/// Columns of the list.
+const COLUMNS: [&str; 10] = [
+    "name", "role", "dc", "rack", "addr", "accels", "slots", "labels", "leaving", "drain",
+];
 
 /// Runs a `vm` command.
 pub(crate) fn run(client: &Client, output: Output, matches: &ArgMatches) -> Result<()> {
     match matches.subcommand() {
         Some(("list", _)) => {
             let value = client.json("GET", "vms", &[], &[])?;
-            let columns = [
-                "name", "role", "dc", "rack", "addr", "accels", "slots", "labels", "leaving",
-            ];
-            show::rows(output, &value, &columns);
+            show::rows(output, &value, &COLUMNS);
             Ok(())
         }
-        Some(("label", sub)) => {
-            let changes: Vec<&String> = sub.get_many("labels").into_iter().flatten().collect();
-            edit(client, name(sub), |mark| {
-                changes.iter().try_for_each(|c| set_label(mark, c))
-            })
-        }
+        Some(("label", sub)) => configs::edit(client, &label(sub)?),
         Some(("drain", sub)) => {
             let drain = !sub.get_flag("undo");
-            edit(client, name(sub), |mark| {
-                mark.drain = drain;
-                Ok(())
-            })
+            let name = name(sub);
+            configs::edit(client, &Edit::DrainVm { name, drain })
         }
         _ => Err(Error::new(Kind::BadInput, "a vm command is missing")),
     }
 }
 
-fn name(matches: &ArgMatches) -> &str {
-    matches.get_one::<String>("name").map_or("", String::as_str)
-}
-
-fn set_label(mark: &mut VmMark, change: &str) -> Result<()> {
-    if let Some(key) = change.strip_suffix('-') {
-        mark.labels.remove(key);
-        return Ok(());
-    }
-    let (key, value) = change.split_once('=').ok_or_else(|| {
-        Error::new(
-            Kind::BadInput,
-            format!("'{change}' isn't key=value or key-"),
-        )
-    })?;
-    for word in [key, value] {
-        if !marigoldglade::label::is_word(word) {
-            return Err(Error::new(Kind::BadInput, format!("'{word}' isn't a word")));
-        }
-    }
-    mark.labels.insert(key.to_owned(), value.to_owned());
-    Ok(())
+fn name(matches: &ArgMatches) -> String {
+    matches.get_one("name").cloned().unwrap_or_default()
 }
 
-/// Changes one VM's mark in the newest configuration, again when another operator was first.
-fn edit(client: &Client, name: &str, change: impl Fn(&mut VmMark) -> Result<()>) -> Result<()> {
-    let mut last = Error::new(Kind::Conflict, "no try was made");
-    for _ in 0..EDIT_TRIES {
-        let base = configs::current(client)?;
-        let mut config = Config::parse("configuration", &base.text)?;
-        change(mark_of(&mut config, name))?;
-        config
-            .vms
-            .retain(|mark| mark.drain || !mark.labels.is_empty());
-        match configs::apply(client, base.number, &config.to_yaml()?) {
-            Ok(version) => {
-                println!("version {version} was accepted");
-                return Ok(());
-            }
-            Err(e) if e.kind == Kind::Conflict => last = e,
-            Err(e) => return Err(e),
+/// Reads changes of labels: `key=value` sets one, `key-` removes one.
+fn label(matches: &ArgMatches) -> Result<Edit> {
+    let mut set = Labels::new();
+    let mut remove = Vec::new();
+    for change in matches.get_many::<String>("labels").into_iter().flatten() {
+        if let Some((key, value)) = change.split_once('=') {
+            set.insert(key.to_owned(), value.to_owned());
+        } else if let Some(key) = change.strip_suffix('-') {
+            remove.push(key.to_owned());
+        } else {
+            let detail = format!("'{change}' isn't key=value or key-");
+            return Err(Error::new(Kind::BadInput, detail));
         }
     }
-    Err(last)
-}
-
-fn mark_of<'a>(config: &'a mut Config, name: &str) -> &'a mut VmMark {
-    let at = config.vms.iter().position(|m| m.name == name);
-    let at = at.unwrap_or_else(|| {
-        config.vms.push(VmMark {
-            name: name.to_owned(),
-            labels: Labels::new(),
-            drain: false,
-        });
-        config.vms.len() - 1
-    });
-    &mut config.vms[at]
+    let name = name(matches);
+    Ok(Edit::LabelVm { name, set, remove })
 }
--- a/marigoldgladed/src/front.rs
+++ b/marigoldgladed/src/front.rs
@@ -130,7 +130,7 @@
         (&Method::POST, ["config", "edits"]) => app.edit_config(parts, &body).await,
         (&Method::GET, ["config", "history"]) => app.show_history().await,
         (&Method::GET, ["config", "history", number]) => app.show_past(number).await,
-        (&Method::GET, ["vms"]) => json(StatusCode::OK, &*app.targets.list()),
+        (&Method::GET, ["vms"]) => app.show_vms(),
         (&Method::GET, ["events"]) => app.show_events(),
         (&Method::GET, ["mesh"]) => app.show_mesh(),
         (_, ["request", _] | ["jobs", ..] | ["config" | "vms" | "events" | "mesh"]) => {
--- a/marigoldgladed/src/keeper.rs
+++ b/marigoldgladed/src/keeper.rs
@@ -15,10 +15,11 @@
 use marigoldglade::store_client::{
     Action, Addr, CallKey, Client, Event, FLIGHT_LIMIT, FlightKey, Told,
 };
+use opentelemetry::trace::SpanKind;
 use tokio::sync::{Notify, oneshot, watch};
 
 use crate::admin::Counts;
-use crate::clock;
+use crate::{clock, spans};
 
 pub(crate) use marigoldglade::budget::Rank;
 
@@ -82,7 +83,8 @@
         let (told, result) = oneshot::channel();
         lock(&self.0.waiters).insert(key, told);
         self.0.step(Event::Submit(key, rank, Arc::new(call), end));
-        let result = result.await.unwrap_or(Err(Fault::Unknown));
+        let work = async { result.await.unwrap_or(Err(Fault::Unknown)) };
+        let result = spans::hop("store", SpanKind::Client, rank.to_string(), work).await;
         let outcome = match &result {
             Ok(_) => "ok".to_owned(),
             Err(fault) => format!("{fault:?}").to_lowercase(),
--- a/marigoldgladed/src/targets.rs
+++ b/marigoldgladed/src/targets.rs
@@ -2,11 +2,14 @@
 
 use std::sync::{Arc, PoisonError, RwLock};
 
+use hyper::StatusCode;
 use marigoldglade::prelude::*;
 use marigoldglade::time::SECOND_MS;
 use marigoldglade::wire::Vm;
+use serde::Serialize;
 
 use crate::app::App;
+use crate::front::{self, Answer};
 use crate::{clock, send};
 
 /// How often the VM list is read, in milliseconds.
@@ -14,6 +17,14 @@
 /// The time that reading the VM list may take, in milliseconds.
 const READ_LIMIT_MS: u64 = 2 * SECOND_MS;
 
+/// A VM as operators see it: the platform's list with their own labels and drains.
+#[derive(Serialize)]
+struct Seen<'a> {
+    #[serde(flatten)]
+    vm: &'a Vm,
+    drain: bool,
+}
+
 /// The VMs as the list showed them last.
 pub(crate) struct Targets {
     list: RwLock<Arc<Vec<Vm>>>,
@@ -38,6 +49,23 @@
 }
 
 impl App {
+    /// Shows the VMs with the operators' labels and drains.
+    pub(crate) fn show_vms(&self) -> Result<Answer> {
+        let config = self.configs.current().map(|v| v.config);
+        let mut vms = Vec::clone(&self.targets.list());
+        let mut drains = Vec::new();
+        for vm in &mut vms {
+            let marks = config.as_deref().map_or(&[][..], |c| &c.vms);
+            let mark = marks.iter().find(|m| m.name == vm.name);
+            vm.labels
+                .extend(mark.map(|m| m.labels.clone()).unwrap_or_default());
+            drains.push(mark.is_some_and(|m| m.drain));
+        }
+        let seen = vms.iter().zip(drains);
+        let seen: Vec<Seen<'_>> = seen.map(|(vm, drain)| Seen { vm, drain }).collect();
+        front::json(StatusCode::OK, &seen)
+    }
+
     /// Keeps the VM list current until the daemon ends.
     pub(crate) async fn follow_targets(self: Arc<Self>) {
         let addr = self.settings.vm_list.to_string();
--- a/marigoldgladed/tests/cli.rs
+++ b/marigoldgladed/tests/cli.rs
@@ -91,6 +91,37 @@
         let text = cli.good(&["config", "get"]);
         (text.contains("runner-0") && text.contains("tier: gate")).then_some(())
     });
+    let listed = cli.good(&["vm", "list"]);
+    assert!(
+        listed.contains("tier=gate") && listed.contains("true"),
+        "{listed}"
+    );
+}
+
+#[test]
+fn edits_workspaces_and_shows_what_changed() {
+    let fleet = Fleet::start(0, 8, CONFIG);
+    let cli = Cli(&fleet);
+    let text = "name: audits\nguarantee: [{dc: kista, workers: 1}]\nquota: 16\n";
+    let path = file("workspace.yaml", text);
+    cli.good(&["workspace", "set", &path.display().to_string()]);
+    wait_for("the workspace in force", || {
+        let listed = cli.good(&["workspace", "list"]);
+        listed.contains("audits").then_some(())
+    });
+    let history = cli.good(&["config", "history"]);
+    assert!(history.contains("workspaces.audits: added"), "{history}");
+    let first = file("first.yaml", &cli.good(&["config", "history", "1"]));
+    let diff = cli.good(&["config", "diff", &first.display().to_string()]);
+    assert!(
+        diff.contains("audits") && diff.contains("removed"),
+        "{diff}"
+    );
+    cli.good(&["workspace", "drop", "audits"]);
+    assert_eq!(
+        cli.run(&["workspace", "drop", "none"]).status.code(),
+        Some(4)
+    );
 }
 
 #[test]
