--- a/marigoldglade/src/reclaim.rs
+++ b/marigoldglade/src/reclaim.rs
@@ -105,7 +105,12 @@
 ) -> Option<Victims> {
     let mut found = Victims::default();
     for (worker, need) in needs {
-        let mut room = claim.room(fleet.slot(*worker));
+        let slot = fleet.slot(*worker);
+        let mut room = claim.room(slot);
+        if claim == Claim::Own && slot.room().saturating_sub(slot.warm) < *need {
+            // Room that is kept free is taken last.
+            found.cost = found.cost.or(Some((0, 0, 0)));
+        }
         if room >= *need {
             continue;
         }
--- a/marigoldglade/src/reserve.rs
+++ b/marigoldglade/src/reserve.rs
@@ -10,7 +10,7 @@
 use crate::order::ClassKey;
 use crate::plan::{Action, Ask, WorkerKey};
 use crate::planner::Planner;
-use crate::reclaim::{Claim, victims};
+use crate::reclaim::{Claim, Cost, victims};
 use crate::time::UnixMs;
 
 /// The least urgent work for which room is kept.
@@ -101,13 +101,14 @@
         }
     }
 
-    /// Returns the workers by what a block there costs; those with room cost nothing.
-    fn reserve_costs(&self, now: UnixMs, size: u8) -> Vec<((crate::reclaim::Cost, u8), WorkerKey)> {
+    /// Returns the workers by what a block there costs, then by how much of them is promised.
+    fn reserve_costs(&self, now: UnixMs, size: u8) -> Vec<((Cost, u8, u8), WorkerKey)> {
         let cost = |w: WorkerKey| {
             let order = self.policy.victim;
             let claim = Claim::Urgent(URGENT);
             let v = victims(&self.fleet, &self.jobs, &[(w, size)], claim, order, now)?;
-            Some(((v.cost, self.fleet.slot(w).room()), w))
+            let slot = self.fleet.slot(w);
+            Some(((v.cost, slot.cells, slot.room()), w))
         };
         let open = self.fleet.keys().filter(|w| self.fleet.slot(*w).open());
         open.filter_map(cost).collect()
