--- a/marigoldglade/tests/member.rs
+++ b/marigoldglade/tests/member.rs
@@ -102,6 +102,23 @@
     fleet.assert_agreed();
 }
 
+#[rstest]
+fn a_daemon_that_wakes_gives_old_suspects_their_time() {
+    let mut fleet = Fleet::new(7, 3, 13);
+    fleet.run(SETTLE_MS, Weather::CALM);
+    fleet.pause(5);
+    while fleet.state_of(4, 5) != Some(State::Suspect) {
+        fleet.run(100, Weather::CALM);
+    }
+    fleet.pause(4);
+    fleet.resume(5);
+    fleet.run(SETTLE_MS, Weather::CALM);
+    fleet.resume_without_inbox(4);
+    fleet.run(SETTLE_MS, Weather::CALM);
+    assert!(!fleet.deaths_seen(4, 5));
+    fleet.assert_agreed();
+}
+
 #[rstest]
 fn a_broken_link_between_two_daemons_accuses_neither() {
     for other in 1..7 {
