--- a/marigoldglade/src/fleet.rs
+++ b/marigoldglade/src/fleet.rs
@@ -31,6 +31,8 @@
     pub stopping: u8,
     /// Promised to gangs that wait for others to stop.
     pub held: u8,
+    /// Kept free for urgent work.
+    pub warm: u8,
     /// Covered by blocks of guarantees.
     pub cells: u8,
     /// Held by gangs that can't be stopped and lie outside their guarantee.
@@ -41,6 +43,10 @@
     pub closed: bool,
     /// Whether it is under suspicion.
     pub suspect: bool,
+    /// Whether a suspect may be tried with one task.
+    pub probe: bool,
+    /// Whether it is kept for a large gang.
+    pub drain: bool,
 }
 
 impl Slot {
--- a/marigoldglade/src/mesh.rs
+++ b/marigoldglade/src/mesh.rs
@@ -14,6 +14,7 @@
 use crate::member;
 use crate::owner;
 use crate::requests;
+use crate::spread;
 use crate::time::UnixMs;
 
 /// The version of the frames; ends of different versions refuse each other.
@@ -55,6 +56,8 @@
     Member(member::Message),
     /// Who owns which data centre.
     Owners(Vec<owner::Holder>),
+    /// Versions of the configuration.
+    Config(spread::Message),
     /// Requests: shares and signs of targets.
     Request(requests::Tell),
     /// The answer to a call that failed.
--- a/marigoldgladed/src/mesh.rs
+++ b/marigoldgladed/src/mesh.rs
@@ -377,6 +377,10 @@
                 self.told_owners(holders);
                 Payload::Done
             }
+            Payload::Config(message) => {
+                self.told_config(peer.addr, message);
+                Payload::Done
+            }
             Payload::Request(tell) => {
                 self.heard(&peer.name, tell);
                 Payload::Done
