--- a/marigoldglade/src/owner.rs
+++ b/marigoldglade/src/owner.rs
@@ -92,8 +92,10 @@
 pub enum Event {
     /// Time passed.
     Tick,
-    /// The living daemons, this one among them, and how many data centres this one owns.
-    Members(Vec<Candidate>, usize),
+    /// The living daemons, this one among them.
+    Members(Vec<Candidate>),
+    /// How many data centres this daemon owns.
+    Owned(usize),
     /// The key in the store, as a read or a watch saw it.
     Seen(Option<Holder>),
     /// The outcome of the call of this number.
@@ -214,11 +216,11 @@
     pub fn step(&mut self, now: UnixMs, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Tick => {}
-            Event::Members(members, owned) => {
+            Event::Members(members) => {
                 self.order = ordered(&self.me.dc, members);
-                self.owned = owned;
                 self.note_better(now);
             }
+            Event::Owned(count) => self.owned = count,
             Event::Seen(holder) => self.seen(now, holder, out),
             Event::Reply(id, outcome) => self.reply(now, id, outcome, out),
             Event::Stop => self.stopping = true,
--- a/marigoldglade/src/roles.rs
+++ b/marigoldglade/src/roles.rs
@@ -136,16 +136,19 @@
             Event::Tick => self.tick(now, out),
             Event::Centres(names) => {
                 for name in names {
-                    self.add_centre(&name);
+                    self.add_centre(now, &name, out);
                 }
             }
-            Event::Members(members) => self.members = members,
+            Event::Members(members) => {
+                self.all(now, &owner::Event::Members(members.clone()), out);
+                self.members = members;
+            }
             Event::Listed(holders, revision) => self.listed(now, &holders, revision, out),
             Event::Put(holder, revision) => self.seen(now, Ok(holder), revision, out),
             Event::Gone(dc, revision) => self.seen(now, Err(&dc), revision, out),
             Event::Told(holders) => {
                 for holder in holders.into_iter().take(CENTRE_LIMIT) {
-                    self.known(holder, out);
+                    self.known(now, holder, out);
                 }
             }
             Event::Reply(key, id, outcome) => {
@@ -161,8 +164,7 @@
             .iter()
             .filter(|c| c.owner.held().is_some())
             .count();
-        let members = self.members.clone();
-        self.all(now, &owner::Event::Members(members, owned), out);
+        self.all(now, &owner::Event::Owned(owned), out);
         if self.next_tell.passed(now) {
             self.next_tell = now.after(TELL_MS);
             let holders = self.holders();
@@ -172,7 +174,7 @@
         }
     }
 
-    fn add_centre(&mut self, name: &str) -> Option<CentreKey> {
+    fn add_centre(&mut self, now: UnixMs, name: &str, out: &mut Vec<Action>) -> Option<CentreKey> {
         if let Some(key) = self.keys.get(name) {
             return Some(*key);
         }
@@ -186,6 +188,8 @@
             holder: None,
             seen: 0,
         });
+        let members = owner::Event::Members(self.members.clone());
+        self.owner_step(now, key, members, out);
         Some(key)
     }
 
@@ -222,7 +226,7 @@
             Ok(holder) => &holder.dc,
             Err(dc) => *dc,
         };
-        let Some(key) = self.add_centre(dc) else {
+        let Some(key) = self.add_centre(now, dc, out) else {
             return;
         };
         let Some(centre) = self.centres.get_mut(usize::from(key.0)) else {
@@ -235,8 +239,8 @@
         self.owner_step(now, key, owner::Event::Seen(what.ok()), out);
     }
 
-    fn known(&mut self, holder: Holder, out: &mut Vec<Action>) {
-        let Some(key) = self.add_centre(&holder.dc) else {
+    fn known(&mut self, now: UnixMs, holder: Holder, out: &mut Vec<Action>) {
+        let Some(key) = self.add_centre(now, &holder.dc, out) else {
             return;
         };
         let Some(centre) = self.centres.get_mut(usize::from(key.0)) else {
@@ -282,7 +286,7 @@
                 }
                 owner::Action::Extended(end) => out.push(Action::Extended(dc.clone(), end)),
                 owner::Action::Stopped(cause) => out.push(Action::Stopped(dc.clone(), cause)),
-                owner::Action::Known(holder) => self.known(holder, out),
+                owner::Action::Known(holder) => self.known(now, holder, out),
             }
         }
     }
--- a/marigoldglade/tests/owner/shelf.rs
+++ b/marigoldglade/tests/owner/shelf.rs
@@ -234,7 +234,7 @@
             self.step(i, Event::Seen(seen), weather);
         }
         let members = self.candidates();
-        self.step(i, Event::Members(members, 0), weather);
+        self.step(i, Event::Members(members), weather);
     }
 
     fn candidates(&self) -> Vec<Candidate> {
--- a/marigoldgladed/src/mesh.rs
+++ b/marigoldgladed/src/mesh.rs
@@ -26,6 +26,8 @@
 
 /// The time between steps of the membership, in milliseconds.
 const TICK_MS: u64 = 100;
+/// The time between looks at the VM list for seeds, in milliseconds.
+const SEEDS_MS: u64 = 1_000;
 /// The time after which a link that carried nothing is closed, in milliseconds.
 const IDLE_MS: u64 = 60_000;
 /// The frames that wait for a link, at most; those beyond are lost.
@@ -99,6 +101,11 @@
         members.live().into_iter().cloned().collect()
     }
 
+    /// Returns a number that changes when the living daemons do.
+    pub(crate) fn digest(&self) -> u64 {
+        lock(&self.members).digest()
+    }
+
     /// Returns the members that this daemon probes.
     pub(crate) fn neighbours(&self) -> Vec<Entry> {
         let members = lock(&self.members);
@@ -419,8 +426,12 @@
 
     /// Runs the membership until the task is aborted.
     pub(crate) async fn follow_members(self: Arc<Self>) {
+        let mut next_seeds = clock::now();
         loop {
-            self.step_members(member::Event::Seeds(self.seeds()));
+            if next_seeds.passed(clock::now()) {
+                next_seeds = clock::now().after(SEEDS_MS);
+                self.step_members(member::Event::Seeds(self.seeds()));
+            }
             self.step_members(member::Event::Tick);
             clock::sleep_until(clock::now().after(TICK_MS)).await;
         }
--- a/marigoldgladed/src/roles.rs
+++ b/marigoldgladed/src/roles.rs
@@ -96,13 +96,18 @@
     /// Runs the ownerships until the task is aborted.
     pub(crate) async fn follow_roles(self: Arc<Self>) {
         let mut told = false;
+        let mut seen = None;
         loop {
             if self.stop.stopping() && !told {
                 told = true;
                 self.step_roles(roles::Event::Stop);
             }
-            self.step_roles(roles::Event::Centres(self.centres()));
-            self.step_roles(roles::Event::Members(self.candidates()));
+            let view = (self.mesh.digest(), self.configs.current().map(|v| v.number));
+            if seen != Some(view) {
+                seen = Some(view);
+                self.step_roles(roles::Event::Centres(self.centres()));
+                self.step_roles(roles::Event::Members(self.candidates()));
+            }
             self.step_roles(roles::Event::Tick);
             if told {
                 let released = self.roles.lock().is_released();
--- a/marigoldgladed/tests/mesh.rs
+++ b/marigoldgladed/tests/mesh.rs
@@ -10,7 +10,7 @@
 use futures_util::{SinkExt as _, StreamExt as _};
 use marigoldglade::events::Entry as Noted;
 use marigoldglade::member::{Entry, State};
-use marigoldglade::mesh::{self, Dial, Hello, VERSION};
+use marigoldglade::mesh::{Dial, Hello, VERSION};
 use marigoldglade::owner::Holder;
 use serde::Deserialize;
 use tokio_tungstenite::tungstenite::Message;
