--- /dev/null
+++ b/marigoldglade/src/jobs/calls.rs
@@ -0,0 +1,311 @@
+//! Calls of callers: submit, cancel, query, wait, explain, and their answers.
+
+use rand::RngExt as _;
+
+use crate::api::{JobSpec, JobView, State};
+use crate::config::{Class, Config, Workspace};
+use crate::error::{Error, Kind, Result};
+use crate::explain;
+use crate::gang;
+use crate::label::{Labels, Selector};
+use crate::plan::{self, Ask, JobKey, Reason};
+use crate::record::{Id, Record};
+use crate::time::UnixMs;
+use crate::writer::Rank;
+
+use super::{Action, Event, Job, Owner, Stage, Ticket};
+
+/// The urgency of a job that falls in no class.
+const DEFAULT_URGENCY: u8 = 5;
+/// The grace of a job that falls in no class, in milliseconds.
+const DEFAULT_GRACE_MS: u64 = 10_000;
+
+impl Owner {
+    pub(super) fn submit(
+        &mut self,
+        now: UnixMs,
+        ticket: Ticket,
+        caller: &str,
+        spec: JobSpec,
+        out: &mut Vec<Action>,
+    ) {
+        let id = Id::new(&self.dc, &spec);
+        if let Some(&key) = self.by_id.get(&id.to_string()) {
+            return self.submit_again(ticket, key, &spec, out);
+        }
+        if let Err(e) = self.check(now, &spec) {
+            return out.push(Action::Answer(ticket, Err(e)));
+        }
+        let nonce = self.rng.random();
+        let mut record = Record::new(spec, caller, now, nonce);
+        record.note(now, self.version(), Reason::Accepted);
+        if let Err(e) = record.encode() {
+            return out.push(Action::Answer(ticket, Err(e)));
+        }
+        let key = self.add(id, record, Stage::Accepting);
+        let mark = self.write(key, Rank::Accept);
+        self.job(key).acks.push((ticket, mark));
+    }
+
+    fn check(&self, now: UnixMs, spec: &JobSpec) -> Result<()> {
+        let Some((config, _)) = &self.config else {
+            return Err(not_ready());
+        };
+        if !self.is_ready() {
+            return Err(not_ready());
+        }
+        spec.check(now)?;
+        if !config.workspaces.iter().any(|w| w.name == spec.workspace) {
+            let detail = format!("workspace '{}' isn't configured", spec.workspace);
+            return Err(Error::new(Kind::NotFound, detail));
+        }
+        if self.writer.is_down(now) || !self.may_act(now) {
+            return Err(Error::new(
+                Kind::StoreDown,
+                "the store can't take the job's record",
+            ));
+        }
+        Ok(())
+    }
+
+    /// Takes in a submit under a key that is in use: the same job, or another one.
+    fn submit_again(&mut self, ticket: Ticket, key: JobKey, spec: &JobSpec, out: &mut Vec<Action>) {
+        let job = self.job(key);
+        if job.record.spec != *spec {
+            let detail = format!("the key is used by another job, {}", job.id);
+            return out.push(Action::Answer(
+                ticket,
+                Err(Error::new(Kind::Duplicate, detail)),
+            ));
+        }
+        if job.stage == Stage::Accepting {
+            let mark = job.mark;
+            return job.acks.push((ticket, mark));
+        }
+        out.push(Action::Answer(ticket, Ok(job.view())));
+    }
+
+    pub(super) fn add(&mut self, id: Id, record: Record, stage: Stage) -> JobKey {
+        let key = JobKey(u32::try_from(self.jobs.len()).unwrap_or(u32::MAX));
+        self.by_id.insert(id.to_string(), key);
+        if stage != Stage::Ended {
+            self.live.insert(key);
+        }
+        let tries = record.attempt;
+        self.jobs.push(Job {
+            id,
+            record,
+            stage,
+            gang: None,
+            last: None,
+            mark: 0,
+            start_mark: 0,
+            end_mark: 0,
+            acks: Vec::new(),
+            waits: Vec::new(),
+            found: false,
+            tries,
+        });
+        key
+    }
+
+    /// The idempotency key is taken by a job that this owner doesn't hold in memory.
+    pub(super) fn taken(&mut self, key: JobKey, id: &str, out: &mut Vec<Action>) {
+        for (ticket, _) in self.void(key) {
+            out.push(Action::Elsewhere(ticket, id.to_owned()));
+        }
+    }
+
+    /// The record of a new job surely wasn't and won't be written.
+    pub(super) fn dropped(&mut self, key: JobKey, out: &mut Vec<Action>) {
+        for (ticket, _) in self.void(key) {
+            let e = Error::new(Kind::StoreDown, "the store didn't take the job's record");
+            out.push(Action::Answer(ticket, Err(e)));
+        }
+    }
+
+    fn void(&mut self, key: JobKey) -> Vec<(Ticket, u64)> {
+        let job = self.job(key);
+        job.stage = Stage::Void;
+        let acks = std::mem::take(&mut job.acks);
+        let waits = std::mem::take(&mut job.waits);
+        let id = job.id.to_string();
+        self.by_id.remove(&id);
+        self.live.remove(&key);
+        acks.into_iter()
+            .chain(waits.into_iter().map(|(t, _)| (t, 0)))
+            .collect()
+    }
+
+    fn find(&self, id: &str) -> Result<JobKey> {
+        if let Some(&key) = self.by_id.get(id) {
+            return Ok(key);
+        }
+        if !self.load.is_done() {
+            return Err(not_ready());
+        }
+        Err(Error::new(Kind::NotFound, format!("no job {id}")))
+    }
+
+    pub(super) fn cancel(&mut self, now: UnixMs, ticket: Ticket, id: &str, out: &mut Vec<Action>) {
+        let key = match self.find(id) {
+            Ok(key) => key,
+            Err(e) => return out.push(Action::Answer(ticket, Err(e))),
+        };
+        let job = self.job(key);
+        match job.stage {
+            Stage::Accepting => {
+                job.record.cancel = true;
+                let mark = job.mark;
+                job.acks.push((ticket, mark));
+            }
+            Stage::Waiting => {
+                job.record.cancel = true;
+                self.finish_now(now, key, State::Cancelled, Reason::Cancelled, out);
+                let mark = self.job(key).mark;
+                self.job(key).acks.push((ticket, mark));
+            }
+            Stage::Placed => {
+                if !job.record.cancel {
+                    job.record.cancel = true;
+                    self.write(key, Rank::Change);
+                }
+                let mark = self.job(key).mark;
+                self.job(key).acks.push((ticket, mark));
+                let grace = self.grace_end(now, key);
+                self.gang_step(now, key, gang::Event::Stop(grace), out);
+            }
+            Stage::Ending => {
+                let mark = job.mark;
+                job.acks.push((ticket, mark));
+            }
+            Stage::Ended | Stage::Void => out.push(Action::Answer(ticket, Ok(job.view()))),
+        }
+    }
+
+    pub(super) fn query(&mut self, ticket: Ticket, id: &str, out: &mut Vec<Action>) {
+        let view = self.find(id).map(|key| self.job(key).view());
+        out.push(Action::Answer(ticket, view));
+    }
+
+    pub(super) fn wait(&mut self, ticket: Ticket, id: &str, end: UnixMs, out: &mut Vec<Action>) {
+        match self.find(id) {
+            Ok(key) if self.job(key).stage != Stage::Ended => {
+                self.job(key).waits.push((ticket, end));
+            }
+            _ => self.query(ticket, id, out),
+        }
+    }
+
+    pub(super) fn explain(&mut self, ticket: Ticket, id: &str, out: &mut Vec<Action>) {
+        let lines = self.find(id).map(|key| {
+            let job = self.job(key);
+            explain::lines(&job.id, &job.record)
+        });
+        out.push(Action::Explained(ticket, lines));
+    }
+
+    pub(super) fn answer_waits(&mut self, now: UnixMs, out: &mut Vec<Action>) {
+        for key in &self.live {
+            let job = &mut self.jobs[key.0 as usize];
+            let view = job.record.view(&job.id);
+            job.waits.retain(|(ticket, end)| {
+                let over = end.passed(now);
+                if over {
+                    out.push(Action::Answer(*ticket, Ok(view.clone())));
+                }
+                !over
+            });
+        }
+    }
+
+    /// Answers every open call of a deposed owner. A submit whose record may have been written
+    /// is told so; the caller learns the rest by submitting the same again.
+    pub(super) fn answer_all(&mut self, out: &mut Vec<Action>) {
+        for job in &mut self.jobs {
+            let e = match job.stage {
+                Stage::Accepting => Error::new(Kind::Unknown, "the owner changed meanwhile"),
+                _ => not_ready(),
+            };
+            let acks = std::mem::take(&mut job.acks);
+            let waits = std::mem::take(&mut job.waits);
+            let tickets = acks.into_iter().map(|(t, _)| t);
+            for ticket in tickets.chain(waits.into_iter().map(|(t, _)| t)) {
+                out.push(Action::Answer(ticket, Err(e.clone())));
+            }
+        }
+    }
+
+    pub(super) fn refuse_late(&mut self, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Submit(ticket, ..)
+            | Event::Cancel(ticket, _)
+            | Event::Query(ticket, _)
+            | Event::Wait(ticket, ..) => out.push(Action::Answer(ticket, Err(not_ready()))),
+            Event::Explain(ticket, _) => out.push(Action::Explained(ticket, Err(not_ready()))),
+            _ => {}
+        }
+    }
+
+    /// Returns the waiting job as the planner sees it.
+    pub(super) fn ask(&self, key: JobKey) -> Ask {
+        let record = &self.jobs[key.0 as usize].record;
+        let spec = &record.spec;
+        let config = self.config.as_ref().map(|(c, _)| c.as_ref());
+        let workspace = config.and_then(|c| workspace(c, spec));
+        let class = config.and_then(|c| class(c, spec));
+        Ask {
+            job: key,
+            workspace: spec.workspace.clone(),
+            caller: record.caller.clone(),
+            labels: spec.labels.clone(),
+            urgency: class.map_or(DEFAULT_URGENCY, |c| c.urgency),
+            allowed: [
+                class.map_or_else(Selector::default, |c| c.r#where.clone()),
+                workspace.map_or_else(Selector::default, |w| w.r#where.clone()),
+            ],
+            shape: spec.shape,
+            checkpoint: spec.checkpoint,
+            stoppable: spec.idempotent,
+            grace_ms: class.map_or(DEFAULT_GRACE_MS, |c| c.grace_ms),
+            run_ms: spec.run_ms,
+            since: record.since,
+            end: spec.end,
+        }
+    }
+
+    /// Returns when the grace of a stop that begins now ends.
+    pub(super) fn grace_end(&self, now: UnixMs, key: JobKey) -> UnixMs {
+        let spec = &self.jobs[key.0 as usize].record.spec;
+        let config = self.config.as_ref().map(|(c, _)| c.as_ref());
+        let class = config.and_then(|c| class(c, spec));
+        now.after(class.map_or(DEFAULT_GRACE_MS, |c| c.grace_ms))
+    }
+
+    pub(super) fn wait_again(&mut self, key: JobKey, out: &mut Vec<Action>) {
+        let ask = self.ask(key);
+        out.push(Action::Plan(plan::Event::Wait(ask)));
+    }
+}
+
+impl Job {
+    pub(super) fn view(&self) -> JobView {
+        self.record.view(&self.id)
+    }
+}
+
+fn workspace<'a>(config: &'a Config, spec: &JobSpec) -> Option<&'a Workspace> {
+    config.workspaces.iter().find(|w| w.name == spec.workspace)
+}
+
+/// Returns the first class that matches the job's labels and those of its workspace.
+fn class<'a>(config: &'a Config, spec: &JobSpec) -> Option<&'a Class> {
+    let mut labels: Labels = workspace(config, spec).map_or_else(Labels::new, |w| w.labels.clone());
+    labels.extend(spec.labels.clone());
+    labels.insert("workspace".to_owned(), spec.workspace.clone());
+    config.classes.iter().find(|c| c.matches.matches(&labels))
+}
+
+fn not_ready() -> Error {
+    Error::new(Kind::NotReady, "the data centre's owner is taking over")
+}
--- /dev/null
+++ b/marigoldglade/src/jobs/ends.rs
@@ -0,0 +1,226 @@
+//! How starts end, and the one terminal record of each job.
+
+use crate::api::State;
+use crate::gang::{self, Cause, Outcome};
+use crate::plan::{self, JobKey, Reason};
+use crate::record::RESULT_LIMIT_BYTES;
+use crate::time::UnixMs;
+use crate::writer::Rank;
+
+use super::{Action, FAILURES_LIMIT, Owner, Stage};
+
+impl Owner {
+    pub(super) fn gang_over(
+        &mut self,
+        now: UnixMs,
+        key: JobKey,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        match outcome {
+            Outcome::Done(result) => self.done(now, key, result, out),
+            Outcome::NotRun(cause) => self.not_run(now, key, cause, out),
+            Outcome::Cut(cause) => self.cut_short(now, key, cause, out),
+        }
+    }
+
+    fn done(&mut self, now: UnixMs, key: JobKey, result: String, out: &mut Vec<Action>) {
+        let vms = self.job(key).record.vms.clone();
+        for vm in vms {
+            out.push(Action::Plan(plan::Event::TaskDone(key, vm)));
+        }
+        self.finish(now, key, State::Done, Reason::Done, out);
+        let mut result = result;
+        let cut = result.floor_char_boundary(RESULT_LIMIT_BYTES);
+        result.truncate(cut);
+        if let Some(last) = &mut self.job(key).last {
+            last.result = result;
+        }
+        self.write_end(key);
+    }
+
+    /// No body of this start ran, so even a job that may run only once waits again.
+    fn not_run(&mut self, now: UnixMs, key: JobKey, cause: Cause, out: &mut Vec<Action>) {
+        if self.end_if_unwanted(now, key, out) {
+            return;
+        }
+        let recorded = self.job(key).start_mark > 0;
+        match cause {
+            Cause::Lost(vm) | Cause::Failed(vm) if !self.job(key).found => {
+                self.note(now, key, Reason::StartFailed(vm.clone()));
+                self.back_to_waiting(key, recorded);
+                out.push(Action::Plan(plan::Event::StartFailed(key, vm)));
+            }
+            _ => {
+                self.back_to_waiting(key, recorded);
+                self.wait_again(key, out);
+            }
+        }
+    }
+
+    fn cut_short(&mut self, now: UnixMs, key: JobKey, cause: Cause, out: &mut Vec<Action>) {
+        if let Cause::Failed(vm) = &cause {
+            self.job(key).record.failures += 1;
+            out.push(Action::Plan(plan::Event::TaskFailed(key, vm.clone())));
+        }
+        if self.end_if_unwanted(now, key, out) {
+            return;
+        }
+        let record = &self.job(key).record;
+        let again = record.spec.idempotent && record.failures < FAILURES_LIMIT;
+        let (state, reason) = match cause {
+            Cause::Failed(vm) => (State::Failed, Some(Reason::TaskFailed(vm))),
+            Cause::Lost(vm) => (State::Unknown, Some(Reason::WorkerLost(vm))),
+            Cause::Asked => (State::Unknown, None),
+        };
+        if let Some(reason) = reason {
+            self.note(now, key, reason);
+        }
+        if again {
+            self.forget(key);
+            self.back_to_waiting(key, true);
+            return self.wait_again(key, out);
+        }
+        if state == State::Unknown {
+            return self.finish_now(now, key, state, Reason::Unknown, out);
+        }
+        self.finish_as_noted(key, state, out);
+    }
+
+    /// Ends a job that was cancelled or is past its deadline, now that nothing of it runs.
+    fn end_if_unwanted(&mut self, now: UnixMs, key: JobKey, out: &mut Vec<Action>) -> bool {
+        let record = &self.job(key).record;
+        if record.cancel {
+            self.finish_now(now, key, State::Cancelled, Reason::Cancelled, out);
+            return true;
+        }
+        if record.spec.end.passed(now) {
+            self.finish_now(now, key, State::Expired, Reason::Expired, out);
+            return true;
+        }
+        false
+    }
+
+    fn back_to_waiting(&mut self, key: JobKey, recorded: bool) {
+        let job = self.job(key);
+        job.stage = Stage::Waiting;
+        job.gang = None;
+        job.found = false;
+        job.start_mark = 0;
+        job.record.state = State::Waiting;
+        if recorded {
+            self.write(key, Rank::Change);
+        }
+    }
+
+    pub(super) fn expire(&mut self, now: UnixMs, key: JobKey, out: &mut Vec<Action>) {
+        self.finish_now(now, key, State::Expired, Reason::Expired, out);
+    }
+
+    pub(super) fn finish_now(
+        &mut self,
+        now: UnixMs,
+        key: JobKey,
+        state: State,
+        reason: Reason,
+        out: &mut Vec<Action>,
+    ) {
+        self.finish(now, key, state, reason, out);
+        self.write_end(key);
+    }
+
+    fn finish_as_noted(&mut self, key: JobKey, state: State, out: &mut Vec<Action>) {
+        self.set_last(key, state, out);
+        self.write_end(key);
+    }
+
+    /// Settles how the job ends; callers see it once it is durable.
+    fn finish(
+        &mut self,
+        now: UnixMs,
+        key: JobKey,
+        state: State,
+        reason: Reason,
+        out: &mut Vec<Action>,
+    ) {
+        self.set_last(key, state, out);
+        let version = self.version();
+        if let Some(last) = &mut self.job(key).last {
+            last.note(now, version, reason);
+        }
+    }
+
+    fn set_last(&mut self, key: JobKey, state: State, out: &mut Vec<Action>) {
+        let job = self.job(key);
+        let mut last = job.record.clone();
+        last.state = state;
+        job.last = Some(last);
+        job.stage = Stage::Ending;
+        out.push(Action::Plan(plan::Event::Ended(key)));
+    }
+
+    fn write_end(&mut self, key: JobKey) {
+        let mark = self.write(key, Rank::End);
+        self.job(key).end_mark = mark;
+    }
+
+    /// Takes in that all writes of a job up to a mark are durable.
+    pub(super) fn durable(&mut self, now: UnixMs, key: JobKey, mark: u64, out: &mut Vec<Action>) {
+        let job = self.job(key);
+        if job.stage == Stage::Accepting {
+            self.accepted(now, key, out);
+        } else if job.stage == Stage::Ending && mark >= job.end_mark {
+            self.ended(key, out);
+        } else if job.start_mark > 0 && mark >= job.start_mark {
+            self.gang_step(now, key, gang::Event::Recorded, out);
+        }
+        self.acknowledge(key, mark, out);
+    }
+
+    fn accepted(&mut self, now: UnixMs, key: JobKey, out: &mut Vec<Action>) {
+        let job = self.job(key);
+        job.stage = Stage::Waiting;
+        if job.record.cancel {
+            return self.finish_now(now, key, State::Cancelled, Reason::Cancelled, out);
+        }
+        self.wait_again(key, out);
+    }
+
+    fn ended(&mut self, key: JobKey, out: &mut Vec<Action>) {
+        self.forget(key);
+        let job = self.job(key);
+        job.stage = Stage::Ended;
+        job.gang = None;
+        if let Some(last) = job.last.take() {
+            job.record = last;
+        }
+        let view = job.view();
+        for (ticket, _) in std::mem::take(&mut job.waits) {
+            out.push(Action::Answer(ticket, Ok(view.clone())));
+        }
+        self.live.remove(&key);
+    }
+
+    fn acknowledge(&mut self, key: JobKey, mark: u64, out: &mut Vec<Action>) {
+        let job = self.job(key);
+        let view = job.view();
+        job.acks.retain(|(ticket, wanted)| {
+            let due = *wanted <= mark;
+            if due {
+                out.push(Action::Answer(*ticket, Ok(view.clone())));
+            }
+            !due
+        });
+    }
+
+    /// Lets workers forget what they keep of the job's last start.
+    fn forget(&mut self, key: JobKey) {
+        let orders: Vec<_> = match &self.job(key).gang {
+            Some(gang) => gang.forget().collect(),
+            None => Vec::new(),
+        };
+        for (vm, order) in orders {
+            self.send(&vm, order);
+        }
+    }
+}
--- /dev/null
+++ b/marigoldglade/src/jobs/takeover.rs
@@ -0,0 +1,262 @@
+//! How a new owner learns what a former one left: records from the store, tasks from workers.
+//!
+//! No worker is shown to the planner before it reported under this owner's epoch, and as long as
+//! a found gang that isn't settled may hold accelerators on it.
+
+use crate::api::State;
+use crate::error::{Error, Kind};
+use crate::gang::{self, CLOCK_MARGIN_MS, Gang};
+use crate::plan::{self, JobKey, Reason};
+use crate::record::{self, Id, Record};
+use crate::store::{Body, Call, Fault, Key, Pair, Reply};
+use crate::time::UnixMs;
+use crate::wire::{Order, Report, Role, Stand, Told, Vm};
+use crate::worker_link::Link;
+use crate::writer::Writer;
+
+use super::{Action, OUTAGE_LEASE_MS, Owner, Stage};
+
+/// The most records in one page.
+const PAGE_RECORDS: u32 = 100;
+/// The wait after a page that couldn't be read, in milliseconds.
+const PAGE_RETRY_MS: u64 = 500;
+
+/// Reading the records, page by page.
+pub(super) struct Load {
+    /// The number of the call under way; zero when there is none.
+    number: u64,
+    after: Key,
+    next: UnixMs,
+    done: bool,
+}
+
+impl Load {
+    pub(super) const fn new() -> Self {
+        Self {
+            number: 0,
+            after: String::new(),
+            next: UnixMs(0),
+            done: false,
+        }
+    }
+
+    pub(super) const fn is_done(&self) -> bool {
+        self.done
+    }
+
+    pub(super) const fn awaits(&self, number: u64) -> bool {
+        !self.done && self.number == number
+    }
+
+    /// Returns the call for the next page when it is due.
+    pub(super) fn call(&mut self, now: UnixMs, dc: &str, writer: &mut Writer) -> Option<Action> {
+        if self.done || self.number != 0 || !self.next.passed(now) {
+            return None;
+        }
+        self.number = writer.number();
+        let call = Call::Range {
+            prefix: record::prefix(dc),
+            after: self.after.clone(),
+            limit: PAGE_RECORDS,
+        };
+        Some(Action::Store(self.number, call))
+    }
+}
+
+impl Owner {
+    pub(super) fn loaded(
+        &mut self,
+        now: UnixMs,
+        reply: &std::result::Result<Reply, Fault>,
+        out: &mut Vec<Action>,
+    ) {
+        self.load.number = 0;
+        let Ok(Reply {
+            body: Body::Range { pairs, more },
+            ..
+        }) = reply
+        else {
+            self.load.next = now.after(PAGE_RETRY_MS);
+            return;
+        };
+        for pair in pairs {
+            self.load.after.clone_from(&pair.key);
+            if let Err(e) = self.load_record(now, pair) {
+                log::error!("{}: {e}", pair.key);
+            }
+        }
+        if !more {
+            self.load.done = true;
+            self.resume(now, out);
+        }
+    }
+
+    fn load_record(&mut self, now: UnixMs, pair: &Pair) -> crate::error::Result<()> {
+        let text = pair.key.strip_prefix("/mg/job/").unwrap_or_default();
+        let id = Id::parse(text)?;
+        let record = Record::decode(&pair.value)?;
+        if id.record_key() != pair.key {
+            return Err(Error::new(Kind::Internal, "the key isn't the id's"));
+        }
+        let stage = match record.state {
+            state if state.ended() => Stage::Ended,
+            State::Waiting => Stage::Waiting,
+            _ => Stage::Placed,
+        };
+        let attempt = record.attempt;
+        let vms = record.vms.clone();
+        let key = self.add(id, record, stage);
+        if stage == Stage::Ended {
+            return Ok(());
+        }
+        self.note(now, key, Reason::OwnerChanged(self.epoch));
+        if stage == Stage::Placed {
+            let lapse = now.after(OUTAGE_LEASE_MS + CLOCK_MARGIN_MS);
+            let job = self.job(key);
+            let id = job.id.to_string();
+            job.gang = Some(Gang::with_recovery(now, &id, attempt, &vms, lapse));
+            job.start_mark = 1;
+            job.found = true;
+        }
+        Ok(())
+    }
+
+    /// All records are known: waiting jobs wait again, cancelled ones are ended.
+    fn resume(&mut self, now: UnixMs, out: &mut Vec<Action>) {
+        let live: Vec<JobKey> = self.live.iter().copied().collect();
+        for key in live {
+            let job = self.job(key);
+            match (job.stage, job.record.cancel) {
+                (Stage::Waiting, true) => {
+                    self.finish_now(now, key, State::Cancelled, Reason::Cancelled, out);
+                }
+                (Stage::Waiting, false) => self.wait_again(key, out),
+                (Stage::Placed, _) => {
+                    // A VM that is on the list no more can't report.
+                    let missing: Vec<String> = self.missing_vms(key);
+                    for vm in missing {
+                        self.gang_step(now, key, gang::Event::Gone(vm), out);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn missing_vms(&self, key: JobKey) -> Vec<String> {
+        if self.links.is_empty() {
+            return Vec::new();
+        }
+        let gang = self.jobs[key.0 as usize].gang.as_ref();
+        let vms = gang.into_iter().flat_map(Gang::vms);
+        let missing = vms.filter(|vm| !self.links.contains_key(*vm));
+        missing.map(str::to_owned).collect()
+    }
+
+    pub(super) fn worker(&mut self, vm: Vm, out: &mut Vec<Action>) {
+        if vm.role != Role::Worker || vm.dc != self.dc {
+            return;
+        }
+        let name = vm.name.clone();
+        match self.links.get_mut(&name) {
+            Some(link) if link.vm == vm => return,
+            Some(link) => link.vm = vm,
+            None => {
+                self.links.insert(name.clone(), Link::new(vm));
+            }
+        }
+        self.show(&name, true, out);
+    }
+
+    pub(super) fn reported(&mut self, now: UnixMs, report: Report, out: &mut Vec<Action>) {
+        let Some(link) = self.links.get_mut(&report.name) else {
+            return;
+        };
+        if !link.answered() {
+            return;
+        }
+        if report.epoch > self.epoch {
+            return self.depose(out);
+        }
+        link.report_came();
+        let left = report.leaving && !link.vm.leaving;
+        link.vm.leaving |= report.leaving;
+        self.absent_tasks(now, &report, out);
+        for told in report.tasks {
+            self.told_of(now, &report.name, told, out);
+        }
+        self.show(&report.name, left, out);
+    }
+
+    /// Tasks that the worker should know and doesn't are lost. One that was never confirmed may
+    /// still be on its way.
+    fn absent_tasks(&mut self, now: UnixMs, report: &Report, out: &mut Vec<Action>) {
+        let live: Vec<JobKey> = self.live.iter().copied().collect();
+        for key in live {
+            let Some(gang) = &self.job(key).gang else {
+                continue;
+            };
+            let found = |i: u16| {
+                let task = gang.task(i);
+                report.tasks.iter().any(|t| t.task == task)
+            };
+            let absent: Vec<u16> = gang
+                .tasks_on(&report.name)
+                .filter(|&i| gang.expects(i) && !found(i))
+                .collect();
+            for i in absent {
+                let event = gang::Event::Told(i, Stand::Absent, String::new());
+                self.gang_step(now, key, event, out);
+            }
+        }
+    }
+
+    /// Takes in a task of a report; one that belongs to no present start is cleaned up.
+    fn told_of(&mut self, now: UnixMs, vm: &str, told: Told, out: &mut Vec<Action>) {
+        if let Some(key) = self.job_of(&told) {
+            let event = gang::Event::Told(told.task.index, told.stand, told.result);
+            return self.gang_step(now, key, event, out);
+        }
+        let task = told.task;
+        let order = match told.stand {
+            Stand::Prepared | Stand::Committed => Order::Abort { task },
+            Stand::Running | Stand::Stopping => Order::Stop { task, end: now },
+            _ => Order::Forget { task },
+        };
+        self.send(vm, order);
+    }
+
+    /// Shows a worker to the planner when it may be used, or when it changed.
+    fn show(&mut self, name: &str, changed: bool, out: &mut Vec<Action>) {
+        let live = self.live.iter().map(|k| &self.jobs[k.0 as usize]);
+        let mut found = live.filter(|j| j.found);
+        let held = found.any(|j| j.gang.as_ref().is_some_and(|g| g.holds(name)));
+        let Some(link) = self.links.get_mut(name) else {
+            return;
+        };
+        let fresh = link.reported && !link.shown && !held;
+        if fresh || (link.shown && changed) {
+            link.shown = true;
+            out.push(Action::Plan(plan::Event::Worker(link.vm.clone())));
+        }
+    }
+
+    /// Shows a found gang to the planner once it is settled: it runs as a whole, or parts of it
+    /// hold nothing any more.
+    pub(super) fn show_found(&mut self, key: JobKey, out: &mut Vec<Action>) {
+        let job = self.job(key);
+        let Some(gang) = &job.gang else {
+            return;
+        };
+        let vms: Vec<String> = gang.vms().map(str::to_owned).collect();
+        let settled = matches!(gang.stage(), gang::Stage::Running);
+        job.found = !settled;
+        for vm in &vms {
+            self.show(vm, false, out);
+        }
+        if settled {
+            let ask = self.ask(key);
+            out.push(Action::Plan(plan::Event::Holds(ask, vms)));
+        }
+    }
+}
--- a/marigoldglade/src/wire.rs
+++ b/marigoldglade/src/wire.rs
@@ -88,14 +88,23 @@
         /// When the preparation lapses.
         end: UnixMs,
     },
-    /// Run a prepared task under a lease until `end`.
+    /// Bind a prepared task until `end`; its body doesn't start yet.
     Commit {
+        /// The task.
+        task: TaskId,
+        /// When the binding lapses.
+        end: UnixMs,
+    },
+    /// Start the body of a committed task under a lease until `end`.
+    ///
+    /// It is sent only after every worker of the gang confirmed its commit.
+    Run {
         /// The task.
         task: TaskId,
         /// When the task's lease lapses.
         end: UnixMs,
     },
-    /// Give a prepared task's accelerators back.
+    /// Give a prepared or committed task's accelerators back.
     Abort {
         /// The task.
         task: TaskId,
@@ -128,6 +137,23 @@
     },
 }
 
+impl Order {
+    /// Returns the task that the order is about.
+    #[must_use]
+    pub const fn task(&self) -> &TaskId {
+        match self {
+            Self::Prepare { task, .. }
+            | Self::Commit { task, .. }
+            | Self::Run { task, .. }
+            | Self::Abort { task }
+            | Self::Renew { task, .. }
+            | Self::Throttle { task, .. }
+            | Self::Stop { task, .. }
+            | Self::Forget { task } => task,
+        }
+    }
+}
+
 /// Orders of one owner, which workers obey only from the newest epoch they have seen.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Orders {
@@ -144,6 +170,8 @@
 pub enum Stand {
     /// Accelerators are set aside.
     Prepared,
+    /// It is bound and ready; its body hasn't started.
+    Committed,
     /// It runs.
     Running,
     /// It is stopping within its grace.
--- /dev/null
+++ b/marigoldglade/tests/jobs.rs
@@ -0,0 +1,92 @@
+//! Jobs under failure: each accepted job ends once, and no body starts twice that may not.
+
+#[path = "support/first_fit.rs"]
+mod first_fit;
+#[path = "support/store.rs"]
+mod store;
+#[path = "support/world.rs"]
+mod world;
+
+use marigoldglade::api::{JobSpec, Shape, State};
+use marigoldglade::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use world::{Act, World};
+
+fn spec(key: &str, tasks: u16, accels: u8, idempotent: bool, body: &str) -> JobSpec {
+    JobSpec {
+        workspace: "register".to_owned(),
+        key: key.to_owned(),
+        labels: Labels::new(),
+        shape: Shape { tasks, accels },
+        checkpoint: false,
+        idempotent,
+        run_ms: 0,
+        end: UnixMs::MAX,
+        body: body.to_owned(),
+    }
+}
+
+fn state(world: &World, key: &str) -> State {
+    let id = format!("{}/register/{key}", world::DC);
+    let found = world.store.records().find(|(i, _)| *i == id);
+    found.expect("the job has a record").1.state
+}
+
+/// The same number gives the same job, so that a job is submitted more than once.
+fn numbered(n: u16) -> JobSpec {
+    let fail = if n % 11 == 3 { " fail" } else { "" };
+    let body = format!("run_ms={}{fail}", 100 + u64::from(n) * 149);
+    let accels = [1, 2, 3, 5, 8][usize::from(n % 5)];
+    spec(&format!("j{n}"), 1 + n % 4, accels, n % 3 == 0, &body)
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        8 => (0..40_u16).prop_map(|n| Act::Submit(numbered(n))),
+        3 => (0..64_usize).prop_map(Act::Cancel),
+        2 => (0..2_usize).prop_map(Act::Kill),
+        2 => (0..2_usize, 500..20_000_u64).prop_map(|(n, ms)| Act::Freeze(n, ms)),
+        1 => (500..15_000_u64).prop_map(Act::StoreDown),
+        1 => (0..4_usize).prop_map(Act::Restart),
+        1 => (0..4_usize).prop_map(Act::Replace),
+        1 => (0..4_usize, 100..5_000_u64).prop_map(|(n, ms)| Act::Refuse(n, ms)),
+        1 => (0..4_usize, 100..30_000_u64).prop_map(|(n, ms)| Act::Cut(n, ms)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn each_accepted_job_ends_once_under_any_schedule(
+        seed in any::<u64>(),
+        faulty in 0..30_u32,
+        acts in prop::collection::vec((0..2_500_u64, act()), 1..50),
+    ) {
+        let mut world = World::new(seed, 2, 4, faulty);
+        world.run(world.now.after(2_000));
+        for (gap, act) in acts {
+            world.run(world.now.after(gap));
+            world.act_on(act);
+        }
+        world.heal();
+        world.run(world.now.after(150_000));
+        world.check_settled();
+    }
+}
+
+#[test]
+fn a_quiet_job_is_done_once() {
+    let mut world = World::new(1, 1, 4, 0);
+    world.run(world.now.after(2_000));
+    world.submit(spec("sweep", 4, 8, false, "run_ms=3000"));
+    world.run(world.now.after(10_000));
+    assert_eq!(state(&world, "sweep"), State::Done);
+    world.check_settled();
+}
--- a/marigoldgladed/src/jobs.rs
+++ b/marigoldgladed/src/jobs.rs
@@ -214,6 +214,10 @@
             self.order(worker, order).await?;
         }
         if whole {
+            for (index, worker) in (0..).zip(&taken) {
+                let (task, end) = (task_id(id, index), clock::now().after(LEASE_MS));
+                self.order(worker, Order::Run { task, end }).await?;
+            }
             let names = taken.iter().map(|w| w.name.clone()).collect();
             if let Some(job) = self.jobs.lock().get_mut(id) {
                 job.view.vms = names;
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -19,10 +19,32 @@
     accels: u8,
     body: String,
     stand: Stand,
-    /// When the preparation or the lease lapses.
+    /// When the preparation lapses.
+    prepared: UnixMs,
+    /// When the preparation, the commit or the lease lapses.
     end: UnixMs,
-    /// When the task is done, or is cut if it is stopping.
+    /// When the task is done by itself.
     finish: UnixMs,
+    /// When a stop cuts it.
+    cut: UnixMs,
+}
+
+impl Task {
+    /// A task that is done before its lease lapses and before a stop cuts it ends by itself.
+    fn settle(&mut self, now: UnixMs) {
+        if !matches!(self.stand, Stand::Running | Stand::Stopping) {
+            return;
+        }
+        let (lapse, cut) = (self.end, self.cut);
+        if self.finish.passed(now) && self.finish <= lapse.min(cut) {
+            let failed = self.body.split_whitespace().any(|w| w == "fail");
+            self.stand = if failed { Stand::Failed } else { Stand::Done };
+        } else if cut.passed(now) && cut <= lapse {
+            self.stand = Stand::Stopped;
+        } else if lapse.passed(now) {
+            self.stand = Stand::Lapsed;
+        }
+    }
 }
 
 /// A worker's whole state, without its socket.
@@ -31,7 +53,11 @@
     accels: u8,
     epoch: u64,
     leaving: bool,
+    refuses: bool,
     tasks: BTreeMap<TaskId, Task>,
+    /// Tasks given back, until their preparation would have lapsed: a delayed copy of it must
+    /// not set them up again.
+    past: BTreeMap<TaskId, UnixMs>,
     /// Every start of a task, in order.
     starts: Vec<TaskId>,
 }
@@ -45,7 +71,9 @@
             accels,
             epoch: 0,
             leaving: false,
+            refuses: false,
             tasks: BTreeMap::new(),
+            past: BTreeMap::new(),
             starts: Vec::new(),
         }
     }
@@ -78,29 +106,43 @@
         &self.starts
     }
 
-    /// Lets time act: preparations and leases lapse, tasks end.
+    /// Returns the starts since the last call.
+    pub fn take_starts(&mut self) -> Vec<TaskId> {
+        std::mem::take(&mut self.starts)
+    }
+
+    /// Returns the tasks that run now.
+    pub fn running(&mut self, now: UnixMs) -> Vec<TaskId> {
+        self.settle(now);
+        let runs = |t: &&Task| matches!(t.stand, Stand::Running | Stand::Stopping);
+        let tasks = self.tasks.iter().filter(|(_, t)| runs(t));
+        tasks.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns the accelerators that are free now.
+    pub fn free_accels(&mut self, now: UnixMs) -> u8 {
+        self.settle(now);
+        self.free()
+    }
+
+    /// Makes the worker refuse every preparation, or take them again.
+    pub fn refuse(&mut self, refuses: bool) {
+        self.refuses = refuses;
+    }
+
+    /// Lets time act: preparations, commits and leases lapse, tasks end.
     fn settle(&mut self, now: UnixMs) {
-        self.tasks
-            .retain(|_, t| t.stand != Stand::Prepared || !t.end.passed(now));
+        self.past.retain(|_, end| !end.passed(now));
+        let idle = |t: &Task| matches!(t.stand, Stand::Prepared | Stand::Committed);
+        self.tasks.retain(|_, t| !idle(t) || !t.end.passed(now));
         for task in self.tasks.values_mut() {
-            match task.stand {
-                Stand::Running if task.finish.passed(now) && task.finish <= task.end => {
-                    let failed = task.body.split_whitespace().any(|w| w == "fail");
-                    task.stand = if failed { Stand::Failed } else { Stand::Done };
-                }
-                Stand::Running | Stand::Stopping if task.end.passed(now) => {
-                    task.stand = Stand::Lapsed;
-                }
-                Stand::Stopping if task.finish.passed(now) => task.stand = Stand::Stopped,
-                _ => {}
-            }
+            task.settle(now);
         }
     }
 
     fn free(&self) -> u8 {
-        let holds =
-            |t: &&Task| matches!(t.stand, Stand::Prepared | Stand::Running | Stand::Stopping);
-        let held: u8 = self.tasks.values().filter(holds).map(|t| t.accels).sum();
+        let held = self.tasks.values().filter(|t| holds(t.stand));
+        let held: u8 = held.map(|t| t.accels).sum();
         self.accels.saturating_sub(held)
     }
 
@@ -120,53 +162,54 @@
     }
 
     fn order(&mut self, now: UnixMs, order: &Order) -> Told {
-        let id = match order {
-            Order::Prepare { task, .. }
-            | Order::Commit { task, .. }
-            | Order::Abort { task }
-            | Order::Renew { task, .. }
-            | Order::Throttle { task, .. }
-            | Order::Stop { task, .. }
-            | Order::Forget { task } => task,
-        };
+        let id = order.task();
         if let Order::Prepare {
             accels, body, end, ..
         } = order
         {
             return self.prepare(now, id, *accels, body, *end);
         }
-        if let Some(task) = self.tasks.get_mut(id) {
-            match (order, task.stand) {
-                (Order::Commit { end, .. }, Stand::Prepared) => {
-                    task.stand = Stand::Running;
-                    task.end = *end;
-                    task.finish = now.after(run_ms(&task.body));
-                    self.starts.push(id.clone());
-                }
-                (Order::Renew { end, .. }, Stand::Running | Stand::Stopping) => task.end = *end,
-                (Order::Stop { end, .. }, Stand::Running) => {
-                    task.stand = Stand::Stopping;
-                    task.finish = *end;
-                }
-                (Order::Abort { .. }, Stand::Prepared) => {
-                    self.tasks.remove(id);
-                }
-                (Order::Forget { .. }, stand)
-                    if !matches!(stand, Stand::Prepared | Stand::Running | Stand::Stopping) =>
-                {
-                    self.tasks.remove(id);
-                }
-                _ => {}
+        let Some(task) = self.tasks.get_mut(id) else {
+            return self.told(id);
+        };
+        match (order, task.stand) {
+            (Order::Commit { end, .. }, Stand::Prepared) if !end.passed(now) => {
+                task.stand = Stand::Committed;
+                task.end = *end;
+            }
+            (Order::Run { end, .. }, Stand::Committed) if !end.passed(now) => {
+                task.stand = Stand::Running;
+                task.end = *end;
+                task.finish = now.after(run_ms(&task.body));
+                self.starts.push(id.clone());
+            }
+            (Order::Renew { end, .. }, Stand::Running | Stand::Stopping) => task.end = *end,
+            (Order::Stop { end, .. }, Stand::Running | Stand::Stopping) => {
+                task.stand = Stand::Stopping;
+                task.cut = task.cut.min(*end);
             }
+            (Order::Abort { .. } | Order::Stop { .. }, Stand::Prepared | Stand::Committed) => {
+                self.drop_task(id);
+            }
+            (Order::Forget { .. }, stand) if !holds(stand) => self.drop_task(id),
+            _ => {}
         }
+        self.settle(now);
         self.told(id)
     }
 
+    fn drop_task(&mut self, id: &TaskId) {
+        if let Some(task) = self.tasks.remove(id) {
+            self.past.insert(id.clone(), task.prepared);
+        }
+    }
+
     fn prepare(&mut self, now: UnixMs, id: &TaskId, accels: u8, body: &str, end: UnixMs) -> Told {
         if self.tasks.contains_key(id) {
             return self.told(id);
         }
-        if self.leaving || accels > self.free() || end.passed(now) {
+        let unfit = self.leaving || self.refuses || accels > self.free();
+        if unfit || end.passed(now) || self.past.contains_key(id) {
             return Told {
                 task: id.clone(),
                 stand: Stand::Refused,
@@ -177,14 +220,24 @@
             accels,
             body: body.to_owned(),
             stand: Stand::Prepared,
+            prepared: end,
             end,
             finish: UnixMs::MAX,
+            cut: UnixMs::MAX,
         };
         self.tasks.insert(id.clone(), task);
         self.told(id)
     }
 }
 
+/// Returns whether a task that stands so holds accelerators.
+const fn holds(stand: Stand) -> bool {
+    matches!(
+        stand,
+        Stand::Prepared | Stand::Committed | Stand::Running | Stand::Stopping
+    )
+}
+
 /// Returns how long a task with this body runs, in milliseconds.
 fn run_ms(body: &str) -> u64 {
     body.split_whitespace()
