--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -6,15 +6,25 @@
 
 pub mod api;
 pub mod config;
+pub mod config_check;
+pub mod config_diff;
+pub mod config_edit;
+pub mod config_locate;
 pub mod error;
 pub mod etcd;
+pub mod events;
 pub mod explain;
+pub mod frame_auth;
 pub mod gang;
 pub mod jobs;
 pub mod label;
+pub mod member;
+pub mod mesh;
+pub mod owner;
 pub mod plan;
 pub mod prelude;
 pub mod record;
+pub mod roles;
 pub mod settings;
 pub mod store;
 pub mod time;
--- a/marigoldgladed/src/keeper.rs
+++ b/marigoldgladed/src/keeper.rs
@@ -15,7 +15,6 @@
 /// Which calls go first when the budget is short.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
 #[strum(serialize_all = "lowercase")]
-#[expect(dead_code, reason = "ownership leases are not wired yet")]
 pub(crate) enum Rank {
     /// Ownership leases.
     Lease,
