--- a/marigoldglade/src/explain.rs
+++ b/marigoldglade/src/explain.rs
@@ -1,7 +1,12 @@
-//! A job's record flows in, lines that tell an operator why it stands where it stands flow out.
+//! A job's record flows in, an [`Explanation`] of why it stands where it stands flows out.
 
+use serde::{Deserialize, Serialize};
+
+use crate::api::JobView;
 use crate::plan::Reason;
-use crate::record::{Id, Record};
+use crate::record::{Entry, Id, Record};
+use crate::store::Revision;
+use crate::time::UnixMs;
 
 /// Returns a reason as a sentence.
 #[must_use]
@@ -39,25 +44,40 @@
     format!("{missing}, most of them held by {}", holders.join(", "))
 }
 
-/// Returns the lines that explain a job: where it stands, then each reason with its time in
-/// milliseconds since the Unix epoch and the version of the configuration that decided.
+/// One recorded reason, as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// When it arose.
+    pub at: UnixMs,
+    /// The version of the configuration that was in force.
+    pub config: Revision,
+    /// The reason, from the closed set.
+    pub reason: Reason,
+    /// The reason as a sentence.
+    pub text: String,
+}
+
+/// A job and why it stands where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Explanation {
+    /// The job.
+    #[serde(flatten)]
+    pub view: JobView,
+    /// Its recorded reasons, oldest first.
+    pub reasons: Vec<Line>,
+}
+
+/// Explains a job from its record.
 #[must_use]
-pub fn lines(id: &Id, record: &Record) -> Vec<String> {
-    let shape = record.spec.shape;
-    let mut lines = vec![
-        format!("job {id}: {}", record.state),
-        format!(
-            "shape: {} tasks of {} accelerators, submitted by {} at {}",
-            shape.tasks, shape.accels, record.caller, record.since.0
-        ),
-    ];
-    if record.attempt > 0 {
-        let vms = record.vms.join(", ");
-        lines.push(format!("start {} on {vms}", record.attempt));
+pub fn explain(id: &Id, record: &Record) -> Explanation {
+    let line = |e: &Entry| Line {
+        at: e.at,
+        config: e.config,
+        reason: e.reason.clone(),
+        text: sentence(&e.reason),
+    };
+    Explanation {
+        view: record.view(id),
+        reasons: record.reasons.iter().map(line).collect(),
     }
-    lines.extend(record.reasons.iter().map(|e| {
-        let text = sentence(&e.reason);
-        format!("{} configuration {}: {text}", e.at.0, e.config)
-    }));
-    lines
 }
--- a/marigoldglade/src/jobs.rs
+++ b/marigoldglade/src/jobs.rs
@@ -19,6 +19,7 @@
 use crate::api::{JobSpec, JobView};
 use crate::config::Config;
 use crate::error::Result;
+use crate::explain::Explanation;
 use crate::gang::{self, CLOCK_MARGIN_MS, Gang};
 use crate::plan::{self, JobKey, Reason};
 use crate::record::{Id, Record};
@@ -63,6 +64,8 @@
     Wait(Ticket, String, UnixMs),
     /// An operator asks why a job stands where it stands.
     Explain(Ticket, String),
+    /// An operator asks for the newest jobs.
+    List(Ticket),
     /// The store replied to the call with this number, or gave no reply.
     Store(u64, std::result::Result<Reply, Fault>),
     /// A worker is in the VM list.
@@ -85,7 +88,7 @@
 #[derive(Clone, Debug)]
 pub enum Action {
     /// Make a store call, and tell [`Event::Store`] with its number.
-    Store(u64, Call),
+    Store(u64, Rank, Call),
     /// Send orders to a worker unless the deadline has passed; tell [`Event::Told`] or
     /// [`Event::NoAnswer`].
     Orders(String, Orders, UnixMs),
@@ -94,8 +97,10 @@
     Ask(String, u64),
     /// Answer a call.
     Answer(Ticket, Result<JobView>),
-    /// Answer [`Event::Explain`] with lines for an operator.
-    Explained(Ticket, Result<Vec<String>>),
+    /// Answer [`Event::Explain`].
+    Explained(Ticket, Result<Explanation>),
+    /// Answer [`Event::List`].
+    Listed(Ticket, Vec<JobView>),
     /// Ask the owner of another data centre for this job and answer with it.
     Elsewhere(Ticket, String),
     /// Tell the planner.
@@ -214,6 +219,7 @@
             Event::Query(ticket, id) => self.query(ticket, &id, out),
             Event::Wait(ticket, id, end) => self.wait(ticket, &id, end, out),
             Event::Explain(ticket, id) => self.explain(ticket, &id, out),
+            Event::List(ticket) => self.list(ticket, out),
             Event::Store(number, reply) => self.replied(now, number, &reply, out),
             Event::Worker(vm) => self.worker(vm, out),
             Event::Gone(name) => self.gone(now, &name, out),
@@ -358,7 +364,9 @@
     fn written(&mut self, now: UnixMs, actions: Vec<writer::Action>, out: &mut Vec<Action>) {
         for action in actions {
             match action {
-                writer::Action::Call(number, call) => out.push(Action::Store(number, call)),
+                writer::Action::Call(number, rank, call) => {
+                    out.push(Action::Store(number, rank, call));
+                }
                 writer::Action::Written(key, mark) => self.durable(now, key, mark, out),
                 writer::Action::Taken(key, id) => self.taken(key, &id, out),
                 writer::Action::Dropped(key) => self.dropped(key, out),
--- a/marigoldglade/src/jobs/calls.rs
+++ b/marigoldglade/src/jobs/calls.rs
@@ -15,6 +15,8 @@
 
 use super::{Action, Event, Job, Owner, Stage, Ticket};
 
+/// The most jobs in a list.
+const LIST_LIMIT: usize = 1_000;
 /// The urgency of a job that falls in no class.
 const DEFAULT_URGENCY: u8 = 5;
 /// The grace of a job that falls in no class, in milliseconds.
@@ -198,17 +200,26 @@
     }
 
     pub(super) fn explain(&mut self, ticket: Ticket, id: &str, out: &mut Vec<Action>) {
-        let lines = self.find(id).map(|key| {
+        let explained = self.find(id).map(|key| {
             let job = self.job(key);
-            explain::lines(&job.id, &job.record)
+            explain::explain(&job.id, &job.record)
         });
-        out.push(Action::Explained(ticket, lines));
+        out.push(Action::Explained(ticket, explained));
+    }
+
+    pub(super) fn list(&self, ticket: Ticket, out: &mut Vec<Action>) {
+        let kept = self.jobs.iter().rev().filter(|j| j.stage != Stage::Void);
+        let views = kept.take(LIST_LIMIT).map(Job::view).collect();
+        out.push(Action::Listed(ticket, views));
     }
 
     pub(super) fn answer_waits(&mut self, now: UnixMs, out: &mut Vec<Action>) {
         for key in &self.live {
             let job = &mut self.jobs[key.0 as usize];
-            let view = job.record.view(&job.id);
+            if job.waits.is_empty() {
+                continue;
+            }
+            let view = job.view();
             job.waits.retain(|(ticket, end)| {
                 let over = end.passed(now);
                 if over {
@@ -243,21 +254,39 @@
             | Event::Query(ticket, _)
             | Event::Wait(ticket, ..) => out.push(Action::Answer(ticket, Err(not_ready()))),
             Event::Explain(ticket, _) => out.push(Action::Explained(ticket, Err(not_ready()))),
+            Event::List(ticket) => out.push(Action::Listed(ticket, Vec::new())),
             _ => {}
         }
     }
 
+    /// Returns a job that isn't accepted yet as the planner would see it, once every listed
+    /// worker is known to the planner; `None` before, and for a job that is there already.
+    #[must_use]
+    pub fn candidate(&self, now: UnixMs, caller: &str, spec: &JobSpec) -> Option<Ask> {
+        let known = self
+            .by_id
+            .contains_key(&Id::new(&self.dc, spec).to_string());
+        let shown = !self.links.is_empty() && self.links.values().all(|l| l.shown);
+        if known || !shown || !self.is_ready() {
+            return None;
+        }
+        Some(self.ask_of(JobKey(u32::MAX), spec, caller, now))
+    }
+
     /// Returns the waiting job as the planner sees it.
     pub(super) fn ask(&self, key: JobKey) -> Ask {
         let record = &self.jobs[key.0 as usize].record;
-        let spec = &record.spec;
+        self.ask_of(key, &record.spec, &record.caller, record.since)
+    }
+
+    fn ask_of(&self, job: JobKey, spec: &JobSpec, caller: &str, since: UnixMs) -> Ask {
         let config = self.config.as_ref().map(|(c, _)| c.as_ref());
         let workspace = config.and_then(|c| workspace(c, spec));
         let class = config.and_then(|c| class(c, spec));
         Ask {
-            job: key,
+            job,
             workspace: spec.workspace.clone(),
-            caller: record.caller.clone(),
+            caller: caller.to_owned(),
             labels: spec.labels.clone(),
             urgency: class.map_or(DEFAULT_URGENCY, |c| c.urgency),
             allowed: [
@@ -269,7 +298,7 @@
             stoppable: spec.idempotent,
             grace_ms: class.map_or(DEFAULT_GRACE_MS, |c| c.grace_ms),
             run_ms: spec.run_ms,
-            since: record.since,
+            since,
             end: spec.end,
         }
     }
--- a/marigoldglade/src/jobs/takeover.rs
+++ b/marigoldglade/src/jobs/takeover.rs
@@ -12,7 +12,7 @@
 use crate::time::UnixMs;
 use crate::wire::{Order, Report, Role, Stand, Told, Vm};
 use crate::worker_link::Link;
-use crate::writer::Writer;
+use crate::writer::{Rank, Writer};
 
 use super::{Action, OUTAGE_LEASE_MS, Owner, Stage};
 
@@ -59,7 +59,7 @@
             after: self.after.clone(),
             limit: PAGE_RECORDS,
         };
-        Some(Action::Store(self.number, call))
+        Some(Action::Store(self.number, Rank::Change, call))
     }
 }
 
--- a/marigoldglade/src/record.rs
+++ b/marigoldglade/src/record.rs
@@ -101,7 +101,7 @@
 /// Returns the key that a data centre's owner holds by its lease.
 #[must_use]
 pub fn owner_key(dc: &str) -> Key {
-    format!("/mg/owner/{}", escaped(dc))
+    format!("{}{dc}", crate::owner::PREFIX)
 }
 
 /// Returns the key that numbers the owner's writes in a data centre.
--- a/marigoldglade/src/writer.rs
+++ b/marigoldglade/src/writer.rs
@@ -55,8 +55,8 @@
 /// What the writer tells its owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Make a store call.
-    Call(u64, Call),
+    /// Make a store call, as urgent as the most urgent write in it.
+    Call(u64, Rank, Call),
     /// The write with this mark, and those before it, are durable.
     Written(JobKey, u64),
     /// The idempotency key is taken by the job with this id.
@@ -160,7 +160,9 @@
             && flight.number == 0
         {
             flight.number = number;
-            out.push(Action::Call(number, Call::Txn(txn)));
+            let rank = flight.writes.iter().map(|w| w.rank).min();
+            let rank = rank.unwrap_or(Rank::Accept);
+            out.push(Action::Call(number, rank, Call::Txn(txn)));
         }
     }
 
--- a/marigoldglade/tests/support/world.rs
+++ b/marigoldglade/tests/support/world.rs
@@ -11,7 +11,7 @@
 use marigoldglade::jobs::{Action, Event, Owner, Ticket};
 
 use marigoldglade::prelude::*;
-use marigoldglade::record::{Id, owner_key};
+use marigoldglade::record::{Id, Record, owner_key};
 use marigoldglade::store::{Call, Fault, Reply};
 use marigoldglade::wire::{Orders, Report, Role, TaskId, Told, Vm};
 use rand::{RngExt as _, SeedableRng as _};
@@ -334,7 +334,7 @@
 
     fn act(&mut self, node: usize, action: Action) {
         match action {
-            Action::Store(number, call) => {
+            Action::Store(number, _, call) => {
                 let epoch = self.epoch(node);
                 self.nodes[node].calls.insert((epoch, number));
                 self.send(|| Msg::Store(node, number, call.clone()));
@@ -358,7 +358,7 @@
                 }
             }
             Action::Deposed => self.nodes[node].owner = None,
-            Action::Explained(..) | Action::Elsewhere(..) => {}
+            Action::Explained(..) | Action::Listed(..) | Action::Elsewhere(..) => {}
         }
     }
 
@@ -376,8 +376,9 @@
         };
         match &result {
             Ok(view) => {
-                let record = self.store.records().find(|(i, _)| *i == id);
-                let (_, record) = record.expect("an accepted job has a record");
+                let pair = self.store.pairs.get(&format!("/mg/job/{id}"));
+                let value = &pair.expect("an accepted job has a record").value;
+                let record = Record::decode(value).expect("a record");
                 if view.state.ended() {
                     assert_eq!(view.state, record.state, "{id} was told another end");
                 }
