Run the job path's decisions in the daemon

Cause: the thin path placed jobs without an owner, an epoch or recovery, and only the daemon that took a submit knew the job.

The data centre's owner now runs jobs::Owner with the planner; every other daemon hands calls on over the mesh.

--- a/marigoldglade/src/jobs.rs
+++ b/marigoldglade/src/jobs.rs
@@ -16,7 +16,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
-use crate::api::{JobSpec, JobView};
+use crate::api::{JobSpec, JobView, State};
 use crate::config::Config;
 use crate::error::Result;
 use crate::explain::Explanation;
@@ -95,6 +95,8 @@
     /// Ask a worker for its report under this epoch; tell [`Event::Report`] or
     /// [`Event::NoAnswer`].
     Ask(String, u64),
+    /// Answer a submit whose job is new, and durable from now on.
+    Accepted(Ticket, JobView),
     /// Answer a call.
     Answer(Ticket, Result<JobView>),
     /// Answer [`Event::Explain`].
@@ -105,6 +107,8 @@
     Elsewhere(Ticket, String),
     /// Tell the planner.
     Plan(plan::Event),
+    /// A terminal record is durable, for the metrics.
+    Ended(State),
     /// Drop this owner: another one has taken over.
     Deposed,
 }
--- a/marigoldglade/src/jobs/ends.rs
+++ b/marigoldglade/src/jobs/ends.rs
@@ -180,6 +180,11 @@
     fn accepted(&mut self, now: UnixMs, key: JobKey, out: &mut Vec<Action>) {
         let job = self.job(key);
         job.stage = Stage::Waiting;
+        if !job.acks.is_empty() {
+            // The first call is the submit that made the job.
+            let (ticket, _) = job.acks.remove(0);
+            out.push(Action::Accepted(ticket, job.view()));
+        }
         if job.record.cancel {
             return self.finish_now(now, key, State::Cancelled, Reason::Cancelled, out);
         }
@@ -195,6 +200,7 @@
             job.record = last;
         }
         let view = job.view();
+        out.push(Action::Ended(view.state));
         for (ticket, _) in std::mem::take(&mut job.waits) {
             out.push(Action::Answer(ticket, Ok(view.clone())));
         }
--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod frame_auth;
 pub mod gang;
 pub mod guarantee;
+pub mod job_call;
 pub mod jobs;
 pub mod label;
 pub mod member;
--- a/marigoldglade/src/mesh.rs
+++ b/marigoldglade/src/mesh.rs
@@ -11,6 +11,7 @@
 
 use crate::error::{Error, Kind, Result};
 use crate::frame_auth::{self, End, NONCE_BYTES, Opener, Proof, Sealer, TAG_BYTES};
+use crate::job_call;
 use crate::member;
 use crate::owner;
 use crate::requests;
@@ -57,6 +58,10 @@
     Owners(Vec<owner::Holder>),
     /// Requests: shares and signs of targets.
     Request(requests::Tell),
+    /// A call for jobs of this data centre, which the peer owns.
+    Job(String, job_call::Call),
+    /// The answer to a call for jobs.
+    JobReply(job_call::Reply),
     /// The answer to a call that failed.
     Refused(Error),
     /// The answer to a call that has nothing to tell.
--- a/marigoldglade/tests/support/world.rs
+++ b/marigoldglade/tests/support/world.rs
@@ -349,6 +349,7 @@
                 let exchange = self.exchange(node, &vm);
                 self.send(|| Msg::Ask(node, exchange, vm.clone(), epoch));
             }
+            Action::Accepted(ticket, view) => self.answered(ticket, Ok(view)),
             Action::Answer(ticket, result) => self.answered(ticket, result),
             Action::Plan(event) => {
                 let mut out = Vec::new();
@@ -358,7 +359,10 @@
                 }
             }
             Action::Deposed => self.nodes[node].owner = None,
-            Action::Explained(..) | Action::Listed(..) | Action::Elsewhere(..) => {}
+            Action::Explained(..)
+            | Action::Listed(..)
+            | Action::Elsewhere(..)
+            | Action::Ended(_) => {}
         }
     }
 
--- a/marigoldgladed/src/app.rs
+++ b/marigoldgladed/src/app.rs
@@ -67,7 +67,7 @@
         configs: Configs::new(),
         targets: Targets::new(),
         requests: Requests::new(&settings),
-        jobs: Jobs::new(&settings.dc),
+        jobs: Jobs::default(),
         mesh: Mesh::new(&settings, admin.mesh.clone()),
         roles: Roles::new(&settings.name, settings.mesh),
         events: Events::default(),
--- /dev/null
+++ b/marigoldgladed/src/centre.rs
@@ -0,0 +1,303 @@
+//! One data centre's jobs at the daemon that owns it: runs the owner and the planner.
+//!
+//! Calls, the store's replies and the workers' answers flow in, and everything that the owner
+//! wants done goes out to the store, the workers and the callers.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigoldglade::job_call::{Call, Reply};
+use marigoldglade::jobs::{Action, Event, Owner, Ticket};
+use marigoldglade::plan;
+use marigoldglade::planner::Planner;
+use marigoldglade::prelude::*;
+use marigoldglade::store::{self, Revision};
+use marigoldglade::time::SECOND_MS;
+use marigoldglade::wire::{Orders, Report, Role, Told, Vm};
+use marigoldglade::writer;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::app::App;
+use crate::keeper::Rank;
+use crate::{clock, send};
+
+/// The time between steps, in milliseconds.
+const TICK_MS: u64 = 25;
+/// The time that a call to the store may take, in milliseconds.
+const STORE_MS: u64 = 2 * SECOND_MS;
+/// The time that an exchange with a worker may take, in milliseconds.
+const WORKER_MS: u64 = SECOND_MS;
+
+/// What comes of a call.
+pub(crate) enum Answered {
+    /// It was answered.
+    Reply(Result<Reply>),
+    /// The owner of another data centre has the job with this id.
+    Elsewhere(String),
+}
+
+/// What the data centre's task takes in.
+pub(crate) enum Input {
+    /// Something happened.
+    Event(Box<Event>),
+    /// A call of a caller.
+    Call(Call, oneshot::Sender<Answered>),
+}
+
+/// One owned data centre.
+pub(crate) struct Centre {
+    app: Arc<App>,
+    dc: String,
+    owner: Owner,
+    own_end: UnixMs,
+    planner: Planner,
+    inputs: mpsc::UnboundedSender<Input>,
+    tickets: BTreeMap<Ticket, oneshot::Sender<Answered>>,
+    next: u64,
+    version: Revision,
+    vms: Arc<Vec<Vm>>,
+    over: bool,
+}
+
+impl Centre {
+    /// Starts the task of a data centre that is owned in this epoch; returns where its inputs go.
+    pub(crate) fn start(
+        app: &Arc<App>,
+        dc: &str,
+        epoch: Revision,
+        own_end: UnixMs,
+    ) -> mpsc::UnboundedSender<Input> {
+        let (inputs, queue) = mpsc::unbounded_channel();
+        let centre = Self {
+            app: Arc::clone(app),
+            dc: dc.to_owned(),
+            owner: Owner::new(dc, epoch, own_end, rand::random()),
+            own_end,
+            planner: Planner::new(dc, rand::random()),
+            inputs: inputs.clone(),
+            tickets: BTreeMap::new(),
+            next: 0,
+            version: 0,
+            vms: Arc::default(),
+            over: false,
+        };
+        tokio::spawn(centre.run(queue));
+        inputs
+    }
+
+    async fn run(mut self, mut queue: mpsc::UnboundedReceiver<Input>) {
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        while !self.over {
+            tokio::select! {
+                Some(input) = queue.recv() => self.take(input),
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+        self.app.jobs.drop_centre(&self.dc, self.owner.epoch());
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.step(*event),
+            Input::Call(call, answer) => self.call(call, answer),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.follow_ownership();
+        self.follow_config();
+        self.follow_vms();
+        self.step(Event::Tick);
+        self.plan(plan::Event::Tick);
+    }
+
+    /// An ownership that lapsed while the store is away leaves the owner answering, until it is
+    /// known who came next. One that was given up ends it at once.
+    fn follow_ownership(&mut self) {
+        let epoch = self.owner.epoch();
+        let newer = self.app.roles.holder(&self.dc);
+        if newer.is_some_and(|h| h.epoch > epoch) {
+            return self.step(Event::Deposed);
+        }
+        match self.app.roles.held(&self.dc) {
+            Some((held, end)) if held == epoch && end > self.own_end => {
+                self.own_end = end;
+                self.step(Event::Lease(end));
+            }
+            Some((held, _)) if held == epoch => {}
+            Some(_) => self.step(Event::Deposed),
+            None if !self.own_end.passed(clock::now()) => self.step(Event::Deposed),
+            None => {}
+        }
+    }
+
+    fn follow_config(&mut self) {
+        let current = self.app.configs.current();
+        if let Some(current) = current.filter(|c| c.number > self.version) {
+            self.version = current.number;
+            self.step(Event::Config(current.config, current.number));
+        }
+    }
+
+    fn follow_vms(&mut self) {
+        let list = self.app.targets.list();
+        if Arc::ptr_eq(&list, &self.vms) {
+            return;
+        }
+        let old = std::mem::replace(&mut self.vms, Arc::clone(&list));
+        let names: BTreeSet<&str> = list.iter().map(|v| v.name.as_str()).collect();
+        let gone = old.iter().filter(|v| !names.contains(v.name.as_str()));
+        for vm in gone {
+            self.step(Event::Gone(vm.name.clone()));
+        }
+        for vm in list.iter().filter(|v| v.role == Role::Worker) {
+            self.step(Event::Worker(vm.clone()));
+        }
+    }
+
+    fn call(&mut self, call: Call, answer: oneshot::Sender<Answered>) {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        if let Call::Submit(caller, spec) = &call
+            && let Some(ask) = self.owner.candidate(clock::now(), caller, spec)
+            && !self.planner.could_hold(&ask)
+        {
+            let e = Error::new(Kind::Impossible, "no worker set could hold the gang");
+            let _ = answer.send(Answered::Reply(Err(e)));
+            return;
+        }
+        self.tickets.insert(ticket, answer);
+        self.step(match call {
+            Call::Submit(caller, spec) => Event::Submit(ticket, caller, spec),
+            Call::Cancel(id) => Event::Cancel(ticket, id),
+            Call::Query(id) => Event::Query(ticket, id),
+            Call::Wait(id, end) => Event::Wait(ticket, id, end),
+            Call::Explain(id) => Event::Explain(ticket, id),
+            Call::List => Event::List(ticket),
+        });
+    }
+
+    fn plan(&mut self, event: plan::Event) {
+        let mut actions = Vec::new();
+        self.planner.step(clock::now(), event, &mut actions);
+        for action in actions {
+            log::debug!("{}: planner: {action:?}", self.dc);
+            self.step(Event::Plan(action));
+        }
+    }
+
+    /// Steps the owner, and the planner with it, until nothing is left to decide.
+    fn step(&mut self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = Vec::new();
+            self.owner.step(clock::now(), event, &mut actions);
+            for action in actions {
+                if let Action::Plan(event) = action {
+                    let mut decided = Vec::new();
+                    self.planner.step(clock::now(), event, &mut decided);
+                    events.extend(decided.into_iter().map(Event::Plan));
+                } else {
+                    self.act(action);
+                }
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Store(number, rank, call) => self.store(number, rank, call),
+            Action::Orders(vm, orders, until) => self.orders(vm, orders, until),
+            Action::Ask(vm, epoch) => self.ask(vm, epoch),
+            Action::Accepted(ticket, view) => self.answer(ticket, Ok(Reply::Accepted(view))),
+            Action::Answer(ticket, result) => self.answer(ticket, result.map(Reply::View)),
+            Action::Explained(ticket, result) => {
+                self.answer(ticket, result.map(Reply::Explained));
+            }
+            Action::Listed(ticket, views) => self.answer(ticket, Ok(Reply::Views(views))),
+            Action::Elsewhere(ticket, id) => {
+                if let Some(answer) = self.tickets.remove(&ticket) {
+                    let _ = answer.send(Answered::Elsewhere(id));
+                }
+            }
+            Action::Ended(state) => {
+                let label = vec![("state", state.to_string())];
+                self.app.admin.jobs.get_or_create(&label).inc();
+            }
+            Action::Deposed => self.over = true,
+            // The step loop takes these.
+            Action::Plan(_) => {}
+        }
+    }
+
+    /// A caller that is gone isn't missed.
+    fn answer(&mut self, ticket: Ticket, result: Result<Reply>) {
+        if let Some(answer) = self.tickets.remove(&ticket) {
+            let _ = answer.send(Answered::Reply(result));
+        }
+    }
+
+    fn store(&self, number: u64, rank: writer::Rank, call: store::Call) {
+        let (app, inputs) = (Arc::clone(&self.app), self.inputs.clone());
+        let rank = match rank {
+            writer::Rank::End => Rank::Terminal,
+            writer::Rank::Change | writer::Rank::Accept => Rank::Accept,
+        };
+        tokio::spawn(async move {
+            let end = clock::now().after(STORE_MS);
+            let reply = app.keeper.call(rank, call, end).await;
+            let _ = inputs.send(Input::Event(Box::new(Event::Store(number, reply))));
+        });
+    }
+
+    fn addr(&self, vm: &str) -> String {
+        let found = self.vms.iter().find(|v| v.name == vm);
+        found.map_or_else(String::new, |v| v.addr.clone())
+    }
+
+    fn orders(&self, vm: String, orders: Orders, until: UnixMs) {
+        let (addr, inputs) = (self.addr(&vm), self.inputs.clone());
+        tokio::spawn(async move {
+            let now = clock::now();
+            let told: Result<Vec<Told>> = if until.passed(now) {
+                Err(Error::new(
+                    Kind::Expired,
+                    "the ownership may have passed on",
+                ))
+            } else {
+                let end = now.after(WORKER_MS);
+                send::json(&addr, "POST", "/v1/orders", &orders, end).await
+            };
+            let event = match told {
+                Ok(told) => Event::Told(vm, told),
+                Err(e) => silent(vm, &e),
+            };
+            let _ = inputs.send(Input::Event(Box::new(event)));
+        });
+    }
+
+    fn ask(&self, vm: String, epoch: Revision) {
+        let (addr, inputs) = (self.addr(&vm), self.inputs.clone());
+        tokio::spawn(async move {
+            let end = clock::now().after(WORKER_MS);
+            let path = format!("/v1/tasks?epoch={epoch}");
+            let report: Result<Report> = send::json(&addr, "GET", &path, &(), end).await;
+            let event = match report {
+                Ok(report) if report.name == vm => Event::Report(report),
+                Ok(report) => {
+                    let detail = format!("{} answers in its place", report.name);
+                    silent(vm, &Error::new(Kind::BadAnswer, detail))
+                }
+                Err(e) => silent(vm, &e),
+            };
+            let _ = inputs.send(Input::Event(Box::new(event)));
+        });
+    }
+}
+
+fn silent(vm: String, e: &Error) -> Event {
+    log::debug!("worker {vm}: {e}");
+    Event::NoAnswer(vm)
+}
--- a/marigoldgladed/src/front.rs
+++ b/marigoldgladed/src/front.rs
@@ -121,8 +121,9 @@
     let steps: Vec<&str> = steps.collect();
     match (&parts.method, steps.as_slice()) {
         (&Method::POST, ["request", service]) => app.request(service, parts, body).await,
-        (&Method::POST, ["jobs"]) => app.submit(body).await,
-        (&Method::GET, ["jobs"]) => app.list_jobs(),
+        (&Method::POST, ["jobs"]) => app.submit(parts, &body).await,
+        (&Method::GET, ["jobs"]) => app.list_jobs().await,
+        (&Method::GET, ["explain", id @ ..]) => app.explain_job(&id.join("/")).await,
         (&Method::GET, ["jobs", id @ ..]) => app.job_status(&id.join("/"), parts).await,
         (&Method::DELETE, ["jobs", id @ ..]) => app.cancel(&id.join("/")).await,
         (&Method::GET, ["config"]) => app.show_config(),
@@ -130,7 +131,7 @@
         (&Method::GET, ["vms"]) => json(StatusCode::OK, &*app.targets.list()),
         (&Method::GET, ["events"]) => app.show_events(),
         (&Method::GET, ["mesh"]) => app.show_mesh(),
-        (_, ["request", _] | ["jobs", ..] | ["config" | "vms" | "events" | "mesh"]) => {
+        (_, ["request", _] | ["jobs" | "explain", ..] | ["config" | "vms" | "events" | "mesh"]) => {
             Err(Error::new(
                 Kind::BadMethod,
                 format!("{} isn't offered on /{path}", parts.method),
--- a/marigoldgladed/src/jobs.rs
+++ b/marigoldgladed/src/jobs.rs
@@ -1,4 +1,5 @@
-//! The job path: a submitted job flows in, a gang on workers and one terminal record flow out.
+//! The job path at any daemon: a call flows in, is answered here when this daemon owns the job's
+//! data centre, and otherwise goes to the daemon that does.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -6,302 +7,240 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::http::request::Parts;
-use marigoldglade::api::{JobSpec, JobView, State};
+use marigoldglade::api::{CALLER_HEADER, DEADLINE_HEADER, JobSpec};
+use marigoldglade::job_call::{Call, Reply};
+use marigoldglade::mesh::Payload;
 use marigoldglade::prelude::*;
-use marigoldglade::store::{Body, Call, Compare, Op, Txn};
+use marigoldglade::record::Id;
+use marigoldglade::store::Revision;
 use marigoldglade::time::SECOND_MS;
-use marigoldglade::wire::{Order, Orders, Role, Stand, TaskId, Told, Vm};
+use tokio::sync::{mpsc, oneshot};
 
 use crate::app::App;
+use crate::centre::{Answered, Centre, Input};
+use crate::clock;
 use crate::front::{self, Answer};
-use crate::keeper::Rank;
-use crate::{clock, send};
 
-/// The time a call to the store may take, in milliseconds.
-const STORE_MS: u64 = 2 * SECOND_MS;
-/// The time a gang has to be prepared, in milliseconds.
-const PREPARE_MS: u64 = SECOND_MS;
-/// The lease of a task, in milliseconds.
-const LEASE_MS: u64 = 30 * SECOND_MS;
-/// How often running jobs are looked at, in milliseconds.
-const LOOK_INTERVAL_MS: u64 = 100;
-
-struct Job {
-    spec: JobSpec,
-    view: JobView,
-    cancel: bool,
+/// How often the daemon looks for data centres that it came to own, in milliseconds.
+const LOOK_INTERVAL_MS: u64 = 50;
+/// The time that a call may take, in milliseconds.
+const CALL_MS: u64 = 10 * SECOND_MS;
+/// The longest time that a call waits for a job's end, in milliseconds.
+const WAIT_MS: u64 = 60 * SECOND_MS;
+/// The gap between two tries to reach an owner, in milliseconds.
+const RETRY_MS: u64 = 100;
+/// The label by which a caller picks a data centre for a job.
+const DC_LABEL: &str = "dc";
+
+struct Handle {
+    epoch: Revision,
+    inputs: mpsc::UnboundedSender<Input>,
 }
 
-/// The jobs that this daemon owns.
+/// The data centres whose jobs this daemon owns.
+#[derive(Default)]
 pub(crate) struct Jobs {
-    dc: String,
-    state: Mutex<BTreeMap<String, Job>>,
+    centres: Mutex<BTreeMap<String, Handle>>,
 }
 
 impl Jobs {
-    /// Makes an empty list for one data centre.
-    pub(crate) fn new(dc: &str) -> Self {
-        Self {
-            dc: dc.to_owned(),
-            state: Mutex::default(),
-        }
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Handle>> {
+        self.centres.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Job>> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn inputs(&self, dc: &str) -> Option<mpsc::UnboundedSender<Input>> {
+        self.lock().get(dc).map(|h| h.inputs.clone())
     }
 
-    fn view(&self, id: &str) -> Option<JobView> {
-        self.lock().get(id).map(|j| j.view.clone())
+    /// Forgets a data centre whose ownership in this epoch is over.
+    pub(crate) fn drop_centre(&self, dc: &str, epoch: Revision) {
+        let mut centres = self.lock();
+        if centres.get(dc).is_some_and(|h| h.epoch == epoch) {
+            centres.remove(dc);
+        }
     }
+}
 
-    fn set(&self, id: &str, state: State, reason: &str) {
-        if let Some(job) = self.lock().get_mut(id) {
-            job.view.state = state;
-            reason.clone_into(&mut job.view.reason);
+impl App {
+    /// Starts the job path of each data centre that this daemon comes to own.
+    pub(crate) async fn own_jobs(self: Arc<Self>) {
+        loop {
+            // Without the VM list and the configuration there is nothing to decide on.
+            let ready = self.configs.current().is_some() && !self.targets.list().is_empty();
+            let held = self.roles.holders().into_iter().filter(|_| ready);
+            for dc in held.map(|h| h.dc) {
+                if let Some((epoch, end)) = self.roles.held(&dc) {
+                    self.own_centre(&dc, epoch, end);
+                }
+            }
+            clock::sleep_until(clock::now().after(LOOK_INTERVAL_MS)).await;
         }
     }
-}
 
-fn no_job(id: &str) -> Error {
-    Error::new(Kind::NotFound, format!("no job {id}"))
-}
+    fn own_centre(self: &Arc<Self>, dc: &str, epoch: Revision, end: UnixMs) {
+        let mut centres = self.jobs.lock();
+        if centres.get(dc).is_none_or(|h| h.epoch < epoch) {
+            let inputs = Centre::start(self, dc, epoch, end);
+            centres.insert(dc.to_owned(), Handle { epoch, inputs });
+        }
+    }
 
-impl App {
     /// Takes a job: its record is durable before the answer says so.
-    pub(crate) async fn submit(self: &Arc<Self>, body: Bytes) -> Result<Answer> {
+    pub(crate) async fn submit(self: &Arc<Self>, parts: &Parts, body: &Bytes) -> Result<Answer> {
         if self.stop.stopping() {
             return Err(Error::new(Kind::Stopping, "the daemon is stopping"));
         }
-        let text = std::str::from_utf8(&body)
-            .map_err(|_| Error::new(Kind::BadInput, "the job isn't UTF-8"))?;
-        let spec = JobSpec::parse("job", text)?;
+        let spec: JobSpec = serde_json::from_slice(body)
+            .map_err(|e| Error::new(Kind::BadInput, format!("job: {e}")))?;
         spec.check(clock::now())?;
-        let version = self.configs.need()?;
-        let known = |name: &str| version.config.workspaces.iter().any(|w| w.name == name);
-        if !known(&spec.workspace) {
-            let detail = format!("no workspace {}", spec.workspace);
-            return Err(Error::new(Kind::NotFound, detail));
-        }
-        let id = format!("{}/{}/{}", self.jobs.dc, spec.workspace, spec.key);
-        if let Some(view) = self.jobs.view(&id) {
-            return front::json(StatusCode::OK, &view);
+        let caller = front::header(parts, CALLER_HEADER)?.unwrap_or(&spec.workspace);
+        let dc = self.centre_of(&spec)?;
+        let call = Call::Submit(caller.to_owned(), spec);
+        let end = clock::now().after(CALL_MS);
+        match self.job_call(&dc, call, end).await? {
+            Reply::Accepted(view) => front::json(StatusCode::CREATED, &view),
+            reply => answer(StatusCode::OK, reply),
         }
-        self.record_accept(&spec, &id).await?;
-        let view = JobView {
-            id: id.clone(),
-            state: State::Waiting,
-            attempt: 0,
-            vms: Vec::new(),
-            reason: "accepted".to_owned(),
-            result: String::new(),
-        };
-        let job = Job {
-            spec,
-            view: view.clone(),
-            cancel: false,
-        };
-        self.jobs.lock().insert(id, job);
-        front::json(StatusCode::CREATED, &view)
     }
 
-    async fn record_accept(&self, spec: &JobSpec, id: &str) -> Result<()> {
-        let value =
-            serde_json::to_vec(spec).map_err(|e| Error::new(Kind::Internal, e.to_string()))?;
-        let key = format!("/mg/job/{id}");
-        let txn = Txn {
-            when: vec![Compare::Absent(key.clone())],
-            then: vec![Op::Put(key, value, 0)],
-            other: Vec::new(),
+    /// Returns the data centre that the job's label names, or else the daemon's own.
+    fn centre_of(&self, spec: &JobSpec) -> Result<String> {
+        let version = self.configs.need()?;
+        let own = &self.settings.dc;
+        let Some(dc) = spec.labels.get(DC_LABEL) else {
+            return Ok(own.clone());
         };
-        let end = clock::now().after(STORE_MS);
-        match self.keeper.call(Rank::Accept, Call::Txn(txn), end).await {
-            Ok(reply) if matches!(&reply.body, Body::Txn(done) if done.held) => Ok(()),
-            Ok(_) => Err(Error::new(Kind::Duplicate, "the key was used before")),
-            Err(_) => Err(Error::new(Kind::StoreDown, "the job can't be recorded")),
+        let known = dc == own || version.config.centres.iter().any(|c| c.name == *dc);
+        if !known {
+            let detail = format!("labels.dc: no data centre {dc}");
+            return Err(Error::new(Kind::NotFound, detail));
         }
+        Ok(dc.clone())
     }
 
-    /// Lists all jobs.
-    pub(crate) fn list_jobs(&self) -> Result<Answer> {
-        let views: Vec<JobView> = self.jobs.lock().values().map(|j| j.view.clone()).collect();
+    /// Lists the newest jobs of all data centres with a known owner.
+    pub(crate) async fn list_jobs(self: &Arc<Self>) -> Result<Answer> {
+        let mut views = Vec::new();
+        for holder in self.roles.holders() {
+            let end = clock::now().after(CALL_MS);
+            if let Reply::Views(more) = self.job_call(&holder.dc, Call::List, end).await? {
+                views.extend(more);
+            }
+        }
         front::json(StatusCode::OK, &views)
     }
 
-    /// Shows one job.
-    pub(crate) async fn job_status(&self, id: &str, _parts: &Parts) -> Result<Answer> {
-        let view = self.jobs.view(id).ok_or_else(|| no_job(id))?;
-        front::json(StatusCode::OK, &view)
-    }
-
-    /// Cancels a job; one that has ended keeps its end.
-    pub(crate) async fn cancel(&self, id: &str) -> Result<Answer> {
-        let view = {
-            let mut jobs = self.jobs.lock();
-            let job = jobs.get_mut(id).ok_or_else(|| no_job(id))?;
-            job.cancel = true;
-            job.view.clone()
+    /// Shows one job, after its end when the call waits for that.
+    pub(crate) async fn job_status(self: &Arc<Self>, id: &str, parts: &Parts) -> Result<Answer> {
+        let now = clock::now();
+        let waits = parts.uri.query().is_some_and(|q| q == "wait=true");
+        let (call, end) = if waits {
+            let end = deadline(parts)?.unwrap_or(UnixMs::MAX);
+            let end = end.min(now.after(WAIT_MS));
+            (Call::Wait(id.to_owned(), end), end.after(CALL_MS))
+        } else {
+            (Call::Query(id.to_owned()), now.after(CALL_MS))
         };
-        front::json(StatusCode::ACCEPTED, &view)
+        let reply = self.job_call(&Id::parse(id)?.dc, call, end).await?;
+        answer(StatusCode::OK, reply)
     }
 
-    /// Places, watches and ends jobs until the daemon ends.
-    pub(crate) async fn own_jobs(self: Arc<Self>) {
-        loop {
-            let live: Vec<String> = {
-                let jobs = self.jobs.lock();
-                let live = jobs.iter().filter(|(_, j)| !j.view.state.ended());
-                live.map(|(id, _)| id.clone()).collect()
-            };
-            for id in live {
-                if let Err(e) = self.look(&id).await {
-                    log::warn!("job {id}: {e}");
-                }
-            }
-            clock::sleep_until(clock::now().after(LOOK_INTERVAL_MS)).await;
-        }
+    /// Cancels a job; one that has ended keeps its end.
+    pub(crate) async fn cancel(self: &Arc<Self>, id: &str) -> Result<Answer> {
+        let end = clock::now().after(CALL_MS);
+        let call = Call::Cancel(id.to_owned());
+        let reply = self.job_call(&Id::parse(id)?.dc, call, end).await?;
+        answer(StatusCode::OK, reply)
     }
 
-    async fn look(&self, id: &str) -> Result<()> {
-        let (state, cancel) = {
-            let jobs = self.jobs.lock();
-            let Some(job) = jobs.get(id) else {
-                return Ok(());
-            };
-            (job.view.state, job.cancel)
-        };
-        match state {
-            State::Waiting if cancel => self.end_job(id, State::Cancelled, "cancelled").await,
-            State::Waiting => self.start_gang(id).await,
-            State::Running => self.watch_gang(id, cancel).await,
-            _ => Ok(()),
-        }
+    /// Tells why a job stands where it stands.
+    pub(crate) async fn explain_job(self: &Arc<Self>, id: &str) -> Result<Answer> {
+        let end = clock::now().after(CALL_MS);
+        let call = Call::Explain(id.to_owned());
+        let reply = self.job_call(&Id::parse(id)?.dc, call, end).await?;
+        answer(StatusCode::OK, reply)
     }
 
-    async fn start_gang(&self, id: &str) -> Result<()> {
-        let Some(spec) = self.jobs.lock().get(id).map(|j| j.spec.clone()) else {
-            return Ok(());
-        };
-        let vms = self.targets.list();
-        let workers: Vec<&Vm> = vms.iter().filter(|v| v.role == Role::Worker).collect();
-        let mut taken = Vec::new();
-        let mut index = 0;
-        for worker in workers {
-            if index == spec.shape.tasks {
-                break;
-            }
-            let task = task_id(id, index);
-            let prepare = Order::Prepare {
-                task,
-                accels: spec.shape.accels,
-                body: spec.body.clone(),
-                end: clock::now().after(PREPARE_MS),
-            };
-            let told = self.order(worker, prepare).await;
-            if told.is_ok_and(|t| t.stand == Stand::Prepared) {
-                taken.push(worker);
-                index += 1;
-            }
-        }
-        let whole = taken.len() == usize::from(spec.shape.tasks);
-        for (index, worker) in (0..).zip(&taken) {
-            let task = task_id(id, index);
-            let end = clock::now().after(LEASE_MS);
-            let order = if whole {
-                Order::Commit { task, end }
-            } else {
-                Order::Abort { task }
+    /// Gets a call answered by the data centre's owner. Every call may be made again, so one
+    /// that found no owner is, until there is one or the time is up.
+    async fn job_call(self: &Arc<Self>, dc: &str, call: Call, end: UnixMs) -> Result<Reply> {
+        loop {
+            let result = match self.jobs.inputs(dc) {
+                Some(inputs) => self.answer_here(&inputs, call.clone(), end).await,
+                None => self.ask_owner(dc, call.clone(), end).await,
             };
-            self.order(worker, order).await?;
-        }
-        if whole {
-            for (index, worker) in (0..).zip(&taken) {
-                let (task, end) = (task_id(id, index), clock::now().after(LEASE_MS));
-                self.order(worker, Order::Run { task, end }).await?;
+            let absent = |e: &Error| matches!(e.kind, Kind::NotReady | Kind::NoTarget);
+            let next = clock::now().after(RETRY_MS);
+            if !result.as_ref().is_err_and(absent) || end.passed(next) {
+                return result;
             }
-            let names = taken.iter().map(|w| w.name.clone()).collect();
-            if let Some(job) = self.jobs.lock().get_mut(id) {
-                job.view.vms = names;
-                job.view.attempt = 1;
-            }
-            self.jobs.set(id, State::Running, "placed");
-        } else {
-            self.jobs.set(id, State::Waiting, "no room");
+            clock::sleep_until(next).await;
         }
-        Ok(())
     }
 
-    async fn watch_gang(&self, id: &str, cancel: bool) -> Result<()> {
-        let names = self.jobs.view(id).map(|v| v.vms).unwrap_or_default();
-        let vms = self.targets.list();
-        let mut stands = Vec::new();
-        for (index, name) in (0..).zip(&names) {
-            let Some(worker) = vms.iter().find(|v| v.name == *name) else {
-                return self.end_job(id, State::Unknown, "a worker is gone").await;
-            };
-            let task = task_id(id, index);
-            let end = clock::now().after(LEASE_MS);
-            let order = if cancel {
-                Order::Stop {
-                    task,
-                    end: clock::now(),
-                }
-            } else {
-                Order::Renew { task, end }
-            };
-            stands.push(self.order(worker, order).await?);
+    async fn answer_here(
+        self: &Arc<Self>,
+        inputs: &mpsc::UnboundedSender<Input>,
+        call: Call,
+        end: UnixMs,
+    ) -> Result<Reply> {
+        let (answer, answered) = oneshot::channel();
+        if inputs.send(Input::Call(call, answer)).is_err() {
+            return Err(Error::new(Kind::NotReady, "the owner is changing"));
         }
-        let all = |stand| stands.iter().all(|t: &Told| t.stand == stand);
-        if all(Stand::Done) {
-            if let Some(job) = self.jobs.lock().get_mut(id) {
-                job.view.result.clone_from(&stands[0].result);
+        let outcome = tokio::time::timeout(clock::until(end), answered).await;
+        match outcome {
+            Ok(Ok(Answered::Reply(reply))) => reply,
+            Ok(Ok(Answered::Elsewhere(id))) => {
+                let dc = Id::parse(&id)?.dc;
+                Box::pin(self.job_call(&dc, Call::Query(id), end)).await
             }
-            return self.end_job(id, State::Done, "all tasks are done").await;
-        }
-        if all(Stand::Stopped) {
-            return self.end_job(id, State::Cancelled, "cancelled").await;
-        }
-        if stands.iter().any(|t| t.stand == Stand::Failed) {
-            return self.end_job(id, State::Failed, "a task failed").await;
+            Ok(Err(_)) => Err(Error::new(Kind::Unknown, "the owner changed meanwhile")),
+            Err(_) => Err(Error::new(Kind::Timeout, "the owner didn't answer in time")),
         }
-        Ok(())
     }
 
-    async fn end_job(&self, id: &str, state: State, reason: &str) -> Result<()> {
-        let key = format!("/mg/end/{id}");
-        let txn = Txn {
-            when: vec![Compare::Absent(key.clone())],
-            then: vec![Op::Put(key, state.to_string().into_bytes(), 0)],
-            other: Vec::new(),
+    async fn ask_owner(self: &Arc<Self>, dc: &str, call: Call, end: UnixMs) -> Result<Reply> {
+        let holder = self.roles.holder(dc);
+        let holder = holder.filter(|h| h.name != self.settings.name);
+        let Some(holder) = holder else {
+            return Err(Error::new(Kind::NotReady, format!("{dc} has no owner yet")));
         };
-        let end = clock::now().after(STORE_MS);
-        self.keeper
-            .call(Rank::Terminal, Call::Txn(txn), end)
-            .await
-            .map_err(|_| Error::new(Kind::StoreDown, "the end can't be recorded"))?;
-        self.jobs.set(id, state, reason);
-        let label = vec![("state", state.to_string())];
-        self.admin.jobs.get_or_create(&label).inc();
-        Ok(())
+        let payload = Payload::Job(dc.to_owned(), call);
+        match self.ask(holder.addr, payload, end).await? {
+            Payload::JobReply(reply) => Ok(reply),
+            _ => Err(Error::new(
+                Kind::BadPeer,
+                "the peer answered something else",
+            )),
+        }
     }
 
-    async fn order(&self, worker: &Vm, order: Order) -> Result<Told> {
-        let orders = Orders {
-            epoch: 1,
-            orders: vec![order],
+    /// Answers a call that another daemon handed on, if this one owns the data centre.
+    pub(crate) async fn peer_job(self: &Arc<Self>, dc: &str, call: Call) -> Payload {
+        let end = clock::now().after(WAIT_MS + CALL_MS);
+        let result = match self.jobs.inputs(dc) {
+            Some(inputs) => self.answer_here(&inputs, call, end).await,
+            None => Err(Error::new(Kind::NotReady, format!("doesn't own {dc}"))),
         };
-        let end = clock::now().after(SECOND_MS);
-        let told: Vec<Told> = send::json(&worker.addr, "POST", "/v1/orders", &orders, end).await?;
-        told.into_iter()
-            .next()
-            .ok_or_else(|| Error::new(Kind::BadAnswer, "the worker told nothing"))
+        result.map_or_else(Payload::Refused, Payload::JobReply)
     }
 }
 
-fn task_id(id: &str, index: u16) -> TaskId {
-    TaskId {
-        job: id.to_owned(),
-        attempt: 1,
-        index,
+fn answer(status: StatusCode, reply: Reply) -> Result<Answer> {
+    match reply {
+        Reply::Accepted(view) | Reply::View(view) => front::json(status, &view),
+        Reply::Explained(explanation) => front::json(status, &explanation),
+        Reply::Views(views) => front::json(status, &views),
     }
 }
+
+fn deadline(parts: &Parts) -> Result<Option<UnixMs>> {
+    let Some(text) = front::header(parts, DEADLINE_HEADER)? else {
+        return Ok(None);
+    };
+    let ms = text
+        .parse()
+        .map_err(|_| Error::new(Kind::BadInput, format!("{DEADLINE_HEADER}: not a number")))?;
+    Ok(Some(UnixMs(ms)))
+}
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod app;
+mod centre;
 mod clock;
 mod configs;
 mod demo;
--- a/marigoldgladed/src/mesh.rs
+++ b/marigoldgladed/src/mesh.rs
@@ -139,10 +139,6 @@
     ///
     /// [`Kind::NoTarget`] when the call provably didn't reach it, [`Kind::Unknown`] or
     /// [`Kind::Timeout`] when it may have, and the error that the peer answered.
-    #[expect(
-        dead_code,
-        reason = "the first part that calls a peer removes this line"
-    )]
     pub(crate) async fn ask(
         self: &Arc<Self>,
         addr: SocketAddr,
@@ -381,7 +377,8 @@
                 self.heard(&peer.name, tell);
                 Payload::Done
             }
-            Payload::Refused(_) | Payload::Done => {
+            Payload::Job(dc, call) => self.peer_job(&dc, call).await,
+            Payload::Refused(_) | Payload::JobReply(_) | Payload::Done => {
                 log::debug!("{} told nothing that was asked", peer.name);
                 Payload::Done
             }
--- a/marigoldgladed/src/roles.rs
+++ b/marigoldgladed/src/roles.rs
@@ -68,20 +68,12 @@
 
     /// Returns the epoch and deadline of this daemon's ownership of a data centre, if it may act
     /// now. To be asked right before each use.
-    #[expect(
-        dead_code,
-        reason = "the job path removes this line when it takes it up"
-    )]
     pub(crate) fn held(&self, dc: &str) -> Option<(Revision, UnixMs)> {
         let now = clock::now();
         self.lock().held(dc).filter(|(_, end)| now < *end)
     }
 
     /// Returns the newest known owner of a data centre; it may be gone.
-    #[expect(
-        dead_code,
-        reason = "the job path removes this line when it takes it up"
-    )]
     pub(crate) fn holder(&self, dc: &str) -> Option<Holder> {
         self.lock().holder(dc).cloned()
     }
