--- a/marigoldglade/src/mesh.rs
+++ b/marigoldglade/src/mesh.rs
@@ -15,6 +15,7 @@
 use crate::member;
 use crate::owner;
 use crate::requests;
+use crate::spread;
 use crate::time::UnixMs;
 
 /// The version of the frames; ends of different versions refuse each other.
@@ -56,6 +57,8 @@
     Member(member::Message),
     /// Who owns which data centre.
     Owners(Vec<owner::Holder>),
+    /// Versions of the configuration.
+    Config(spread::Message),
     /// Requests: shares and signs of targets.
     Request(requests::Tell),
     /// A call for jobs of this data centre, which the peer owns.
