--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -4,33 +4,63 @@
 //! owns a clock, a thread or a socket: time comes in as [`time::UnixMs`], randomness from a seeded
 //! generator, and input and output pass through plain structs of closures.
 
+mod blocks;
+mod decide;
+mod fleet;
+mod job;
+mod own;
+
+mod decide;
+mod suspect;
+
 pub mod admit;
 pub mod api;
+pub mod breaker;
+pub mod budget;
 pub mod claim;
 pub mod classify;
 pub mod config;
+pub mod config_accept;
 pub mod config_check;
 pub mod config_diff;
 pub mod config_edit;
 pub mod config_locate;
+pub mod drain;
 pub mod error;
 pub mod etcd;
 pub mod events;
+pub mod explain;
 pub mod frame_auth;
+pub mod gang;
+pub mod guarantee;
+pub mod job_call;
+pub mod jobs;
 pub mod label;
 pub mod member;
 pub mod mesh;
+pub mod order;
 pub mod owner;
+pub mod place;
 pub mod plan;
+pub mod planner;
 pub mod prelude;
+pub mod quarantine;
 pub mod queue;
+pub mod reclaim;
+pub mod record;
 pub mod requests;
+pub mod reserve;
 pub mod retry;
 pub mod roles;
 pub mod route;
 pub mod settings;
 pub mod share;
 pub mod slots;
+pub mod spread;
 pub mod store;
+pub mod store_client;
 pub mod time;
 pub mod wire;
+pub mod worker_link;
+pub mod writer;
+pub mod yaml;
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod app;
+mod centre;
 mod clock;
 mod configs;
 mod demo;
@@ -15,6 +16,7 @@
 mod link;
 mod logs;
 mod mesh;
+mod operators;
 mod pool;
 mod requests;
 mod roles;
