--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -4,17 +4,9 @@
 //! owns a clock, a thread or a socket: time comes in as [`time::UnixMs`], randomness from a seeded
 //! generator, and input and output pass through plain structs of closures.
 
-mod blocks;
-mod decide;
-mod fleet;
-mod job;
-mod own;
-
-mod decide;
-mod suspect;
-
 pub mod admit;
 pub mod api;
+mod blocks;
 pub mod breaker;
 pub mod budget;
 pub mod claim;
@@ -25,20 +17,24 @@
 pub mod config_diff;
 pub mod config_edit;
 pub mod config_locate;
+mod decide;
 pub mod drain;
 pub mod error;
 pub mod etcd;
 pub mod events;
 pub mod explain;
+mod fleet;
 pub mod frame_auth;
 pub mod gang;
 pub mod guarantee;
+mod job;
 pub mod job_call;
 pub mod jobs;
 pub mod label;
 pub mod member;
 pub mod mesh;
 pub mod order;
+mod own;
 pub mod owner;
 pub mod place;
 pub mod plan;
@@ -59,6 +55,7 @@
 pub mod spread;
 pub mod store;
 pub mod store_client;
+mod suspect;
 pub mod time;
 pub mod wire;
 pub mod worker_link;
