--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -7,6 +7,7 @@
 mod owners;
 mod placement;
 mod records;
+mod shares;
 mod workers;
 
 use clap::{ArgMatches, Command};
@@ -38,4 +39,5 @@
     workers::run();
     records::run();
     owners::run();
+    shares::run();
 }
--- /dev/null
+++ b/bench/src/capacity/shares.rs
@@ -0,0 +1,42 @@
+//! The word on heavy callers that daemons tell each other: its bytes by callers and by daemons.
+
+use marigoldglade::mesh::{self, Frame, Payload, Way};
+use marigoldglade::requests::Tell;
+use marigoldglade::share::{CallerKey, Sketch, TELL_MS, TOLD};
+
+use crate::meter::{Line, cost_us, print_line};
+
+const SIZES: [usize; 4] = [0, 8, 16, TOLD];
+/// Daemons of today, of the plan, and of a large plan.
+const DAEMONS: [f64; 3] = [7.0, 35.0, 140.0];
+/// Tag, WebSocket header, and IP and TCP headers of a frame and its acknowledgement.
+const AROUND_BYTES: f64 = 16.0 + 8.0 + 2.0 * 52.0;
+
+fn frame(callers: usize) -> Frame {
+    let caller = |i: usize| (CallerKey::new("register", &i.to_string()), 1_000_000);
+    let callers = (0..callers).map(caller).collect();
+    Frame {
+        way: Way::Tell,
+        payload: Payload::Request(Tell::Share(Sketch { callers })),
+    }
+}
+
+pub(super) fn run() {
+    println!("\nheavy callers told to every daemon, x = callers in the word");
+    let points = |f: &dyn Fn(usize) -> f64| SIZES.map(|n| (n as f64, f(n)));
+    let bytes = points(&|n| mesh::encode(&frame(n)).map_or(0.0, |b| b.len() as f64));
+    print_line("frame", "bytes", &bytes, TOLD as f64);
+    let cost = points(&|n| {
+        let frame = frame(n);
+        cost_us(|| mesh::encode(&frame).and_then(|b| mesh::decode::<Frame>(&b)))
+    });
+    print_line("encode and decode", "cpu us", &cost, TOLD as f64);
+    let each = Line::fit(&bytes).at(TOLD as f64) + AROUND_BYTES;
+    for daemons in DAEMONS {
+        let rate = (daemons - 1.0) * 1_000.0 / TELL_MS as f64;
+        println!(
+            "{daemons} daemons: {rate:.0} frames/s, {:.0} bytes/s sent",
+            rate * each
+        );
+    }
+}
