--- a/marigoldglade/src/events.rs
+++ b/marigoldglade/src/events.rs
@@ -8,6 +8,7 @@
 use strum::{Display, EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
 use crate::owner::Cause;
+use crate::plan;
 use crate::store::Revision;
 use crate::time::UnixMs;
 
@@ -164,6 +165,31 @@
     }
 }
 
+impl Event {
+    /// Returns what a planner's decision repairs or gives up, if it does.
+    #[must_use]
+    pub fn from_plan(action: &plan::Action) -> Option<Self> {
+        match action {
+            plan::Action::Quarantine(name, end) => Some(Self::WorkerQuarantined {
+                name: name.clone(),
+                end: *end,
+            }),
+            plan::Action::Trust(name) => Some(Self::WorkerTrusted { name: name.clone() }),
+            plan::Action::Guarantee(workspace, 0) => Some(Self::GuaranteeRestored {
+                workspace: workspace.clone(),
+            }),
+            plan::Action::Guarantee(workspace, missing) => Some(Self::GuaranteeDegraded {
+                workspace: workspace.clone(),
+                missing: *missing,
+            }),
+            plan::Action::Start(..)
+            | plan::Action::Stop { .. }
+            | plan::Action::Throttle(..)
+            | plan::Action::Waits(..) => None,
+        }
+    }
+}
+
 /// An event and when it happened.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
--- a/marigoldgladed/src/centre.rs
+++ b/marigoldgladed/src/centre.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigoldglade::events;
 use marigoldglade::job_call::{Call, Reply};
 use marigoldglade::jobs::{Action, Event, Owner, Ticket};
 use marigoldglade::plan;
@@ -184,21 +185,29 @@
         self.planner.step(clock::now(), event, &mut actions);
         for action in actions {
             log::debug!("{}: planner: {action:?}", self.dc);
+            self.note_repair(&action);
             self.step(Event::Plan(action));
         }
     }
 
+    fn note_repair(&self, action: &plan::Action) {
+        if let Some(event) = events::Event::from_plan(action) {
+            self.app.note(event);
+        }
+    }
+
     /// Steps the owner, and the planner with it, until nothing is left to decide.
     fn step(&mut self, event: Event) {
-        let mut events = VecDeque::from([event]);
-        while let Some(event) = events.pop_front() {
+        let mut inputs = VecDeque::from([event]);
+        while let Some(event) = inputs.pop_front() {
             let mut actions = Vec::new();
             self.owner.step(clock::now(), event, &mut actions);
             for action in actions {
                 if let Action::Plan(event) = action {
                     let mut decided = Vec::new();
                     self.planner.step(clock::now(), event, &mut decided);
-                    events.extend(decided.into_iter().map(Event::Plan));
+                    decided.iter().for_each(|action| self.note_repair(action));
+                    inputs.extend(decided.into_iter().map(Event::Plan));
                 } else {
                     self.act(action);
                 }
