--- a/marigoldgladed/src/configs.rs
+++ b/marigoldgladed/src/configs.rs
@@ -79,10 +79,13 @@
     pub(crate) async fn follow_configs(self: Arc<Self>) {
         tokio::spawn(Arc::clone(&self).spread_configs());
         loop {
-            if let Some(since) = self.read_config().await {
-                self.watch_config(since).await;
-            } else {
-                clock::sleep_until(clock::now().after(SECOND_MS)).await;
+            let watched = match self.read_config().await {
+                Some(since) => self.watch_config(since).await,
+                None => false,
+            };
+            if !watched {
+                let wait = rand::random_range(SECOND_MS / 2..=SECOND_MS);
+                clock::sleep_until(clock::now().after(wait)).await;
             }
         }
     }
@@ -103,15 +106,15 @@
         Some(reply.revision)
     }
 
-    /// Waits once for changes of the stored version.
-    async fn watch_config(self: &Arc<Self>, since: Revision) {
+    /// Waits once for changes of the stored version; returns whether the store answered.
+    async fn watch_config(self: &Arc<Self>, since: Revision) -> bool {
         let watch = Call::Watch {
             prefix: KEY.to_owned(),
             since,
         };
         let end = clock::now().after(WATCH_MS);
         let Ok(reply) = self.keeper.call(Rank::Config, watch, end).await else {
-            return;
+            return false;
         };
         if let Body::Changes(changes) = reply.body {
             for change in changes {
@@ -120,6 +123,7 @@
                 }
             }
         }
+        true
     }
 
     fn found_config(self: &Arc<Self>, pair: &Pair) {
