--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -10,7 +10,6 @@
 mod job;
 mod own;
 
-mod decide;
 mod suspect;
 
 pub mod admit;
