Start urgent work at once in a full fleet and keep promised room

Cause, urgent: the reserve was chosen anew each second among workers whose gangs were still stopping, though others were free already, so it wandered and was rarely free. Free workers come first now.

Promised room is given in the order of the promises.

Ruled out: stops that were too slow (each ended within its grace) and a claim that lost its block.

--- a/marigoldglade/src/decide.rs
+++ b/marigoldglade/src/decide.rs
@@ -3,7 +3,7 @@
 //! The planner's state flows in; starts, stops and reasons flow out.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use crate::fleet::Slot;
 use crate::job::{Charge, Spot, Stage, needs};
@@ -233,7 +233,7 @@
             self.start(now, job, spots, out);
         } else {
             self.take(job, spots, Stage::Pending);
-            self.pending.insert(job);
+            self.pending.push(job);
             self.tell(job, Reason::Reclaiming, out);
         }
     }
@@ -272,17 +272,21 @@
         out.push(Action::Start(job, vms));
     }
 
-    /// Starts gangs whose room has become free.
+    /// Starts gangs whose room has become free; what an earlier one waits for isn't taken.
     fn start_pending(&mut self, now: UnixMs, out: &mut Vec<Action>) {
+        let mut promised: BTreeMap<WorkerKey, u8> = BTreeMap::new();
         for job in self.pending.clone() {
             let Some(entry) = self.jobs.get(&job) else {
                 continue;
             };
             let fits = |(w, n): &(WorkerKey, u8)| {
                 let slot = self.fleet.slot(*w);
-                slot.used + n <= slot.accels
+                slot.used + promised.get(w).copied().unwrap_or(0) + n <= slot.accels
             };
             if !entry.needs().iter().all(fits) {
+                for (worker, accels) in entry.needs() {
+                    *promised.entry(worker).or_default() += accels;
+                }
                 continue;
             }
             let spots = entry.spots.clone();
@@ -292,7 +296,7 @@
             }
             let (space, total) = (entry.space, entry.ask.shape.total());
             self.spaces[usize::from(space.0)].used -= total;
-            self.pending.remove(&job);
+            self.pending.retain(|j| *j != job);
             self.start(now, job, spots, out);
         }
     }
@@ -303,7 +307,13 @@
         if class.stoppable && self.keeps_away(class, job) && fits() {
             return Reason::Reserved;
         }
-        self.no_block(wish)
+        // Who holds most is told once, so that a long queue costs no more than its tries.
+        match self.jobs.get(&job).and_then(|j| j.reason.clone()) {
+            Some(Reason::NoBlock(size, names)) if size == wish.block() => {
+                Reason::NoBlock(size, names)
+            }
+            _ => self.no_block(wish),
+        }
     }
 
     /// Returns the reason of a gang for which there is no block.
--- a/marigoldglade/src/fleet.rs
+++ b/marigoldglade/src/fleet.rs
@@ -85,6 +85,10 @@
 pub(crate) struct Hold {
     pub job: JobKey,
     pub accels: u8,
+    /// The gang's urgency, so that most claims pass by without a look at the gang.
+    pub urgency: u8,
+    /// Whether the gang may be stopped.
+    pub stoppable: bool,
 }
 
 struct Set {
--- a/marigoldglade/src/planner.rs
+++ b/marigoldglade/src/planner.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::api::Shape;
+use crate::api::{Shape, WORKER_ACCELS};
 use crate::blocks::{BlockKey, Blocks, SpaceKey};
 use crate::config::Config;
 use crate::drain::Drain;
@@ -80,7 +80,8 @@
     pub(crate) spaces: Vec<Space>,
     by_space: BTreeMap<String, SpaceKey>,
     pub(crate) jobs: Jobs,
-    pub(crate) pending: BTreeSet<JobKey>,
+    /// Jobs that wait for others to stop, in the order in which they were promised the room.
+    pub(crate) pending: Vec<JobKey>,
     pub(crate) queue: Queue,
     pub(crate) drain: Option<Drain>,
     pub(crate) quarantine: Quarantine,
@@ -118,7 +119,7 @@
             spaces: Vec::new(),
             by_space: BTreeMap::new(),
             jobs: Jobs::new(),
-            pending: BTreeSet::new(),
+            pending: Vec::new(),
             queue: Queue::default(),
             drain: None,
             quarantine: Quarantine::new(seed),
@@ -376,10 +377,12 @@
             }
         }
         self.insert(ask);
-        let spots = tasks
+        let mut spots: Vec<_> = tasks
             .into_iter()
-            .map(|(worker, tasks)| Spot { worker, tasks });
-        self.take(job, spots.collect(), Stage::Running);
+            .map(|(worker, tasks)| Spot { worker, tasks })
+            .collect();
+        spots.retain(|s| self.is_plausible(*s, job));
+        self.take(job, spots, Stage::Running);
         if let Some(entry) = self.jobs.get_mut(&job) {
             entry.start = now;
         }
@@ -393,6 +396,14 @@
         self.stale |= self.drain.as_ref().is_some_and(|d| d.end.passed(now));
     }
 
+    /// Returns whether a worker could hold these tasks; a record may tell anything.
+    fn is_plausible(&self, spot: Spot, job: JobKey) -> bool {
+        let accels = self.jobs.get(&job).map_or(0, |j| j.ask.shape.accels);
+        let need = u32::from(spot.tasks) * u32::from(accels);
+        let used = u32::from(self.fleet.slot(spot.worker).used);
+        need <= u32::from(WORKER_ACCELS) && used + need <= 2 * u32::from(WORKER_ACCELS)
+    }
+
     fn run(&mut self, job: JobKey) {
         if let Some(entry) = self.jobs.get_mut(&job)
             && entry.stage == Stage::Starting
@@ -431,7 +442,12 @@
             } else {
                 slot.used += accels;
             }
-            self.fleet.holds[usize::from(worker.0)].push(Hold { job, accels });
+            self.fleet.holds[usize::from(worker.0)].push(Hold {
+                job,
+                accels,
+                urgency: entry.ask.urgency,
+                stoppable: entry.ask.stoppable,
+            });
         }
         self.spaces[usize::from(entry.space.0)].used += entry.ask.shape.total();
         entry.spots = spots;
@@ -474,7 +490,7 @@
             self.fleet.holds[usize::from(worker.0)].retain(|h| h.job != job);
             self.fleet.vacate(worker);
         }
-        self.pending.remove(&job);
+        self.pending.retain(|j| *j != job);
         self.torn |= pinned && self.degraded;
         self.stale = true;
     }
--- a/marigoldglade/src/reclaim.rs
+++ b/marigoldglade/src/reclaim.rs
@@ -3,7 +3,7 @@
 //! A claim on some workers flows in; the gangs to stop and their cost flow out.
 
 use crate::blocks::SpaceKey;
-use crate::fleet::{Fleet, Slot};
+use crate::fleet::{Fleet, Hold, Slot};
 use crate::job::{Job, Jobs, Spot, Stage, needs};
 use crate::place::{Level, Wish};
 use crate::plan::{JobKey, WorkerKey};
@@ -72,6 +72,22 @@
         holds && job.ask.stoppable && yields
     }
 
+    /// Returns whether a gang could yield to this claim, by what its hold tells.
+    fn may_take(self, hold: &Hold) -> bool {
+        let yields = match self {
+            Self::Own => true,
+            Self::Urgent(urgency) => hold.urgency > urgency,
+            Self::Large { urgency, .. } => hold.urgency >= urgency,
+        };
+        hold.stoppable && yields
+    }
+
+    /// Returns the most that the claim could have on a worker.
+    fn reach(self, fleet: &Fleet, worker: WorkerKey) -> u8 {
+        let holds = fleet.holds(worker).iter().filter(|h| self.may_take(h));
+        self.room(fleet.slot(worker)) + holds.map(|h| h.accels).sum::<u8>()
+    }
+
     /// Returns what the claim finds free on a worker once the stopping gangs are gone.
     fn room(self, slot: Slot) -> u8 {
         match self {
@@ -114,9 +130,13 @@
         if room >= *need {
             continue;
         }
+        if claim.reach(fleet, *worker) < *need {
+            return None;
+        }
         let mut there: Vec<_> = fleet
             .holds(*worker)
             .iter()
+            .filter(|h| claim.may_take(h))
             .filter_map(|h| jobs.get(&h.job).map(|j| (h, j)))
             .filter(|(_, j)| claim.takes(j))
             .map(|(h, j)| (found.jobs.contains(&h.job), weight(j, order, now), h))
@@ -172,7 +192,9 @@
     let tasks = wish.tasks;
     let places: Vec<Vec<Spot>> = match wish.level {
         Level::Worker => {
+            let need = u8::try_from(wish.block()).unwrap_or(u8::MAX);
             let workers = fleet.keys().filter(usable);
+            let workers = workers.filter(|w| claim.reach(fleet, *w) >= need);
             workers.map(|worker| vec![Spot { worker, tasks }]).collect()
         }
         Level::Rack => {
@@ -205,6 +227,7 @@
 ) -> Option<Vec<Spot>> {
     let room = |w: WorkerKey| {
         let holds = fleet.holds(w).iter();
+        let holds = holds.filter(|h| claim.may_take(h));
         let takes = holds.filter(|h| jobs.get(&h.job).is_some_and(|j| claim.takes(j)));
         let claimed: u8 = takes.map(|h| h.accels).sum();
         claim.room(fleet.slot(w)) + claimed
--- a/marigoldglade/src/reserve.rs
+++ b/marigoldglade/src/reserve.rs
@@ -28,8 +28,8 @@
 #[derive(Default)]
 pub(crate) struct Reserve {
     seen: VecDeque<(UnixMs, u8)>,
-    /// Workers that are kept free, and how many accelerators of each.
-    pub workers: Vec<(WorkerKey, u8)>,
+    /// Workers of which something is kept free.
+    pub workers: Vec<WorkerKey>,
 }
 
 impl Reserve {
@@ -81,7 +81,7 @@
             return;
         }
         let (count, size) = self.reserve.target(now);
-        for (worker, _) in std::mem::take(&mut self.reserve.workers) {
+        for worker in std::mem::take(&mut self.reserve.workers) {
             self.fleet.slot_mut(worker).warm = 0;
         }
         if size == 0 {
@@ -89,25 +89,62 @@
         }
         let limit = self.fleet.slots.iter().filter(|s| s.open());
         let limit: u32 = limit.map(|s| u32::from(s.accels)).sum::<u32>() / FLEET_SHARE;
-        let mut left = count.min(limit / u32::from(size));
+        let left = count.min(limit / u32::from(size));
+        let left = self.keep_free(left, size);
+        self.make_free(now, left, size, out);
+    }
+
+    /// Keeps what is free already, on the workers that are promised least; returns the blocks
+    /// that are left to find.
+    fn keep_free(&mut self, mut left: u32, size: u8) -> u32 {
+        let open = self.fleet.keys().filter(|w| self.fleet.slot(*w).open());
+        let free = open.map(|w| (self.fleet.slot(w).cells, self.fleet.slot(w).free(), w));
+        let mut free: Vec<_> = free.filter(|(_, f, _)| *f >= size).collect();
+        free.sort_unstable();
+        for (_, free, worker) in free {
+            let blocks = left.min(u32::from(free / size));
+            if blocks == 0 {
+                break;
+            }
+            left -= blocks;
+            let accels = u8::try_from(blocks).unwrap_or(u8::MAX) * size;
+            self.keep(worker, accels);
+        }
+        left
+    }
+
+    /// Stops what is cheapest for the blocks that aren't free yet.
+    fn make_free(&mut self, now: UnixMs, mut left: u32, size: u8, out: &mut Vec<Action>) {
+        if left == 0 {
+            return;
+        }
         let mut costs = self.reserve_costs(now, size);
-        costs.sort();
+        costs.sort_unstable();
         for (_, worker) in costs {
-            let mut blocks = 0;
-            while left > 0 && self.warm_up(now, worker, size * (blocks + 1), out) {
-                blocks += 1;
+            loop {
+                let accels = self.fleet.slot(worker).warm + size;
+                if left == 0 || !self.warm_up(now, worker, accels, out) {
+                    break;
+                }
                 left -= 1;
             }
         }
     }
 
+    fn keep(&mut self, worker: WorkerKey, accels: u8) {
+        self.fleet.slot_mut(worker).warm = accels;
+        self.reserve.workers.retain(|w| *w != worker);
+        self.reserve.workers.push(worker);
+    }
+
     /// Returns the workers by what a block there costs, then by how much of them is promised.
     fn reserve_costs(&self, now: UnixMs, size: u8) -> Vec<((Cost, u8, u8), WorkerKey)> {
         let cost = |w: WorkerKey| {
             let order = self.policy.victim;
             let claim = Claim::Urgent(URGENT);
-            let v = victims(&self.fleet, &self.jobs, &[(w, size)], claim, order, now)?;
             let slot = self.fleet.slot(w);
+            let needs = [(w, slot.warm + size)];
+            let v = victims(&self.fleet, &self.jobs, &needs, claim, order, now)?;
             Some(((v.cost, slot.cells, slot.room()), w))
         };
         let open = self.fleet.keys().filter(|w| self.fleet.slot(*w).open());
@@ -130,9 +167,7 @@
         for victim in found.jobs {
             self.stop(now, victim, &crate::plan::Reason::Reserved, out);
         }
-        self.fleet.slot_mut(worker).warm = accels;
-        self.reserve.workers.retain(|(w, _)| *w != worker);
-        self.reserve.workers.push((worker, accels));
+        self.keep(worker, accels);
         true
     }
 
--- a/marigoldglade/tests/placement/planner.rs
+++ b/marigoldglade/tests/placement/planner.rs
@@ -264,3 +264,117 @@
     assert_eq!(site.missing["a"], 0);
     site.check();
 }
+
+#[test]
+fn room_that_was_promised_goes_to_nobody_else() {
+    let spaces = vec![
+        workspace("a", "", vec![promise(0, 1, 0)]),
+        workspace("b", "", vec![]),
+    ];
+    let mut site = site(spaces, 1, 1);
+    let victims: Vec<_> = (0..8).map(|_| site.submit(ask("b", 1, 1))).collect();
+    // An older job that comes back later asks for room of its own.
+    let older = site.submit(Ask {
+        urgency: 6,
+        ..ask("b", 1, 1)
+    });
+    let claim = site.submit(ask("a", 1, 2));
+    let second = site.asks[&older].clone();
+    site.step(Event::Wait(Ask {
+        workspace: "a".to_owned(),
+        ..second
+    }));
+    let stopping = |site: &Site| {
+        victims
+            .iter()
+            .copied()
+            .find(|v| site.gangs.get(v).is_some_and(|g| g.stopping))
+    };
+    for _ in 0..2 {
+        let victim = stopping(&site).expect("a gang is stopping");
+        site.end(victim);
+    }
+    assert!(
+        site.gangs.contains_key(&claim),
+        "the claim was promised the room first"
+    );
+    assert!(!site.gangs.contains_key(&older));
+    let victim = stopping(&site).expect("a gang is stopping");
+    site.end(victim);
+    assert!(site.gangs.contains_key(&older));
+}
+
+#[test]
+fn urgent_work_starts_at_once_in_a_full_fleet() {
+    let spaces = vec![workspace("a", "", vec![]), workspace("b", "", vec![])];
+    let mut site = site(spaces, 4, 8);
+    let urgent = Ask {
+        urgency: 0,
+        ..ask("a", 1, 2)
+    };
+    // What came before tells what to keep.
+    for _ in 0..3 {
+        let job = site.submit(urgent.clone());
+        site.end(job);
+    }
+    for _ in 0..300 {
+        site.submit(ask("b", 1, 1));
+    }
+    site.step(Event::Tick);
+    site.settle();
+    for _ in 0..4 {
+        let job = site.submit(urgent.clone());
+        assert!(site.gangs.contains_key(&job), "it waits for a stop");
+    }
+}
+
+#[test]
+fn without_a_reserve_gangs_are_slowed_down_and_stopped_for_urgent_work() {
+    let policy = Policy {
+        reserve: false,
+        ..Policy::default()
+    };
+    let spaces = vec![workspace("a", "", vec![]), workspace("b", "", vec![])];
+    let mut site = Site::new(Planner::with_policy(DC, 1, policy), config(spaces), 1, 2);
+    for _ in 0..2 {
+        site.submit(ask("b", 1, 8));
+    }
+    let urgent = site.submit(Ask {
+        urgency: 0,
+        ..ask("a", 1, 2)
+    });
+    assert!(!site.gangs.contains_key(&urgent));
+    let throttled = |a: &Action| matches!(a, Action::Throttle(_, percent) if *percent < 100);
+    assert!(site.log.iter().any(|(_, a)| throttled(a)));
+    site.settle();
+    assert!(site.gangs.contains_key(&urgent));
+}
+
+#[test]
+fn a_former_owners_gangs_hold_their_places() {
+    let spaces = vec![
+        workspace("a", "", vec![promise(0, 1, 0)]),
+        workspace("b", "", vec![]),
+    ];
+    let mut site = site(spaces, 1, 2);
+    let told = |site: &mut Site, key: u32, ask: Ask, vms: &[&str]| {
+        let job = JobKey(1_000 + key);
+        let ask = Ask { job, ..ask };
+        site.asks.insert(job, ask.clone());
+        let vms: Vec<_> = vms.iter().map(|v| v.to_string()).collect();
+        site.step(Event::Holds(ask, vms));
+        job
+    };
+    let bound = Ask {
+        stoppable: false,
+        ..ask("a", 1, 8)
+    };
+    let own = told(&mut site, 0, bound, &["r0w1"]);
+    assert!(site.planner.is_charged(own));
+    // What no worker could hold does no harm.
+    told(&mut site, 1, ask("b", 128, 8), &["r0w0"; 128]);
+    let free = site.submit(ask("b", 1, 8));
+    assert_eq!(site.gangs[&free].vms, ["r0w0"]);
+    let none = site.submit(ask("b", 1, 1));
+    assert!(!site.gangs.contains_key(&none));
+}
