--- a/marigoldgladed/src/roles.rs
+++ b/marigoldgladed/src/roles.rs
@@ -68,20 +68,12 @@
 
     /// Returns the epoch and deadline of this daemon's ownership of a data centre, if it may act
     /// now. To be asked right before each use.
-    #[expect(
-        dead_code,
-        reason = "the job path removes this line when it takes it up"
-    )]
     pub(crate) fn held(&self, dc: &str) -> Option<(Revision, UnixMs)> {
         let now = clock::now();
         self.lock().held(dc).filter(|(_, end)| now < *end)
     }
 
     /// Returns the newest known owner of a data centre; it may be gone.
-    #[expect(
-        dead_code,
-        reason = "the job path removes this line when it takes it up"
-    )]
     pub(crate) fn holder(&self, dc: &str) -> Option<Holder> {
         self.lock().holder(dc).cloned()
     }
@@ -96,13 +88,18 @@
     /// Runs the ownerships until the task is aborted.
     pub(crate) async fn follow_roles(self: Arc<Self>) {
         let mut told = false;
+        let mut seen = None;
         loop {
             if self.stop.stopping() && !told {
                 told = true;
                 self.step_roles(roles::Event::Stop);
             }
-            self.step_roles(roles::Event::Centres(self.centres()));
-            self.step_roles(roles::Event::Members(self.candidates()));
+            let view = (self.mesh.digest(), self.configs.current().map(|v| v.number));
+            if seen != Some(view) {
+                seen = Some(view);
+                self.step_roles(roles::Event::Centres(self.centres()));
+                self.step_roles(roles::Event::Members(self.candidates()));
+            }
             self.step_roles(roles::Event::Tick);
             if told {
                 let released = self.roles.lock().is_released();
