--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -9,8 +9,6 @@
 mod fleet;
 mod job;
 mod own;
-
-mod decide;
 mod suspect;
 
 pub mod admit;
