--- /dev/null
+++ b/marigoldglade/src/intake.rs
@@ -0,0 +1,169 @@
+//! What the planner learns of workers and jobs.
+//!
+//! Workers, waiting jobs and a former owner's gangs flow in; the planner's state takes them up.
+
+use std::collections::BTreeMap;
+
+use crate::api::WORKER_ACCELS;
+use crate::config::Config;
+use crate::job::{Job, Spot, Stage};
+use crate::label::Selector;
+use crate::plan::{Action, Ask, JobKey, Reason, WorkerKey};
+use crate::planner::Planner;
+use crate::time::UnixMs;
+use crate::wire::{Role, Vm};
+
+impl Planner {
+    pub(crate) fn put_worker(&mut self, now: UnixMs, vm: Vm, out: &mut Vec<Action>) {
+        if vm.role != Role::Worker || vm.dc != self.dc {
+            return;
+        }
+        let Some(worker) = self.fleet.put(vm) else {
+            return;
+        };
+        self.torn = true;
+        self.stale = true;
+        if self.fleet.slot(worker).closed {
+            self.unplan(worker);
+        }
+        if self.fleet.is_leaving(worker) {
+            self.clear_out(now, worker, out);
+        }
+    }
+
+    pub(crate) fn lose_worker(&mut self, name: &str) {
+        let Some(worker) = self.fleet.find(name) else {
+            return;
+        };
+        self.unplan(worker);
+        self.quarantine.forget(worker);
+        self.fleet.remove(worker);
+        self.torn = true;
+        self.stale = true;
+    }
+
+    /// Takes the place back from gangs that were about to start on a worker.
+    pub(crate) fn unplan(&mut self, worker: WorkerKey) {
+        let holds = self.fleet.holds(worker).to_vec();
+        for hold in holds {
+            let pending = self.jobs.get(&hold.job);
+            if pending.is_some_and(|j| j.stage == Stage::Pending) {
+                self.requeue(hold.job);
+            }
+        }
+    }
+
+    /// Stops what can be stopped on a worker that is about to go.
+    pub(crate) fn clear_out(&mut self, now: UnixMs, worker: WorkerKey, out: &mut Vec<Action>) {
+        let reason = Reason::WorkerLost(self.fleet.name(worker).to_owned());
+        for hold in self.fleet.holds(worker).to_vec() {
+            if self.jobs.get(&hold.job).is_some_and(|j| j.ask.stoppable) {
+                self.stop(now, hold.job, &reason, out);
+            }
+        }
+    }
+
+    pub(crate) fn wait(&mut self, now: UnixMs, ask: Ask, out: &mut Vec<Action>) {
+        let job = ask.job;
+        if self
+            .jobs
+            .get(&job)
+            .is_some_and(|j| j.stage == Stage::Waiting && j.ask == ask)
+        {
+            return;
+        }
+        if !self.jobs.contains_key(&job) {
+            self.see_urgent(now, &ask);
+        }
+        self.end(job);
+        self.insert(ask);
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let (class, place) = (entry.class(), entry.place());
+        let known = self
+            .queue
+            .classes
+            .get(&class)
+            .and_then(|c| c.reason.clone());
+        self.queue.push(class, place);
+        match known {
+            Some(reason) => {
+                entry.reason = Some(reason.clone());
+                out.push(Action::Waits(job, reason));
+            }
+            None => {
+                self.fresh.insert(class);
+            }
+        }
+        if self.queue.head(class) == Some(place) {
+            self.fresh.insert(class);
+        }
+    }
+
+    pub(crate) fn insert(&mut self, ask: Ask) {
+        let space = self.space(&ask.workspace);
+        let set = self.fleet.compile(&ask.allowed);
+        let caller = self.queue.enter(space, &ask.caller);
+        let yields = yield_rank(&self.config, &ask);
+        let job = Job {
+            space,
+            caller,
+            set,
+            stage: Stage::Waiting,
+            spots: Vec::new(),
+            charges: Vec::new(),
+            pinned: false,
+            start: UnixMs::default(),
+            yields,
+            reason: None,
+            ask,
+        };
+        self.jobs.insert(job.ask.job, job);
+    }
+
+    pub(crate) fn hold(&mut self, now: UnixMs, ask: Ask, vms: &[String]) {
+        let job = ask.job;
+        self.end(job);
+        let mut tasks: BTreeMap<WorkerKey, u16> = BTreeMap::new();
+        for vm in vms {
+            if let Some(worker) = self.fleet.intern(vm) {
+                *tasks.entry(worker).or_default() += 1;
+            }
+        }
+        self.insert(ask);
+        let mut spots: Vec<_> = tasks
+            .into_iter()
+            .map(|(worker, tasks)| Spot { worker, tasks })
+            .collect();
+        spots.retain(|s| self.is_plausible(*s, job));
+        self.take(job, spots, Stage::Running);
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.start = now;
+        }
+        self.adopt(job);
+        self.torn = true;
+    }
+
+    /// Returns whether a worker could hold these tasks; a record may tell anything.
+    pub(crate) fn is_plausible(&self, spot: Spot, job: JobKey) -> bool {
+        let accels = self.jobs.get(&job).map_or(0, |j| j.ask.shape.accels);
+        let need = u32::from(spot.tasks) * u32::from(accels);
+        let used = u32::from(self.fleet.slot(spot.worker).used);
+        need <= u32::from(WORKER_ACCELS) && used + need <= 2 * u32::from(WORKER_ACCELS)
+    }
+}
+
+/// Returns the index of the first yield selector that matches a job, or their number.
+pub(crate) fn yield_rank(config: &Config, ask: &Ask) -> u16 {
+    let by_name = |w: &&crate::config::Workspace| w.name == ask.workspace;
+    let mut labels = match config.workspaces.iter().find(by_name) {
+        Some(workspace) => workspace.labels.clone(),
+        None => BTreeMap::new(),
+    };
+    labels.extend(ask.labels.clone());
+    labels.insert("workspace".to_owned(), ask.workspace.clone());
+    let matches = |s: &Selector| s.matches(&labels);
+    let at = config.yields.iter().position(matches);
+    u16::try_from(at.unwrap_or(config.yields.len())).unwrap_or(u16::MAX)
+}
--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -7,6 +7,7 @@
 mod blocks;
 mod decide;
 mod fleet;
+mod intake;
 mod job;
 mod own;
 mod suspect;
