--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -4,7 +4,6 @@
 //! owns a clock, a thread or a socket: time comes in as [`time::UnixMs`], randomness from a seeded
 //! generator, and input and output pass through plain structs of closures.
 
-
 pub mod admit;
 pub mod api;
 mod blocks;
@@ -28,6 +27,7 @@
 pub mod frame_auth;
 pub mod gang;
 pub mod guarantee;
+mod intake;
 mod job;
 pub mod job_call;
 pub mod jobs;
--- a/marigoldglade/src/planner.rs
+++ b/marigoldglade/src/planner.rs
@@ -12,17 +12,16 @@
 use crate::drain::Drain;
 use crate::fleet::{Fleet, Hold, SetKey};
 use crate::guarantee;
-use crate::job::{Job, Jobs, Spot, Stage, needs};
-use crate::label::Selector;
+use crate::intake::yield_rank;
+use crate::job::{Jobs, Spot, Stage, needs};
 use crate::order::{ClassKey, Order, Queue};
 use crate::place::{Fit, Level};
-use crate::plan::{Action, Ask, Event, JobKey, Reason, WorkerKey};
+use crate::plan::{Action, Ask, Event, JobKey, Reason};
 use crate::quarantine::Quarantine;
 use crate::reclaim::Yield;
 use crate::reserve::Reserve;
 use crate::store::Revision;
 use crate::time::UnixMs;
-use crate::wire::{Role, Vm};
 
 /// Choices that are weighed against each other; the default is what runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,7 +79,8 @@
     pub(crate) spaces: Vec<Space>,
     by_space: BTreeMap<String, SpaceKey>,
     pub(crate) jobs: Jobs,
-    pub(crate) pending: BTreeSet<JobKey>,
+    /// Jobs that wait for others to stop, in the order in which they were promised the room.
+    pub(crate) pending: Vec<JobKey>,
     pub(crate) queue: Queue,
     pub(crate) drain: Option<Drain>,
     pub(crate) quarantine: Quarantine,
@@ -118,7 +118,7 @@
             spaces: Vec::new(),
             by_space: BTreeMap::new(),
             jobs: Jobs::new(),
-            pending: BTreeSet::new(),
+            pending: Vec::new(),
             queue: Queue::default(),
             drain: None,
             quarantine: Quarantine::new(seed),
@@ -258,142 +258,13 @@
         }
     }
 
-    fn put_worker(&mut self, now: UnixMs, vm: Vm, out: &mut Vec<Action>) {
-        if vm.role != Role::Worker || vm.dc != self.dc {
-            return;
-        }
-        let Some(worker) = self.fleet.put(vm) else {
-            return;
-        };
-        self.torn = true;
-        self.stale = true;
-        if self.fleet.slot(worker).closed {
-            self.unplan(worker);
-        }
-        if self.fleet.is_leaving(worker) {
-            self.clear_out(now, worker, out);
-        }
-    }
-
-    fn lose_worker(&mut self, name: &str) {
-        let Some(worker) = self.fleet.find(name) else {
-            return;
-        };
-        self.unplan(worker);
-        self.quarantine.forget(worker);
-        self.fleet.remove(worker);
-        self.torn = true;
-        self.stale = true;
-    }
-
-    /// Takes the place back from gangs that were about to start on a worker.
-    pub(crate) fn unplan(&mut self, worker: WorkerKey) {
-        let holds = self.fleet.holds(worker).to_vec();
-        for hold in holds {
-            let pending = self.jobs.get(&hold.job);
-            if pending.is_some_and(|j| j.stage == Stage::Pending) {
-                self.requeue(hold.job);
-            }
-        }
-    }
-
-    /// Stops what can be stopped on a worker that is about to go.
-    fn clear_out(&mut self, now: UnixMs, worker: WorkerKey, out: &mut Vec<Action>) {
-        let reason = Reason::WorkerLost(self.fleet.name(worker).to_owned());
-        for hold in self.fleet.holds(worker).to_vec() {
-            if self.jobs.get(&hold.job).is_some_and(|j| j.ask.stoppable) {
-                self.stop(now, hold.job, &reason, out);
-            }
-        }
-    }
-
-    fn wait(&mut self, now: UnixMs, ask: Ask, out: &mut Vec<Action>) {
-        let job = ask.job;
-        if self
-            .jobs
-            .get(&job)
-            .is_some_and(|j| j.stage == Stage::Waiting && j.ask == ask)
-        {
-            return;
-        }
-        if !self.jobs.contains_key(&job) {
-            self.see_urgent(now, &ask);
-        }
-        self.end(job);
-        self.insert(ask);
-        let Some(entry) = self.jobs.get_mut(&job) else {
-            return;
-        };
-        let (class, place) = (entry.class(), entry.place());
-        let known = self
-            .queue
-            .classes
-            .get(&class)
-            .and_then(|c| c.reason.clone());
-        self.queue.push(class, place);
-        match known {
-            Some(reason) => {
-                entry.reason = Some(reason.clone());
-                out.push(Action::Waits(job, reason));
-            }
-            None => {
-                self.fresh.insert(class);
-            }
-        }
-        if self.queue.head(class) == Some(place) {
-            self.fresh.insert(class);
-        }
-    }
-
-    fn insert(&mut self, ask: Ask) {
-        let space = self.space(&ask.workspace);
-        let set = self.fleet.compile(&ask.allowed);
-        let caller = self.queue.enter(space, &ask.caller);
-        let yields = yield_rank(&self.config, &ask);
-        let job = Job {
-            space,
-            caller,
-            set,
-            stage: Stage::Waiting,
-            spots: Vec::new(),
-            charges: Vec::new(),
-            pinned: false,
-            start: UnixMs::default(),
-            yields,
-            reason: None,
-            ask,
-        };
-        self.jobs.insert(job.ask.job, job);
-    }
-
-    fn hold(&mut self, now: UnixMs, ask: Ask, vms: &[String]) {
-        let job = ask.job;
-        self.end(job);
-        let mut tasks: BTreeMap<WorkerKey, u16> = BTreeMap::new();
-        for vm in vms {
-            if let Some(worker) = self.fleet.intern(vm) {
-                *tasks.entry(worker).or_default() += 1;
-            }
-        }
-        self.insert(ask);
-        let spots = tasks
-            .into_iter()
-            .map(|(worker, tasks)| Spot { worker, tasks });
-        self.take(job, spots.collect(), Stage::Running);
-        if let Some(entry) = self.jobs.get_mut(&job) {
-            entry.start = now;
-        }
-        self.adopt(job);
-        self.torn = true;
-    }
-
     fn tick(&mut self, now: UnixMs, out: &mut Vec<Action>) {
         self.review(now, out);
         self.keep_reserve(now, out);
         self.stale |= self.drain.as_ref().is_some_and(|d| d.end.passed(now));
     }
 
-    fn run(&mut self, job: JobKey) {
+    pub(crate) fn run(&mut self, job: JobKey) {
         if let Some(entry) = self.jobs.get_mut(&job)
             && entry.stage == Stage::Starting
         {
@@ -401,7 +272,7 @@
         }
     }
 
-    fn end(&mut self, job: JobKey) {
+    pub(crate) fn end(&mut self, job: JobKey) {
         self.release(job);
         if let Some(entry) = self.jobs.remove(&job) {
             self.queue.remove(entry.class(), entry.place());
@@ -431,7 +302,12 @@
             } else {
                 slot.used += accels;
             }
-            self.fleet.holds[usize::from(worker.0)].push(Hold { job, accels });
+            self.fleet.holds[usize::from(worker.0)].push(Hold {
+                job,
+                accels,
+                urgency: entry.ask.urgency,
+                stoppable: entry.ask.stoppable,
+            });
         }
         self.spaces[usize::from(entry.space.0)].used += entry.ask.shape.total();
         entry.spots = spots;
@@ -474,7 +350,7 @@
             self.fleet.holds[usize::from(worker.0)].retain(|h| h.job != job);
             self.fleet.vacate(worker);
         }
-        self.pending.remove(&job);
+        self.pending.retain(|j| *j != job);
         self.torn |= pinned && self.degraded;
         self.stale = true;
     }
@@ -529,17 +405,3 @@
         }
     }
 }
-
-/// Returns the index of the first yield selector that matches a job, or their number.
-fn yield_rank(config: &Config, ask: &Ask) -> u16 {
-    let by_name = |w: &&crate::config::Workspace| w.name == ask.workspace;
-    let mut labels = match config.workspaces.iter().find(by_name) {
-        Some(workspace) => workspace.labels.clone(),
-        None => BTreeMap::new(),
-    };
-    labels.extend(ask.labels.clone());
-    labels.insert("workspace".to_owned(), ask.workspace.clone());
-    let matches = |s: &Selector| s.matches(&labels);
-    let at = config.yields.iter().position(matches);
-    u16::try_from(at.unwrap_or(config.yields.len())).unwrap_or(u16::MAX)
-}
