Mend the merged job path: YAML jobs, an empty fleet, a changed list

Cause: (1) the job path took the place of the one that read YAML and read JSON only; front.rs cases 3 and 4 failed. (2) An owner waited for a VM list with entries, so a fleet without targets never answered for jobs; cli.rs told exit code 6, not 4. (3) Each read of the VM list looked like a change to the owner. Ruled out: the store client and the roles (the owner held its lease). Conclusion: 'not read yet' and 'empty' are told apart; tests wait for an owner.

--- a/bench/src/capacity/shares.rs
+++ b/bench/src/capacity/shares.rs
@@ -17,7 +17,10 @@
     let callers = (0..callers).map(caller).collect();
     Frame {
         way: Way::Tell,
-        payload: Payload::Request(Tell::Share(Sketch { callers })),
+        payload: Payload::Request(Tell::Share(Sketch {
+            callers,
+            full: false,
+        })),
     }
 }
 
--- a/marigoldgladed/src/jobs.rs
+++ b/marigoldgladed/src/jobs.rs
@@ -66,7 +66,7 @@
     pub(crate) async fn own_jobs(self: Arc<Self>) {
         loop {
             // Without the VM list and the configuration there is nothing to decide on.
-            let ready = self.configs.current().is_some() && !self.targets.list().is_empty();
+            let ready = self.configs.current().is_some() && self.targets.known();
             let held = self.roles.holders().into_iter().filter(|_| ready);
             for dc in held.map(|h| h.dc) {
                 if let Some((epoch, end)) = self.roles.held(&dc) {
@@ -90,8 +90,9 @@
         if self.stop.stopping() {
             return Err(Error::new(Kind::Stopping, "the daemon is stopping"));
         }
-        let spec: JobSpec = serde_json::from_slice(body)
-            .map_err(|e| Error::new(Kind::BadInput, format!("job: {e}")))?;
+        let text = std::str::from_utf8(body)
+            .map_err(|_| Error::new(Kind::BadInput, "the job isn't UTF-8"))?;
+        let spec = JobSpec::parse("job", text)?;
         spec.check(clock::now())?;
         let caller = front::header(parts, CALLER_HEADER)?.unwrap_or(&spec.workspace);
         let dc = self.centre_of(&spec)?;
--- a/marigoldgladed/src/targets.rs
+++ b/marigoldgladed/src/targets.rs
@@ -27,7 +27,8 @@
 
 /// The VMs as the list showed them last.
 pub(crate) struct Targets {
-    list: RwLock<Arc<Vec<Vm>>>,
+    /// `None` until the list was read once.
+    list: RwLock<Option<Arc<Vec<Vm>>>>,
 }
 
 impl Targets {
@@ -38,13 +39,24 @@
         }
     }
 
-    /// Returns the newest list.
+    /// Returns the newest list, which is empty until it was read once.
     pub(crate) fn list(&self) -> Arc<Vec<Vm>> {
-        Arc::clone(&self.list.read().unwrap_or_else(PoisonError::into_inner))
+        let list = self.list.read().unwrap_or_else(PoisonError::into_inner);
+        list.clone().unwrap_or_default()
     }
 
+    /// Returns whether the list was read.
+    pub(crate) fn known(&self) -> bool {
+        let list = self.list.read().unwrap_or_else(PoisonError::into_inner);
+        list.is_some()
+    }
+
+    /// Takes a list; one that says nothing new stays the same for those who compare pointers.
     fn replace(&self, vms: Vec<Vm>) {
-        *self.list.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(vms);
+        let mut list = self.list.write().unwrap_or_else(PoisonError::into_inner);
+        if list.as_deref() != Some(&vms) {
+            *list = Some(Arc::new(vms));
+        }
     }
 }
 
--- a/marigoldgladed/tests/support/fleet.rs
+++ b/marigoldgladed/tests/support/fleet.rs
@@ -216,6 +216,10 @@
         });
         for daemon in &fleet.daemons {
             wait_for("a ready daemon", || daemon.ready().then_some(()));
+            wait_for("an owner of the data centre", || {
+                try_call("GET", &daemon.url("jobs/kista/register/none"), &[], "")
+                    .filter(|t| t.status == 404)
+            });
         }
         fleet
     }
