Serve the stand-ins by hyper, so that no connection waits for another

Cause: one_key_runs_once_through_two_daemons failed in about one run of six: a call to the stand-in store hung until its 1 s deadline, and the claims said 'store down'. tiny_http counts a pool thread as idle until it wakes, so in a burst a connection can be queued behind a kept-alive one and wait until that closes. Ruled out: two claims of one key in one transaction (kept apart already); the budget and the breaker; a deadline too short (the call got no thread at all). Conclusion: hyper, tiny_http's nearest kin here; the reason stands in http.rs.

--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -1,30 +1,110 @@
 //! What all stand-ins share: a listener whose requests go to a closure, a thread each.
+//!
+//! `hyper` takes the place of `tiny_http` here, whose thread pool may leave a fresh connection
+//! waiting until another one closes (`tests/burst.rs`).
 
-use std::io::Read as _;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, LazyLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use bytes::Bytes;
+use http_body_util::channel::{Channel, Sender};
+use http_body_util::{BodyExt as _, Either, Full, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Response};
+use hyper_util::rt::TokioIo;
 use marigoldglade::time::UnixMs;
-use tiny_http::{Header, Request, Response, Server};
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
+/// Pieces of a streamed answer that wait for the peer.
+const STREAM_WAITING: usize = 1;
+/// Requests that are handled at once.
+const HANDLERS_LIMIT: usize = 1_024;
+/// The pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The largest body that a stand-in reads, in bytes.
-const BODY_LIMIT_BYTES: u64 = 8 << 20;
+const BODY_LIMIT_BYTES: usize = 8 << 20;
 
 /// A stand-in that serves until it is dropped.
 pub struct Served {
     /// Where it listens.
     pub addr: SocketAddr,
-    server: Arc<Server>,
+    accepting: JoinHandle<()>,
 }
 
 impl Drop for Served {
     fn drop(&mut self) {
-        self.server.unblock();
+        self.accepting.abort();
     }
 }
 
-/// Listens on `addr` and gives each request to `handle` on a thread of its own.
+type Body = Either<Full<Bytes>, Channel<Bytes>>;
+
+/// A request with its whole body. Dropped without an answer, it closes its connection.
+pub struct Request {
+    head: Parts,
+    body: Bytes,
+    answer: oneshot::Sender<Response<Body>>,
+}
+
+impl Request {
+    /// Returns the method.
+    #[must_use]
+    pub fn method(&self) -> &Method {
+        &self.head.method
+    }
+
+    /// Returns the path and query.
+    #[must_use]
+    pub fn url(&self) -> &str {
+        self.head.uri.path_and_query().map_or("/", |p| p.as_str())
+    }
+
+    /// Returns the body.
+    #[must_use]
+    pub fn body(&self) -> &[u8] {
+        &self.body
+    }
+
+    /// Begins an answer with status 200 whose body is sent piece by piece.
+    #[must_use]
+    pub fn stream(self) -> Stream {
+        let (sender, channel) = Channel::new(STREAM_WAITING);
+        let _ = self.answer.send(Response::new(Either::Right(channel)));
+        Stream(sender)
+    }
+}
+
+/// The rest of an answer; it ends when this is dropped.
+pub struct Stream(Sender<Bytes>);
+
+impl Stream {
+    /// Sends a piece of the body; `false` when the peer is gone.
+    #[must_use]
+    pub fn send(&mut self, piece: String) -> bool {
+        RUNTIME
+            .handle()
+            .block_on(self.0.send_data(piece.into()))
+            .is_ok()
+    }
+}
+
+static RUNTIME: LazyLock<Runtime> = LazyLock::new(|| {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .max_blocking_threads(HANDLERS_LIMIT)
+        .enable_all()
+        .build()
+        .expect("the process can start threads")
+});
+
+/// Listens on `addr` and gives each request to `handle` on a thread that may block.
 ///
 /// # Errors
 ///
@@ -33,24 +113,47 @@
     addr: SocketAddr,
     handle: impl Fn(Request) + Send + Sync + 'static,
 ) -> std::io::Result<Served> {
-    let server = Arc::new(Server::http(addr).map_err(std::io::Error::other)?);
-    let bound = server
-        .server_addr()
-        .to_ip()
-        .ok_or_else(|| std::io::Error::other("the listener has no IP number"))?;
-    let handle = Arc::new(handle);
-    let accepting = Arc::clone(&server);
-    std::thread::spawn(move || {
-        // An unblocked receive ends the loop.
-        while let Ok(request) = accepting.recv() {
-            let handle = Arc::clone(&handle);
-            std::thread::spawn(move || handle(request));
-        }
-    });
-    Ok(Served {
-        addr: bound,
-        server,
-    })
+    let listener = std::net::TcpListener::bind(addr)?;
+    listener.set_nonblocking(true)?;
+    let addr = listener.local_addr()?;
+    let _inside = RUNTIME.enter();
+    let listener = TcpListener::from_std(listener)?;
+    let accepting = RUNTIME.spawn(accept(listener, Arc::new(handle)));
+    Ok(Served { addr, accepting })
+}
+
+type Handle = Arc<dyn Fn(Request) + Send + Sync>;
+
+async fn accept(listener: TcpListener, handle: Handle) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // The process is out of descriptors; some will come back.
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handle = Arc::clone(&handle);
+        let service = service_fn(move |request| take(Arc::clone(&handle), request));
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(connection);
+    }
+}
+
+/// Reads a request whole and has it answered. An error closes the connection.
+async fn take(
+    handle: Handle,
+    request: hyper::Request<Incoming>,
+) -> Result<Response<Body>, Box<dyn std::error::Error + Send + Sync>> {
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, BODY_LIMIT_BYTES).collect().await?;
+    let (answer, answered) = oneshot::channel();
+    let request = Request {
+        head,
+        body: body.to_bytes(),
+        answer,
+    };
+    tokio::task::spawn_blocking(move || handle(request));
+    Ok(answered.await?)
 }
 
 /// Returns the time now.
@@ -62,34 +165,22 @@
     UnixMs(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
 
-/// Reads a request's body; `None` when it is cut short or larger than the bound.
-pub fn read_body(request: &mut Request) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
-    let declared = request.body_length();
-    let mut reader = request.as_reader().take(BODY_LIMIT_BYTES);
-    reader.read_to_end(&mut body).ok()?;
-    (declared.is_none() || declared == Some(body.len())).then_some(body)
-}
-
 /// Returns the value of a header.
 #[must_use]
 pub fn header(request: &Request, name: &str) -> Option<String> {
-    request
-        .headers()
-        .iter()
-        .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name))
-        .map(|h| h.value.to_string())
+    let value = request.head.headers.get(name)?;
+    value.to_str().ok().map(str::to_owned)
 }
 
 /// Answers a request; a peer that is gone already is ignored.
 pub fn answer(request: Request, status: u16, headers: &[(&str, &str)], body: Vec<u8>) {
-    let mut response = Response::from_data(body).with_status_code(status);
+    let mut response = Response::builder().status(status);
     for (name, value) in headers {
-        if let Ok(header) = Header::from_bytes(*name, *value) {
-            response.add_header(header);
-        }
+        response = response.header(*name, *value);
+    }
+    if let Ok(response) = response.body(Either::Left(Full::from(body))) {
+        let _ = request.answer.send(response);
     }
-    let _ = request.respond(response);
 }
 
 /// Answers with a value as JSON.
--- a/standin/src/kv.rs
+++ b/standin/src/kv.rs
@@ -5,7 +5,6 @@
 
 mod state;
 
-use std::io::Write as _;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,10 +12,9 @@
 use marigoldglade::time::SECOND_MS;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use tiny_http::Request;
 
 use self::state::{Range, State, event, number, writes};
-use crate::http::{Served, answer, answer_json, now, read_body, serve};
+use crate::http::{Request, Served, answer, answer_json, now, serve};
 
 /// How often a waiting watch tells its peer that it is alive, in milliseconds.
 const WATCH_PROGRESS_MS: u64 = 1_000;
@@ -142,10 +140,8 @@
         self.changed.notify_all();
     }
 
-    fn handle(&self, mut request: Request) {
-        let body = read_body(&mut request)
-            .and_then(|b| serde_json::from_slice::<Value>(&b).ok())
-            .unwrap_or(Value::Null);
+    fn handle(&self, request: Request) {
+        let body = serde_json::from_slice::<Value>(request.body()).unwrap_or(Value::Null);
         let path = request.url().to_owned();
         if path == "/faults" {
             return self.handle_faults(request, body);
@@ -237,23 +233,16 @@
         if replay {
             next = compacted + 1;
         }
-        let mut writer = request.into_writer();
-        let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
-                    transfer-encoding: chunked\r\n\r\n";
-        if writer.write_all(head.as_bytes()).is_err() {
-            return;
-        }
+        let mut stream = request.stream();
         if next != 0 && next <= compacted {
             let result = json!({"header": {"revision": self.lock().revision.to_string()},
                 "canceled": true, "compactRevision": compacted.to_string()});
-            let _ = write_chunk(&mut writer, &format!("{}\n", json!({"result": result})));
-            let _ = write_chunk(&mut writer, "");
+            let _ = stream.send(format!("{}\n", json!({"result": result})));
             return;
         }
         loop {
             let (revision, events) = self.wait_events(&range, next, unwatched);
             if self.faulty().unwatched != unwatched {
-                let _ = write_chunk(&mut writer, "");
                 return;
             }
             let mut result = json!({"header": {"revision": revision.to_string()}});
@@ -261,8 +250,7 @@
                 result["events"] = Value::Array(events);
             }
             next = revision + 1;
-            let line = format!("{}\n", json!({"result": result}));
-            if write_chunk(&mut writer, &line).is_err() {
+            if !stream.send(format!("{}\n", json!({"result": result}))) {
                 return;
             }
         }
@@ -293,10 +281,3 @@
         }
     }
 }
-
-/// Writes one chunk of a stream; an empty one ends it.
-fn write_chunk(writer: &mut impl std::io::Write, text: &str) -> std::io::Result<()> {
-    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-    writer.write_all(chunk.as_bytes())?;
-    writer.flush()
-}
--- a/standin/src/runner.rs
+++ b/standin/src/runner.rs
@@ -8,11 +8,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use hyper::Method;
 use marigoldglade::api::{LEAVING_HEADER, REQUEST_ID_HEADER, RUN_HEADER, TRACE_HEADER};
 use serde::{Deserialize, Serialize};
-use tiny_http::{Method, Request};
 
-use crate::http::{Served, answer, answer_json, header, read_body, serve};
+use crate::http::{Request, Served, answer, answer_json, header, serve};
 
 /// How a runner behaves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,18 +63,18 @@
     serve(addr, move |request| handle(&state, request))
 }
 
-fn handle(state: &Mutex<State>, mut request: Request) {
+fn handle(state: &Mutex<State>, request: Request) {
     match (request.method(), request.url()) {
-        (Method::Get, "/ran") => {
+        (&Method::GET, "/ran") => {
             let ran = lock(state).ran.clone();
             answer_json(request, 200, &ran);
         }
-        (Method::Get, "/traces") => {
+        (&Method::GET, "/traces") => {
             let traces = lock(state).traces.clone();
             answer_json(request, 200, &traces);
         }
-        (Method::Put, "/control") => {
-            let told = read_body(&mut request).and_then(|b| serde_json::from_slice(&b).ok());
+        (&Method::PUT, "/control") => {
+            let told = serde_json::from_slice(request.body()).ok();
             let Some(behaviour) = told else {
                 return answer(request, 400, &[], Vec::new());
             };
@@ -85,12 +85,10 @@
     }
 }
 
-fn run(state: &Mutex<State>, mut request: Request) {
+fn run(state: &Mutex<State>, request: Request) {
     let id = header(&request, REQUEST_ID_HEADER).unwrap_or_default();
     let trace = header(&request, TRACE_HEADER).unwrap_or_default();
-    let Some(body) = read_body(&mut request) else {
-        return;
-    };
+    let body = request.body().to_vec();
     let Some(behaviour) = take_slot(state, &id, trace) else {
         let leaving = lock(state).behaviour.leaving.to_string();
         let headers = [
--- a/standin/src/vms.rs
+++ b/standin/src/vms.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use hyper::Method;
 use marigoldglade::wire::Vm;
-use tiny_http::Method;
 
-use crate::http::{Served, answer, answer_json, read_body, serve};
+use crate::http::{Served, answer, answer_json, serve};
 
 /// The list, shared between the server and the test or demo that changes it.
 pub type VmList = Arc<Mutex<Vec<Vm>>>;
@@ -17,9 +17,9 @@
 ///
 /// When the address can't be bound.
 pub fn start(addr: SocketAddr, list: VmList) -> std::io::Result<Served> {
-    serve(addr, move |mut request| {
-        if *request.method() == Method::Put {
-            let told = read_body(&mut request).and_then(|b| serde_json::from_slice(&b).ok());
+    serve(addr, move |request| {
+        if *request.method() == Method::PUT {
+            let told = serde_json::from_slice(request.body()).ok();
             let Some(vms) = told else {
                 return answer(request, 400, &[], Vec::new());
             };
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -9,11 +9,11 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use hyper::Method;
 use marigoldglade::time::UnixMs;
 use marigoldglade::wire::{Order, Orders, Report, Stand, TaskId, Told};
-use tiny_http::{Method, Request};
 
-use crate::http::{Served, answer, answer_json, now, read_body, serve};
+use crate::http::{Request, Served, answer, answer_json, now, serve};
 
 struct Task {
     accels: u8,
@@ -256,11 +256,11 @@
     serve(addr, move |request| handle(&worker, request))
 }
 
-fn handle(worker: &Mutex<Worker>, mut request: Request) {
+fn handle(worker: &Mutex<Worker>, request: Request) {
     let lock = || worker.lock().unwrap_or_else(PoisonError::into_inner);
     let url = request.url().to_owned();
-    if *request.method() == Method::Post && url == "/v1/orders" {
-        let orders = read_body(&mut request).and_then(|b| serde_json::from_slice(&b).ok());
+    if *request.method() == Method::POST && url == "/v1/orders" {
+        let orders = serde_json::from_slice(request.body()).ok();
         let Some(orders) = orders else {
             return answer(request, 400, &[], Vec::new());
         };
