Show the fleet, and serve health by hyper

Cause: 'marigoldglade fleet' called a route that did not exist; the admin listener had the pool that made the stand-ins hang in bursts. Ruled out: asking each worker for the view; the owner's planner has it. Before: fleet ended with exit code 4. After: guarantees, use and what is free, from the owner, at any daemon.

--- a/marigoldglade-cli/src/main.rs
+++ b/marigoldglade-cli/src/main.rs
@@ -47,7 +47,7 @@
         "config" => configs::run(&client, output, sub),
         "workspace" => configs::run_workspace(&client, output, sub),
         "vm" => vms::run(&client, output, sub),
-        "fleet" => list(&client, output, "fleet"),
+        "fleet" => fleet(&client, output),
         "events" => list(&client, output, "events"),
         _ => Err(Error::new(Kind::BadInput, format!("no command {name}"))),
     }
@@ -59,3 +59,27 @@
     show::rows(output, &value, &[]);
     Ok(())
 }
+
+/// Shows who holds which accelerators, and what is free.
+fn fleet(client: &Client, output: Output) -> Result<()> {
+    let value = client.json("GET", "fleet", &[], &[])?;
+    if output == Output::Json {
+        show::rows(output, &value, &[]);
+        return Ok(());
+    }
+    let part = |name: &str| -> Vec<serde_json::Value> {
+        let fleets = value.as_array().into_iter().flatten();
+        fleets.map(|f| f[name].clone()).collect()
+    };
+    let spaces = part("workspaces").into_iter();
+    let spaces: Vec<_> = spaces
+        .filter_map(|s| s.as_array().cloned())
+        .flatten()
+        .collect();
+    let columns = ["dc", "workspace", "guarantee", "used", "missing", "quota"];
+    show::rows(output, &spaces.into(), &columns);
+    println!();
+    let columns = ["dc", "workers", "accels", "whole", "adjacent"];
+    show::rows(output, &part("free").into(), &columns);
+    Ok(())
+}
--- a/marigoldglade/src/job_call.rs
+++ b/marigoldglade/src/job_call.rs
@@ -6,6 +6,7 @@
 use crate::api::{JobSpec, JobView};
 use crate::explain::Explanation;
 use crate::time::UnixMs;
+use crate::view;
 
 /// A call for jobs of one data centre.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +23,8 @@
     Explain(String),
     /// Show the newest jobs.
     List,
+    /// Show who holds which accelerators.
+    Fleet,
 }
 
 /// What the owner answers.
@@ -35,4 +38,6 @@
     Explained(Explanation),
     /// The newest jobs.
     Views(Vec<JobView>),
+    /// Who holds which accelerators.
+    Fleet(view::Fleet),
 }
--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod store_client;
 mod suspect;
 pub mod time;
+pub mod view;
 pub mod wire;
 pub mod worker_link;
 pub mod writer;
--- a/marigoldgladed/src/admin.rs
+++ b/marigoldgladed/src/admin.rs
@@ -1,26 +1,33 @@
-//! The operators' side door: metrics and health over HTTP by `tiny_http`.
+//! The operators' side door: metrics and health over HTTP.
 //!
 //! `/metrics` is the Prometheus text format; `/healthz` answers while the process lives;
 //! `/readyz` answers 200 only while the daemon takes new work.
 
+use std::convert::Infallible;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
-use marigoldglade::prelude::*;
-use marigoldglade::settings::Settings;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
-use tiny_http::{Response, Server};
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::app::App;
 
+/// The time a peer has to send its head, in milliseconds.
+const READ_MS: u64 = 5_000;
+
 /// A counter by one label.
 pub(crate) type Counts = Family<Vec<(&'static str, String)>, Counter>;
 
 /// Metrics and the listener that shows them.
 pub(crate) struct Admin {
-    server: Arc<Server>,
     registry: Mutex<Registry>,
     /// Requests by outcome: `ok` or a kind of the error table.
     pub(crate) requests: Counts,
@@ -35,46 +42,52 @@
 }
 
 impl Admin {
-    /// Binds the admin address and writes the port that was bound into the settings.
-    ///
-    /// # Errors
-    ///
-    /// [`Kind::Internal`] when the address can't be bound.
-    pub(crate) fn start(settings: &mut Settings) -> Result<Self> {
-        let server = Server::http(settings.admin)
-            .map_err(|e| Error::new(Kind::Internal, format!("{}: {e}", settings.admin)))?;
-        if let Some(addr) = server.server_addr().to_ip() {
-            settings.admin = addr;
-        }
+    /// Makes metrics that count from zero.
+    pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("marigoldglade");
         let mut counts = |name: &str, help: &str| {
             let family = Counts::default();
             registry.register(name, help, family.clone());
             family
         };
-        Ok(Self {
-            server: Arc::new(server),
+        Self {
             requests: counts("requests", "Requests by outcome"),
             jobs: counts("jobs", "Jobs by state"),
             store: counts("store_calls", "Calls to the key-value service by outcome"),
             mesh: counts("mesh", "Frames and links of the mesh by what happened"),
             events: counts("events", "Self-repair events by kind"),
             registry: Mutex::new(registry),
-        })
+        }
     }
+}
 
-    /// Serves on a thread of its own until the process ends.
-    pub(crate) fn serve(&self, app: &Arc<App>) {
-        let (server, app) = (Arc::clone(&self.server), Arc::clone(app));
-        std::thread::spawn(move || {
-            while let Ok(request) = server.recv() {
-                let (status, text) = page(&app, request.url());
-                let _ = request.respond(Response::from_string(text).with_status_code(status));
-            }
-        });
+/// Answers operators and the balancer until the task is aborted.
+pub(crate) async fn serve(app: Arc<App>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // The process is out of descriptors; some will come back.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        tokio::spawn(connection(Arc::clone(&app), stream));
     }
 }
 
+async fn connection(app: Arc<App>, stream: TcpStream) {
+    let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| {
+        let (status, text) = page(&app, request.uri().path());
+        let mut answer = Response::new(Full::<bytes::Bytes>::from(text));
+        *answer.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    // A peer that breaks off harms nobody.
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(READ_MS))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
 fn page(app: &App, url: &str) -> (u16, String) {
     match url {
         "/metrics" => {
--- a/marigoldgladed/src/app.rs
+++ b/marigoldgladed/src/app.rs
@@ -17,7 +17,7 @@
 use crate::roles::Roles;
 use crate::stop::Stop;
 use crate::targets::Targets;
-use crate::{clock, front};
+use crate::{admin, clock, front};
 
 /// The time in which the last frames to peers leave, in milliseconds.
 const FAREWELL_MS: u64 = 50;
@@ -60,7 +60,9 @@
     settings.listen = listener.local_addr().map_err(internal)?;
     let mesh_listener = TcpListener::bind(settings.mesh).await.map_err(internal)?;
     settings.mesh = mesh_listener.local_addr().map_err(internal)?;
-    let admin = Admin::start(&mut settings)?;
+    let admin_listener = TcpListener::bind(settings.admin).await.map_err(internal)?;
+    settings.admin = admin_listener.local_addr().map_err(internal)?;
+    let admin = Admin::new();
     let app = Arc::new(App {
         stop: Stop::new(),
         keeper: Keeper::new(&settings, admin.store.clone()),
@@ -84,7 +86,7 @@
     tokio::spawn(Arc::clone(&app).follow_roles());
     tokio::spawn(Arc::clone(&app).follow_owners());
     let front = tokio::spawn(front::serve(Arc::clone(&app), listener));
-    app.admin.serve(&app);
+    tokio::spawn(admin::serve(Arc::clone(&app), admin_listener));
     log::info!(
         "{} listens on {}, admin on {}",
         app.settings.name,
--- a/marigoldgladed/src/centre.rs
+++ b/marigoldgladed/src/centre.rs
@@ -169,6 +169,10 @@
             let _ = answer.send(Answered::Reply(Err(e)));
             return;
         }
+        if call == Call::Fleet {
+            let _ = answer.send(Answered::Reply(Ok(Reply::Fleet(self.planner.view()))));
+            return;
+        }
         self.tickets.insert(ticket, answer);
         self.step(match call {
             Call::Submit(caller, spec) => Event::Submit(ticket, caller, spec),
@@ -176,7 +180,7 @@
             Call::Query(id) => Event::Query(ticket, id),
             Call::Wait(id, end) => Event::Wait(ticket, id, end),
             Call::Explain(id) => Event::Explain(ticket, id),
-            Call::List => Event::List(ticket),
+            Call::List | Call::Fleet => Event::List(ticket),
         });
     }
 
--- a/marigoldgladed/src/front.rs
+++ b/marigoldgladed/src/front.rs
@@ -132,14 +132,18 @@
         (&Method::GET, ["config", "history"]) => app.show_history().await,
         (&Method::GET, ["config", "history", number]) => app.show_past(number).await,
         (&Method::GET, ["vms"]) => app.show_vms(),
+        (&Method::GET, ["fleet"]) => app.show_fleet().await,
         (&Method::GET, ["events"]) => app.show_events(),
         (&Method::GET, ["mesh"]) => app.show_mesh(),
-        (_, ["request", _] | ["jobs" | "explain", ..] | ["config" | "vms" | "events" | "mesh"]) => {
-            Err(Error::new(
-                Kind::BadMethod,
-                format!("{} isn't offered on /{path}", parts.method),
-            ))
-        }
+        (
+            _,
+            ["request", _]
+            | ["jobs" | "explain", ..]
+            | ["config" | "vms" | "fleet" | "events" | "mesh"],
+        ) => Err(Error::new(
+            Kind::BadMethod,
+            format!("{} isn't offered on /{path}", parts.method),
+        )),
         _ => Err(no_route(&path)),
     }
 }
--- a/marigoldgladed/src/jobs.rs
+++ b/marigoldgladed/src/jobs.rs
@@ -131,6 +131,18 @@
         front::json(StatusCode::OK, &views)
     }
 
+    /// Shows who holds which accelerators in all data centres with a known owner.
+    pub(crate) async fn show_fleet(self: &Arc<Self>) -> Result<Answer> {
+        let mut fleets = Vec::new();
+        for holder in self.roles.holders() {
+            let end = clock::now().after(CALL_MS);
+            if let Reply::Fleet(fleet) = self.job_call(&holder.dc, Call::Fleet, end).await? {
+                fleets.push(fleet);
+            }
+        }
+        front::json(StatusCode::OK, &fleets)
+    }
+
     /// Shows one job, after its end when the call waits for that.
     pub(crate) async fn job_status(self: &Arc<Self>, id: &str, parts: &Parts) -> Result<Answer> {
         let now = clock::now();
@@ -233,6 +245,7 @@
         Reply::Accepted(view) | Reply::View(view) => front::json(status, &view),
         Reply::Explained(explanation) => front::json(status, &explanation),
         Reply::Views(views) => front::json(status, &views),
+        Reply::Fleet(fleet) => front::json(status, &fleet),
     }
 }
 
--- a/marigoldgladed/tests/cli.rs
+++ b/marigoldgladed/tests/cli.rs
@@ -124,6 +124,29 @@
     );
 }
 
+#[test]
+fn shows_who_holds_what_and_what_is_free() {
+    let fleet = Fleet::start(0, 3, CONFIG);
+    let cli = Cli(&fleet);
+    let job = file(
+        "held.yaml",
+        "workspace: register\nkey: held\nshape: {tasks: 1, accels: 4}\n\
+         idempotent: true\nbody: run_ms=600000\n",
+    );
+    cli.good(&["submit", &job.display().to_string()]);
+    let shown = wait_for("the job's place", || {
+        let text = cli.good(&["--output", "json", "fleet"]);
+        let value: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        (value[0]["workspaces"][0]["used"] == 4).then(|| value[0].clone())
+    });
+    assert_eq!(shown["workspaces"][0]["missing"], 0);
+    assert_eq!(shown["free"]["workers"], 3);
+    assert_eq!(shown["free"]["accels"], 20);
+    assert_eq!(shown["free"]["whole"], 2);
+    assert!(cli.good(&["fleet"]).contains("register"));
+    assert!(cli.run(&["events"]).status.success());
+}
+
 #[test]
 fn tries_the_next_daemon_when_one_is_away() {
     let fleet = Fleet::start(1, 0, CONFIG);
--- a/marigoldgladed/tests/front.rs
+++ b/marigoldgladed/tests/front.rs
@@ -5,6 +5,7 @@
 
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Barrier;
 
 use fleet::{CONFIG, Fleet, call};
 use marigoldglade::api::Problem;
@@ -141,3 +142,28 @@
     assert!(seen.contains(trace), "{seen}");
     assert!(!seen.contains("00f067aa0ba902b7"), "{seen}");
 }
+
+#[test]
+fn no_health_check_waits_for_another_connection_to_close() {
+    const CHECKS: usize = 12;
+    const HANG: std::time::Duration = std::time::Duration::from_secs(20);
+    let fleet = Fleet::start(0, 0, CONFIG);
+    let admin = fleet.first().admin;
+    let (begin, end) = (Barrier::new(CHECKS), Barrier::new(CHECKS));
+    let check = || {
+        begin.wait();
+        let mut stream = TcpStream::connect(admin).expect("the daemon accepts");
+        stream.set_read_timeout(Some(HANG)).expect("a timeout");
+        let asked = stream.write_all(b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n");
+        let told = asked.and_then(|()| stream.read(&mut [0; 64]));
+        // Every connection stays open until all were served.
+        end.wait();
+        told.unwrap_or(0)
+    };
+    std::thread::scope(|scope| {
+        let checks: Vec<_> = (0..CHECKS).map(|_| scope.spawn(check)).collect();
+        for check in checks {
+            assert_ne!(check.join().expect("the check ends"), 0);
+        }
+    });
+}
