Pace the VM list by its size, and fit the connections in 64 MB

Cause: docs/CAPACITY.md showed the list read whole each second at 179 KB/s for 1,200 VMs, and 10,000 connections of 16.5 KB each in a daemon of 64 MB. Ruled out: reading it each 30 s, which fits 8 KB/s, but lets a leaving target that only the list shows get new work for longer than 5 s; the promise goes before. Before: 22 times over; default limit 10,000. After: 5.6 times over at plan size (worked out from the measured bytes), within budget up to 160 VMs times 4 s at 6,000 bytes/s; default limit 3,000.

--- a/marigoldglade/src/settings.rs
+++ b/marigoldglade/src/settings.rs
@@ -100,7 +100,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            connections: 10_000,
+            connections: 3_000,
             queue: 4_096,
             queue_bytes: 32 << 20,
             body_bytes: 1 << 20,
--- a/marigoldgladed/src/targets.rs
+++ b/marigoldgladed/src/targets.rs
@@ -12,8 +12,14 @@
 use crate::front::{self, Answer};
 use crate::{clock, send};
 
-/// How often the VM list is read, in milliseconds.
+/// The least time between two reads of the VM list, in milliseconds.
 const READ_INTERVAL_MS: u64 = SECOND_MS;
+/// The most time between two reads, in milliseconds: a leaving target gets no new work 5 s on.
+const READ_INTERVAL_MAX_MS: u64 = 4 * SECOND_MS;
+/// What a VM takes in the list, in bytes.
+const VM_BYTES: u64 = 150;
+/// What reading the list may take, in bytes a second; a longer list is read less often.
+const READ_BYTES_PER_S: u64 = 6_000;
 /// The time that reading the VM list may take, in milliseconds.
 const READ_LIMIT_MS: u64 = 2 * SECOND_MS;
 
@@ -88,7 +94,15 @@
                 Ok(vms) => self.targets.replace(vms),
                 Err(e) => log::warn!("the VM list can't be read: {e}"),
             }
-            clock::sleep_until(clock::now().after(READ_INTERVAL_MS)).await;
+            let next = read_after(self.targets.list().len());
+            clock::sleep_until(clock::now().after(next)).await;
         }
     }
 }
+
+/// Returns how long after a read of `count` VMs the next one comes, in milliseconds.
+fn read_after(count: usize) -> u64 {
+    let bytes = VM_BYTES.saturating_mul(count as u64);
+    let ms = bytes.saturating_mul(SECOND_MS) / READ_BYTES_PER_S;
+    ms.clamp(READ_INTERVAL_MS, READ_INTERVAL_MAX_MS)
+}
