Take the bench's connection limit from the daemon's settings

Ruled out: one worker for bench/full.rs and replay.rs (the criterion bench takes full.rs in by path, without replay.rs); it did not compile and is not in. The bench itself was not run again. Conclusion: the limit stands in one place.

--- a/bench/src/entry.rs
+++ b/bench/src/entry.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgMatches, value_parser};
+use marigoldglade::settings::Limits;
 
 use crate::meter::print_line;
 use crate::whole::{Daemon, free_ports, put_vms, sample, standin, start};
@@ -14,8 +15,6 @@
 const COUNTS: [u32; 3] = [1_000, 2_000, 4_000];
 /// Open connections of callers.
 const CONNECTIONS: [usize; 4] = [0, 500, 1_000, 2_000];
-/// The entry VMs' connections at the daemon's own limit.
-const LIMIT: f64 = 10_000.0;
 
 /// Returns the subcommand.
 pub(crate) fn command() -> clap::Command {
@@ -49,7 +48,8 @@
         .iter()
         .map(|n| (*n as f64, held(&daemon, ports[0], *n)))
         .collect();
-    print_line("memory, x = open connections", "bytes", &memory, LIMIT);
+    let limit = f64::from(Limits::default().connections);
+    print_line("memory, x = open connections", "bytes", &memory, limit);
     let cpu: Vec<(f64, f64)> = COUNTS
         .iter()
         .map(|n| (f64::from(*n), spent_ms(&daemon, ports[0], *n)))
