--- /dev/null
+++ b/marigoldglade/src/batch.rs
@@ -0,0 +1,19 @@
+//! Jobs of steps of tasks, run by workers that enforce capacity, leases and fencing themselves.
+//!
+//! Calls of callers, reports of workers and outcomes of commits flow into the [`engine`]; orders to
+//! workers, commits and answers flow out. The other modules are its parts: what a job asks for
+//! ([`spec`]), what is kept of it ([`record`]), who may ask ([`policy`]), what workers say
+//! ([`worker`]), and the decisions ([`rank`], [`pack`], [`preempt`], [`health`], [`admission`]).
+
+pub mod admission;
+pub mod engine;
+pub mod health;
+pub mod id;
+pub mod pack;
+pub mod policy;
+pub mod preempt;
+pub mod rank;
+pub mod record;
+pub mod spec;
+pub mod talk;
+pub mod worker;
--- /dev/null
+++ b/marigoldglade/src/batch/engine.rs
@@ -0,0 +1,331 @@
+//! The owner of a pool's jobs, as a state machine without input or output.
+//!
+//! Calls, reports of workers and outcomes of commits flow in as [`Event`]s; orders, commits and
+//! answers flow out as [`Action`]s. What callers are told and what workers forget is on record
+//! before: answers and acknowledgements wait for the commit that covers them.
+
+mod calls;
+mod commit;
+mod ends;
+mod fleet;
+mod job;
+mod links;
+mod plan;
+mod runs;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+
+use crate::batch::id::JobId;
+use crate::batch::pack::RackKey;
+use crate::batch::policy::Policy;
+use crate::batch::record::Record;
+use crate::batch::talk::{Call, Reply};
+use crate::batch::worker::{Answer, Order, Target};
+use crate::time::UnixMs;
+
+use commit::Flight;
+use fleet::Worker;
+use job::Job;
+
+/// A job within one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobKey(pub u32);
+
+/// A worker within one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerKey(pub u16);
+
+/// Names a call until it is answered.
+pub type Ticket = u64;
+
+/// Bounds of the platform that the engine keeps.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The longest lease that a worker grants, in milliseconds.
+    pub lease_limit_ms: u64,
+    /// How long a stop may take, in milliseconds.
+    pub stop_ms: u64,
+    /// How long members of a gang wait for each other, in milliseconds.
+    pub gang_ms: u64,
+    /// How long the state of an ended job must stay known, in milliseconds.
+    pub status_ms: u64,
+    /// The factor on a task's time away from its data or rack.
+    pub far_factor: u64,
+    /// The time in which guaranteed work must begin, in milliseconds.
+    pub reclaim_ms: u64,
+}
+
+/// A submission or cancel that another daemon stored.
+#[derive(Clone, Debug)]
+pub struct InboxItem {
+    /// Its key in the store.
+    pub key: String,
+    /// What it asks.
+    pub body: InboxBody,
+}
+
+/// What an [`InboxItem`] asks.
+#[derive(Clone, Debug)]
+pub enum InboxBody {
+    /// A job that was accepted.
+    Submit(Box<Record>),
+    /// A job whose cancel was acknowledged.
+    Cancel(JobId),
+}
+
+/// What came of a commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stored {
+    /// It is durable.
+    Done,
+    /// It provably has no effect, now or later.
+    Nothing,
+    /// A newer owner has written.
+    Fenced,
+}
+
+/// What flows in.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The configuration in force.
+    Policy(Arc<Policy>),
+    /// All workers in the registry.
+    Registry(Vec<Target>),
+    /// A call that passed the entry daemon's checks.
+    Call(Ticket, Call),
+    /// What other daemons stored.
+    Inbox(Vec<InboxItem>),
+    /// What came of an order.
+    Answer(WorkerKey, Order, Answer),
+    /// What came of the commit of this number.
+    Stored(u64, Stored),
+    /// Time passed.
+    Tick,
+}
+
+/// Changes that take effect together.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// Its number in this term, from one.
+    pub number: u64,
+    /// Records to write.
+    pub puts: Vec<Record>,
+    /// Records to delete.
+    pub drops: Vec<JobId>,
+    /// Keys of the inbox to delete.
+    pub handled: Vec<String>,
+    /// The workers that may run something, when they changed.
+    pub workers: Option<Vec<Target>>,
+}
+
+/// What flows out.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send an order to a worker; its outcome comes back as [`Event::Answer`].
+    Order(WorkerKey, Arc<Target>, Order),
+    /// Make changes durable; the outcome comes back as [`Event::Stored`].
+    Commit(Batch),
+    /// Answer a call.
+    Reply(Ticket, Reply),
+    /// A newer owner exists: do nothing more.
+    StepDown,
+}
+
+/// What an owner begins with.
+#[derive(Clone, Debug)]
+pub struct Estate {
+    /// Its term.
+    pub term: u64,
+    /// All records.
+    pub records: Vec<Record>,
+    /// Workers that may run something of an earlier term.
+    pub workers: Vec<Target>,
+    /// Whether there was an earlier term.
+    pub inherited: bool,
+}
+
+/// Counts for metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Runs that were started.
+    pub starts: u64,
+    /// Runs that were stopped for more urgent work.
+    pub preempted: u64,
+    /// Starts refused for want of room.
+    pub full: u64,
+    /// Ends that failed.
+    pub failed: u64,
+    /// Orders without an answer.
+    pub lost: u64,
+    /// Jobs accepted.
+    pub accepted: u64,
+    /// Jobs refused.
+    pub refused: u64,
+}
+
+/// The owner's state.
+pub struct Engine {
+    term: u64,
+    bounds: Bounds,
+    policy: Arc<Policy>,
+    jobs: BTreeMap<JobKey, Job>,
+    ids: HashMap<JobId, JobKey>,
+    last_job: u32,
+    workers: Vec<Worker>,
+    names: HashMap<String, WorkerKey>,
+    racks: HashMap<(String, String), RackKey>,
+    /// Jobs whose record is behind.
+    dirty: BTreeSet<JobKey>,
+    /// Records to delete.
+    drops: Vec<JobId>,
+    /// Keys of the inbox to delete.
+    handled: BTreeSet<String>,
+    /// Whether the list of workers in the store is behind.
+    workers_dirty: bool,
+    flight: Option<Flight>,
+    commits: u64,
+    /// When the next commit may begin.
+    commit_after: UnixMs,
+    /// Until when submissions are refused, since the store refused a commit.
+    closed_until: UnixMs,
+    /// Whether the plan may be out of date.
+    replan: bool,
+    plan_after: UnixMs,
+    /// A rack kept free for a wide gang.
+    reserved: Option<plan::Reservation>,
+    /// Room kept for work while runs there stop.
+    claims: Vec<plan::Claim>,
+    /// Jobs that their workspaces' guarantees cover, as of the last plan.
+    covered: HashSet<JobKey>,
+    counts: Counts,
+    now: UnixMs,
+    /// The time of day in milliseconds since the Unix epoch; it may jump.
+    wall: u64,
+}
+
+/// The time between two plans at least, in milliseconds; source: bounds the owner's processor time.
+const PLAN_GAP_MS: u64 = 10;
+/// The time between two ticks at most, in milliseconds.
+const TICK_MS: u64 = 50;
+
+impl Engine {
+    /// Makes the engine of a new owner.
+    #[must_use]
+    pub fn new(bounds: Bounds, policy: Arc<Policy>, estate: Estate, now: UnixMs, wall: u64) -> Self {
+        let mut engine = Self {
+            term: estate.term,
+            bounds,
+            policy,
+            jobs: BTreeMap::new(),
+            ids: HashMap::new(),
+            last_job: 0,
+            workers: Vec::new(),
+            names: HashMap::new(),
+            racks: HashMap::new(),
+            dirty: BTreeSet::new(),
+            drops: Vec::new(),
+            handled: BTreeSet::new(),
+            workers_dirty: true,
+            flight: None,
+            commits: 0,
+            commit_after: now,
+            closed_until: now,
+            replan: true,
+            plan_after: now,
+            reserved: None,
+            claims: Vec::new(),
+            covered: HashSet::new(),
+            counts: Counts::default(),
+            now,
+            wall,
+        };
+        for target in estate.workers {
+            engine.inherit_worker(target);
+        }
+        for record in estate.records {
+            engine.load(record, estate.inherited);
+        }
+        engine
+    }
+
+    /// Takes one event; actions are appended to `out`.
+    pub fn step(&mut self, now: UnixMs, wall: u64, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        self.wall = wall;
+        match event {
+            Event::Policy(policy) => {
+                self.policy = policy;
+                self.replan = true;
+            }
+            Event::Registry(targets) => self.registry(targets),
+            Event::Call(ticket, call) => self.call(ticket, call, out),
+            Event::Inbox(items) => self.inbox(items),
+            Event::Answer(worker, order, answer) => self.answer(worker, &order, answer, out),
+            Event::Stored(number, stored) => self.stored(number, stored, out),
+            Event::Tick => self.expire(),
+        }
+        if self.replan && self.plan_after.passed(self.now) {
+            self.replan = false;
+            self.plan_after = self.now.after(PLAN_GAP_MS);
+            self.plan(out);
+        }
+        self.watch_runs(out);
+        self.commit(out);
+        self.hold_workers(out);
+    }
+
+    /// Returns when the next [`Event::Tick`] is due.
+    #[must_use]
+    pub fn wake(&self) -> UnixMs {
+        let mut wake = self.now.after(TICK_MS);
+        if self.replan {
+            wake = wake.min(self.plan_after);
+        }
+        if self.flight.is_none() && self.has_changes() {
+            wake = wake.min(self.commit_after);
+        }
+        wake
+    }
+
+    /// Returns the counts for metrics.
+    #[must_use]
+    pub const fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Returns the term.
+    #[must_use]
+    pub const fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns whether nothing waits for a commit.
+    #[must_use]
+    pub fn settled(&self) -> bool {
+        self.flight.is_none() && !self.has_changes()
+    }
+
+    /// Returns the jobs that haven't ended.
+    #[must_use]
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.values().filter(|j| j.is_open()).count()
+    }
+
+    fn worker(&self, key: WorkerKey) -> &Worker {
+        &self.workers[usize::from(key.0)]
+    }
+
+    fn worker_mut(&mut self, key: WorkerKey) -> &mut Worker {
+        &mut self.workers[usize::from(key.0)]
+    }
+
+    fn worker_keys(&self) -> impl Iterator<Item = WorkerKey> + use<> {
+        (0..u16::try_from(self.workers.len()).unwrap_or(u16::MAX)).map(WorkerKey)
+    }
+
+    fn job_mut(&mut self, id: JobId) -> Option<(JobKey, &mut Job)> {
+        let key = *self.ids.get(&id)?;
+        Some((key, self.jobs.get_mut(&key)?))
+    }
+}
--- /dev/null
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -0,0 +1,210 @@
+//! Calls of callers, and what other daemons stored for the owner.
+
+use crate::batch::admission::{Backlog, refuse};
+use crate::batch::engine::job::Job;
+use crate::batch::engine::{Action, Engine, InboxBody, InboxItem, JobKey, Ticket};
+use crate::batch::id::JobId;
+use crate::batch::policy::Queue;
+use crate::batch::rank::LATE_FACTOR;
+use crate::batch::record::{Record, State};
+use crate::batch::spec::JobSpec;
+use crate::batch::talk::{Call, Reply};
+use crate::time::UnixMs;
+
+/// A commit that is under way for longer means trouble with the store, in milliseconds; source:
+/// many times the store's usual answer.
+const COMMIT_TROUBLE_MS: u64 = 600;
+
+impl Engine {
+    /// Answers a call, now or once it is on record.
+    pub(super) fn call(&mut self, ticket: Ticket, call: Call, out: &mut Vec<Action>) {
+        let reply = match call {
+            Call::Submit {
+                id,
+                queue,
+                workspace,
+                spec,
+            } => self.submit(ticket, id, queue, workspace, spec),
+            Call::Cancel(id) => self.cancel(ticket, id),
+            Call::Status(id) => Some(self.status(id)),
+            Call::Pending(queue) => Some(Reply::Pending(self.pending(&queue))),
+        };
+        if let Some(reply) = reply {
+            out.push(Action::Reply(ticket, reply));
+        }
+    }
+
+    /// Adds a job; the answer waits for its commit.
+    fn submit(
+        &mut self,
+        ticket: Ticket,
+        id: JobId,
+        queue: Queue,
+        workspace: String,
+        spec: JobSpec,
+    ) -> Option<Reply> {
+        if let Some((_, job)) = self.job_mut(id) {
+            if job.durable.is_some() {
+                return Some(Reply::Accepted);
+            }
+            job.submits.push(ticket);
+            return None;
+        }
+        if self.store_troubled() {
+            log::info!(job = id.as_str(), closed_ms = self.closed_until.since(self.now); "submission turned away: the store takes no commits");
+            return Some(Reply::NotOwner);
+        }
+        if let Some(retry_ms) = self.overload(&queue, &spec) {
+            self.counts.refused += 1;
+            log::info!(job = id.as_str(), queue = queue.name.as_str(), retry_ms; "submission refused: the backlog outlasts its use");
+            return Some(Reply::Refused(retry_ms));
+        }
+        let record = Record::new(id, queue, workspace, spec, self.wall);
+        let key = self.add_job(Job::new(record, self.now, false));
+        let job = self.jobs.get_mut(&key)?;
+        job.submits.push(ticket);
+        self.dirty.insert(key);
+        None
+    }
+
+    /// Returns whether commits fail, so that nothing can be accepted.
+    pub(super) fn store_troubled(&self) -> bool {
+        let stuck = |f: &super::Flight| self.now.since(f.since) > COMMIT_TROUBLE_MS;
+        !self.closed_until.passed(self.now) || self.flight.as_ref().is_some_and(stuck)
+    }
+
+    fn overload(&self, queue: &Queue, spec: &JobSpec) -> Option<u64> {
+        if spec.rounds > 0 || spec.steps.iter().any(|s| s.endless) {
+            return None;
+        }
+        let ahead = |j: &&Job| j.is_open() && j.record.queue.priority <= queue.priority;
+        let work = self.jobs.values().filter(ahead).map(Job::left_work);
+        let usable = self.workers.iter().filter(|w| w.listed && w.target.pool == queue.pool);
+        let objective = queue.objective_ms(spec.chain_ms());
+        refuse(&Backlog {
+            work: work.fold(0, u64::saturating_add),
+            cores: usable.map(|w| w.target.room.cores()).sum(),
+            useful_ms: objective * LATE_FACTOR,
+        })
+    }
+
+    pub(super) fn add_job(&mut self, job: Job) -> JobKey {
+        self.last_job += 1;
+        let key = JobKey(self.last_job);
+        self.ids.insert(job.record.id, key);
+        self.jobs.insert(key, job);
+        key
+    }
+
+    /// Takes a record on from the store.
+    pub(super) fn load(&mut self, record: Record, inherited: bool) {
+        if self.ids.contains_key(&record.id) {
+            return;
+        }
+        let age = self.wall.saturating_sub(record.accepted);
+        let state = record.state;
+        let mut job = Job::new(record, UnixMs(self.now.0.saturating_sub(age)), inherited);
+        job.durable = Some(state);
+        job.saved = job.changed;
+        self.add_job(job);
+    }
+
+    fn cancel(&mut self, ticket: Ticket, id: JobId) -> Option<Reply> {
+        let Some((key, job)) = self.job_mut(id) else {
+            return Some(Reply::Unknown);
+        };
+        match job.durable {
+            None => {
+                // The cancel must not overtake the acceptance in the caller's eyes.
+                job.cancels.push(ticket);
+                job.record.state = State::Cancelled;
+            }
+            Some(State::Open) => {
+                job.cancels.push(ticket);
+                if job.record.state == State::Open {
+                    job.record.state = State::Cancelled;
+                }
+            }
+            Some(_) => return Some(Reply::Cancelled),
+        }
+        let wall = self.wall;
+        if let Some(job) = self.jobs.get_mut(&key)
+            && job.record.ended == 0
+        {
+            job.record.ended = wall;
+            job.changed += 1;
+        }
+        self.dirty.insert(key);
+        None
+    }
+
+    fn status(&mut self, id: JobId) -> Reply {
+        let shown = self.job_mut(id).and_then(|(_, job)| job.shown());
+        shown.map_or(Reply::Unknown, Reply::State)
+    }
+
+    fn pending(&self, queue: &str) -> u64 {
+        let waits = |j: &&Job| j.is_active() && !j.begun && j.record.queue.name == queue;
+        u64::try_from(self.jobs.values().filter(waits).count()).unwrap_or(u64::MAX)
+    }
+
+    /// Takes what other daemons stored while they couldn't reach the owner.
+    pub(super) fn inbox(&mut self, items: Vec<InboxItem>) {
+        for item in items {
+            if self.handled.contains(&item.key) {
+                continue;
+            }
+            match item.body {
+                InboxBody::Submit(record) => {
+                    let id = record.id;
+                    if !self.ids.contains_key(&id) {
+                        log::info!(job = id.as_str(); "submission taken from the inbox");
+                        self.load(*record, false);
+                        if let Some((key, job)) = self.job_mut(id) {
+                            job.changed += 1;
+                            self.dirty.insert(key);
+                        }
+                    }
+                }
+                InboxBody::Cancel(id) => {
+                    log::info!(job = id.as_str(); "cancel taken from the inbox");
+                    let wall = self.wall;
+                    if let Some((key, job)) = self.job_mut(id)
+                        && job.is_open()
+                    {
+                        job.record.state = State::Cancelled;
+                        job.record.ended = wall;
+                        job.changed += 1;
+                        self.dirty.insert(key);
+                    }
+                }
+            }
+            self.handled.insert(item.key);
+        }
+        self.replan = true;
+    }
+
+    /// Lets records go whose state needn't be known any more.
+    pub(super) fn expire(&mut self) {
+        let (wall, keep) = (self.wall, self.bounds.status_ms);
+        let over = |j: &Job| {
+            !j.is_open() && j.saved == j.changed && wall.saturating_sub(j.record.ended) > keep
+        };
+        let gone: Vec<JobKey> = self.jobs.iter().filter(|(_, j)| over(j)).map(|(k, _)| *k).collect();
+        for key in gone {
+            if self.is_running(key) {
+                continue;
+            }
+            if let Some(job) = self.jobs.remove(&key) {
+                self.ids.remove(&job.record.id);
+                self.drops.push(job.record.id);
+            }
+        }
+        // Due rounds and expired waits need a look even when nothing else happened.
+        self.replan = true;
+    }
+
+    fn is_running(&self, key: JobKey) -> bool {
+        self.workers.iter().any(|w| w.runs.values().any(|r| r.job == key))
+    }
+}
--- /dev/null
+++ b/marigoldglade/src/batch/engine/ends.rs
@@ -0,0 +1,177 @@
+//! What the end of a run means for its task, its job and its worker.
+
+use crate::batch::engine::{Engine, JobKey, WorkerKey};
+use crate::batch::id::TaskId;
+use crate::batch::record::State;
+use crate::batch::worker::{Ended, How};
+use crate::time::UnixMs;
+
+/// The pause before a task that failed starts again, in milliseconds.
+const RETRY_MS: u64 = 50;
+
+impl Engine {
+    /// Applies an end that a worker lists.
+    pub(super) fn ended(&mut self, key: WorkerKey, end: &Ended) {
+        let now = self.now;
+        let worker = self.worker(key);
+        let current = worker.runs.get(&end.task).is_some_and(|r| r.run == end.run);
+        let how: &'static str = end.how.into();
+        let since = worker.runs.get(&end.task).filter(|_| current).map_or(now, |r| r.since);
+        log::info!(
+            task:% = end.task, run = end.run, how = how, number = end.number,
+            worker = worker.target.name.as_str(), ran_ms = now.since(since);
+            "run ended"
+        );
+        let stopping = current && self.is_stopping(key, &end.task);
+        if current {
+            self.release(key, &end.task);
+        }
+        self.judge_worker(key, end);
+        let Some((job_key, job)) = self.job_mut(end.task.job) else {
+            return;
+        };
+        let (Some(step), state) = (job.step(&end.task).cloned(), job.record.state) else {
+            return;
+        };
+        let attempts = usize::try_from(job.record.queue.attempts.max(1)).unwrap_or(usize::MAX);
+        let Some(task) = job.task(&end.task) else {
+            return;
+        };
+        task.run = task.run.max(end.run);
+        if !end.saved.is_empty() && (current || task.saved.is_empty()) {
+            task.saved.clone_from(&end.saved);
+        }
+        job.begun = true;
+        match end.how {
+            How::Done if step.endless => {}
+            How::Done => self.task_done(job_key, &end.task, step.gang),
+            How::Failed => {
+                self.counts.failed += 1;
+                self.task_failed(job_key, key, end, &step, attempts);
+            }
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {
+                if step.gang && !stopping {
+                    self.break_gang(&end.task, end.run);
+                }
+            }
+        }
+        if state == State::Open {
+            self.settle(job_key);
+        }
+        if let Some(job) = self.jobs.get_mut(&job_key) {
+            job.changed += 1;
+            self.dirty.insert(job_key);
+        }
+        self.replan = true;
+    }
+
+    fn is_stopping(&self, key: WorkerKey, id: &TaskId) -> bool {
+        use crate::batch::engine::fleet::Stage;
+        let run = self.worker(key).runs.get(id);
+        run.is_some_and(|r| matches!(r.stage, Stage::Stopping | Stage::Unsure))
+    }
+
+    fn judge_worker(&mut self, key: WorkerKey, end: &Ended) {
+        let now = self.now;
+        let worker = self.worker_mut(key);
+        let quarantined = match end.how {
+            How::Done => {
+                worker.health.done();
+                false
+            }
+            How::Failed => worker.health.failed(end.task.job, now),
+            _ => false,
+        };
+        if quarantined {
+            log::warn!(worker = worker.target.name.as_str(); "worker in quarantine: different jobs failed there");
+        }
+    }
+
+    fn task_done(&mut self, job_key: JobKey, id: &TaskId, gang: bool) {
+        let Some(job) = self.jobs.get_mut(&job_key) else {
+            return;
+        };
+        let Some(step) = job.step_run(id) else {
+            return;
+        };
+        let mut newly = 0;
+        let mut elsewhere: Vec<(TaskId, WorkerKey)> = Vec::new();
+        for (index, task) in (0u32..).zip(&mut step.tasks) {
+            if (gang || index == id.index) && !task.done {
+                task.done = true;
+                newly += 1;
+                // Another run of a task that is done now; members of a gang end by themselves.
+                if let (false, Some(on)) = (gang, task.on) {
+                    elsewhere.push((TaskId { index, ..*id }, on));
+                }
+            }
+        }
+        step.done += newly;
+        job.left -= newly;
+        for (id, on) in elsewhere {
+            self.stop(on, &id);
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        job_key: JobKey,
+        key: WorkerKey,
+        end: &Ended,
+        step: &crate::batch::spec::Step,
+        attempts: usize,
+    ) {
+        let retry_at = self.now.after(RETRY_MS);
+        let wall = self.wall;
+        let Some(job) = self.jobs.get_mut(&job_key) else {
+            return;
+        };
+        if let Some(task) = job.task(&end.task) {
+            if !task.failed.contains(&end.run) {
+                task.failed.push(end.run);
+            }
+            task.avoid.push(key);
+            task.retry_at = retry_at;
+        }
+        if step.endless {
+            return;
+        }
+        let fails = if step.gang {
+            let runs = job.step_run(&end.task).map(|s| {
+                let mut runs: Vec<u64> = s.tasks.iter().flat_map(|t| t.failed.clone()).collect();
+                runs.sort_unstable();
+                runs.dedup();
+                runs.len()
+            });
+            runs.unwrap_or(0)
+        } else {
+            job.task(&end.task).map_or(0, |t| t.failed.len())
+        };
+        if fails >= attempts && job.is_open() {
+            log::warn!(task:% = end.task, fails, attempts; "job failed: a task failed as often as its queue allows");
+            job.record.state = State::Failed;
+            job.record.ended = wall;
+            self.stop_job(job_key);
+        } else if step.gang {
+            self.break_gang(&end.task, end.run);
+        }
+    }
+
+    /// Ends a job whose tasks are all done.
+    fn settle(&mut self, job_key: JobKey) {
+        let (now, wall): (UnixMs, u64) = (self.now, self.wall);
+        let Some(job) = self.jobs.get_mut(&job_key) else {
+            return;
+        };
+        if job.left == 0 && job.is_open() {
+            job.record.state = State::Done;
+            job.record.ended = wall;
+            let goal = job.record.queue.objective_ms(job.record.spec.chain_ms());
+            log::info!(
+                job = job.record.id.as_str(), queue = job.record.queue.name.as_str(),
+                took_ms = now.since(job.since), goal_ms = goal;
+                "all tasks of a job are done"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/marigoldglade/src/batch/engine/fleet.rs
@@ -0,0 +1,282 @@
+//! Workers in the owner's memory: who they are, what they run, and until when they may.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+
+use crate::batch::engine::{Engine, JobKey, WorkerKey};
+use crate::batch::health::Health;
+use crate::batch::id::TaskId;
+use crate::batch::pack::RackKey;
+use crate::batch::worker::{Room, Target};
+use crate::time::UnixMs;
+
+/// The lease that holds extend to, in milliseconds; source: outlasts a takeover (the owner's lease
+/// and a load of all records), and is far below the platform's longest lease.
+pub const LEASE_MS: u64 = 5_000;
+/// How long an owner may go on without its ownership confirmed, in milliseconds; source: bridges
+/// an outage of the store; after it, a new owner needn't reckon with new leases of the old one.
+pub const BLIND_MS: u64 = 10_000;
+/// How much slower than ours a worker's clock may run, in percent; source: the platform's bound.
+const DRIFT_PERCENT: u64 = 2;
+/// Added to each computed lapse for answers under way, in milliseconds.
+const LAPSE_SLACK_MS: u64 = 300;
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reading {
+    /// What the worker's clock showed, in milliseconds.
+    pub clock: u64,
+    /// When the answer came.
+    pub at: UnixMs,
+}
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Its start was sent and isn't answered.
+    Starting,
+    /// It runs, as far as is known.
+    Running,
+    /// It is to be stopped; the order is sent again until the end is listed.
+    Stopping,
+    /// Its start was given up: it may run, or may begin before its deadline.
+    Unsure,
+}
+
+/// A run that is, or may be, on a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub job: JobKey,
+    pub run: u64,
+    pub room: Room,
+    pub stage: Stage,
+    /// When it was started.
+    pub since: UnixMs,
+    /// Sends of its start or stop.
+    pub tries: u32,
+    /// When its order is sent again.
+    pub next: UnixMs,
+    /// The worker's clock when it last confirmed the run or its stop.
+    pub confirmed: u64,
+    /// The start's deadline on the worker's clock.
+    pub end: u64,
+    /// Progress in percent, and when it last rose.
+    pub percent: u32,
+    pub moved: UnixMs,
+    /// Whether its stop was obeyed, so that it can't begin any more.
+    pub barred: bool,
+}
+
+/// A worker.
+pub(super) struct Worker {
+    pub target: Arc<Target>,
+    pub rack: RackKey,
+    /// Whether the registry lists it.
+    pub listed: bool,
+    /// Whether the durable list of workers has it in this life.
+    pub recorded: bool,
+    /// Whether this life of it has answered this owner.
+    pub answered: bool,
+    /// Until when runs of an earlier owner may be there; it ends early with an answer.
+    pub doubt_end: UnixMs,
+    pub reading: Option<Reading>,
+    /// The latest end of a lease that was sent, on the worker's clock.
+    pub lease: u64,
+    /// The last end that was applied, the last that is durable, and the last told to the worker.
+    pub seen: u64,
+    pub acked: u64,
+    pub told: u64,
+    pub runs: BTreeMap<TaskId, Run>,
+    pub used: Room,
+    /// Whether a hold is under way.
+    pub holding: bool,
+    /// When the next hold may be sent, and when it must be to renew the leases.
+    pub hold_after: UnixMs,
+    pub renew_at: UnixMs,
+    /// Holds without an answer, in a row.
+    pub lost: u32,
+    /// When it may get work again after it was found full or unhealthy.
+    pub full_until: UnixMs,
+    pub health: Health,
+}
+
+impl Worker {
+    fn new(target: Target, rack: RackKey, now: UnixMs) -> Self {
+        Self {
+            target: Arc::new(target),
+            rack,
+            listed: false,
+            recorded: false,
+            answered: false,
+            doubt_end: now,
+            reading: None,
+            lease: 0,
+            seen: 0,
+            acked: 0,
+            told: 0,
+            runs: BTreeMap::new(),
+            used: Room::default(),
+            holding: false,
+            hold_after: now,
+            renew_at: now,
+            lost: 0,
+            full_until: now,
+            health: Health::default(),
+        }
+    }
+
+    /// Returns the worker's clock at `now`, at the earliest.
+    pub fn clock(&self, now: UnixMs) -> Option<u64> {
+        let reading = self.reading?;
+        let passed = now.since(reading.at);
+        Some(reading.clock + passed - passed * DRIFT_PERCENT / 100)
+    }
+
+    /// Returns when all its leases have lapsed for certain; `None` when none was given.
+    pub fn lapse(&self) -> Option<UnixMs> {
+        let reading = self.reading?;
+        let left = self.lease.saturating_sub(reading.clock);
+        Some(reading.at.after(left + left * DRIFT_PERCENT / (100 - DRIFT_PERCENT) + LAPSE_SLACK_MS))
+    }
+
+    /// Returns the room that no run takes.
+    pub fn free(&self) -> Room {
+        self.target.room.minus(&self.used)
+    }
+
+    /// Returns whether it can be given work.
+    pub fn is_usable(&self, now: UnixMs) -> bool {
+        self.listed
+            && self.answered
+            && self.recorded
+            && !self.target.draining
+            && self.lost == 0
+            && self.full_until.passed(now)
+    }
+
+    /// Adds a run.
+    pub fn insert(&mut self, task: TaskId, run: Run) {
+        self.used = self.used.plus(&run.room);
+        if let Some(old) = self.runs.insert(task, run) {
+            self.used = self.used.minus(&old.room);
+        }
+    }
+
+    /// Removes a run.
+    pub fn remove(&mut self, task: &TaskId) -> Option<Run> {
+        let run = self.runs.remove(task)?;
+        self.used = self.used.minus(&run.room);
+        Some(run)
+    }
+
+    /// Forgets all that belonged to an earlier life.
+    pub fn forget_life(&mut self) {
+        self.runs.clear();
+        self.used = Room::default();
+        self.reading = None;
+        self.answered = false;
+        self.recorded = false;
+        (self.lease, self.seen, self.acked, self.told) = (0, 0, 0, 0);
+        self.lost = 0;
+        self.health = Health::default();
+    }
+}
+
+impl Engine {
+    /// Takes a worker on that may run something of an earlier owner.
+    pub(super) fn inherit_worker(&mut self, target: Target) {
+        let limit = self.bounds.lease_limit_ms.min(LEASE_MS);
+        let lease = limit + limit * DRIFT_PERCENT / (100 - DRIFT_PERCENT);
+        let doubt_end = self.now.after(BLIND_MS + lease + LAPSE_SLACK_MS);
+        let key = self.add_worker(target);
+        let worker = self.worker_mut(key);
+        worker.doubt_end = doubt_end;
+    }
+
+    fn add_worker(&mut self, target: Target) -> WorkerKey {
+        let next = u16::try_from(self.racks.len()).unwrap_or(u16::MAX);
+        let place = (target.dc.clone(), target.rack().to_owned());
+        let rack = *self.racks.entry(place).or_insert(RackKey(next));
+        let key = WorkerKey(u16::try_from(self.workers.len()).unwrap_or(u16::MAX));
+        self.names.insert(target.name.clone(), key);
+        self.workers.push(Worker::new(target, rack, self.now));
+        key
+    }
+
+    /// Takes the registry's list of workers.
+    pub(super) fn registry(&mut self, targets: Vec<Target>) {
+        let mut listed = HashSet::new();
+        for target in targets {
+            let key = match self.names.get(&target.name) {
+                Some(key) => *key,
+                None => self.add_worker(target.clone()),
+            };
+            listed.insert(key);
+            self.update_worker(key, target);
+        }
+        for key in self.worker_keys() {
+            let worker = self.worker_mut(key);
+            if worker.listed && !listed.contains(&key) {
+                log::info!(worker = worker.target.name.as_str(), runs = worker.runs.len(); "worker left the registry");
+                worker.listed = false;
+            }
+        }
+        self.replan = true;
+    }
+
+    fn update_worker(&mut self, key: WorkerKey, target: Target) {
+        let worker = self.worker(key);
+        let reborn = target.born > worker.target.born && worker.target.born > 0;
+        if reborn {
+            self.reborn(key, target.born, "the registry shows a new process");
+        }
+        let worker = self.worker_mut(key);
+        // An entry of an earlier life says nothing about this one.
+        if target.born < worker.target.born {
+            return;
+        }
+        if !worker.listed {
+            log::info!(worker = target.name.as_str(), pool = target.pool.as_str(); "worker joined the registry");
+            worker.listed = true;
+        }
+        if target.draining && !worker.target.draining {
+            log::info!(worker = target.name.as_str(), runs = worker.runs.len(); "worker drains");
+        }
+        if *worker.target != target {
+            let moved = worker.target.addr != target.addr || worker.target.room != target.room;
+            worker.target = Arc::new(target);
+            if moved {
+                worker.recorded = false;
+            }
+        }
+        if !worker.recorded {
+            self.workers_dirty = true;
+        }
+    }
+
+    /// A new life of a worker: nothing of the earlier one runs any more.
+    pub(super) fn reborn(&mut self, key: WorkerKey, born: u64, why: &str) {
+        let worker = self.worker_mut(key);
+        log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(), why = why; "worker restarted");
+        let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
+        for task in tasks {
+            self.release(key, &task);
+        }
+        let now = self.now;
+        let worker = self.worker_mut(key);
+        let mut target = (*worker.target).clone();
+        target.born = born;
+        worker.target = Arc::new(target);
+        worker.forget_life();
+        worker.doubt_end = now;
+        worker.hold_after = now;
+        self.workers_dirty = true;
+        self.replan = true;
+    }
+
+    /// Returns whether a run of an earlier owner may be on a worker that hasn't answered.
+    pub(super) fn has_doubts(&self) -> bool {
+        let doubtful = |w: &Worker| !w.answered && !w.doubt_end.passed(self.now);
+        self.workers.iter().any(doubtful)
+    }
+}
--- /dev/null
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -0,0 +1,211 @@
+//! A job in the owner's memory.
+
+use crate::batch::engine::{Ticket, WorkerKey};
+use crate::batch::id::TaskId;
+use crate::batch::record::{Record, State, TaskNote};
+use crate::batch::spec::Step;
+use crate::batch::talk::Shown;
+use crate::time::UnixMs;
+
+/// A task of a job.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Task {
+    pub done: bool,
+    /// Runs that failed.
+    pub failed: Vec<u64>,
+    /// The newest checkpoint.
+    pub saved: String,
+    /// The highest run number given in this term.
+    pub run: u64,
+    /// Where a run of it is, or may be.
+    pub on: Option<WorkerKey>,
+    /// Workers where it failed.
+    pub avoid: Vec<WorkerKey>,
+    /// When it may start again.
+    pub retry_at: UnixMs,
+}
+
+/// One step of one round.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StepRun {
+    pub tasks: Vec<Task>,
+    pub done: u32,
+}
+
+/// One occurrence of a job's steps.
+#[derive(Clone, Debug)]
+pub(super) struct Round {
+    /// When it is due, in milliseconds since the Unix epoch.
+    pub due: Option<u64>,
+    pub steps: Vec<StepRun>,
+}
+
+/// A job.
+pub(super) struct Job {
+    /// The record without the notes of tasks, which are made anew for each commit.
+    pub record: Record,
+    /// When it was accepted, on this process's clock.
+    pub since: UnixMs,
+    pub rounds: Vec<Round>,
+    /// Tasks that aren't done.
+    pub left: u32,
+    /// Changes in memory, and how many of them are durable.
+    pub changed: u64,
+    pub saved: u64,
+    /// The state that is durable; `None` until the acceptance is.
+    pub durable: Option<State>,
+    /// Whether a task has started.
+    pub begun: bool,
+    /// Whether an earlier owner may have started tasks of it.
+    pub inherited: bool,
+    /// Submissions and cancels that wait for a commit.
+    pub submits: Vec<Ticket>,
+    pub cancels: Vec<Ticket>,
+}
+
+impl Job {
+    /// Makes a job from its record.
+    pub fn new(mut record: Record, since: UnixMs, inherited: bool) -> Self {
+        let notes = std::mem::take(&mut record.tasks);
+        let spec = &record.spec;
+        let step = |s: &Step| StepRun {
+            tasks: vec![Task::default(); usize::try_from(s.count).unwrap_or(0)],
+            done: 0,
+        };
+        let mut rounds: Vec<Round> = (0..spec.round_count())
+            .map(|round| Round {
+                due: spec.due(round),
+                steps: spec.steps.iter().map(step).collect(),
+            })
+            .collect();
+        let begun = !notes.is_empty();
+        for note in notes {
+            if let Some(task) = find(&mut rounds, note.round, note.step, note.index) {
+                task.done = note.done;
+                task.failed = note.failed;
+                task.saved = note.saved;
+            }
+        }
+        let mut left = 0;
+        for step in rounds.iter_mut().flat_map(|r| &mut r.steps) {
+            let done = step.tasks.iter().filter(|t| t.done).count();
+            step.done = u32::try_from(done).unwrap_or(u32::MAX);
+            left += u32::try_from(step.tasks.len() - done).unwrap_or(u32::MAX);
+        }
+        Self {
+            record,
+            since,
+            rounds,
+            left,
+            changed: 1,
+            saved: 0,
+            durable: None,
+            begun,
+            inherited,
+            submits: Vec::new(),
+            cancels: Vec::new(),
+        }
+    }
+
+    /// Returns whether the job may still run tasks.
+    pub fn is_open(&self) -> bool {
+        self.record.state == State::Open
+    }
+
+    /// Returns whether tasks may be started: the job is open and its acceptance durable.
+    pub fn is_active(&self) -> bool {
+        self.is_open() && self.durable.is_some()
+    }
+
+    /// Returns the step of a task.
+    pub fn step(&self, id: &TaskId) -> Option<&Step> {
+        self.record.spec.steps.get(usize::from(id.step))
+    }
+
+    /// Returns a task.
+    pub fn task(&mut self, id: &TaskId) -> Option<&mut Task> {
+        find(&mut self.rounds, id.round, id.step, id.index)
+    }
+
+    /// Returns one step of one round.
+    pub fn step_run(&mut self, id: &TaskId) -> Option<&mut StepRun> {
+        let round = self.rounds.get_mut(usize::try_from(id.round).ok()?)?;
+        round.steps.get_mut(usize::from(id.step))
+    }
+
+    /// Returns whether all steps before one are done in a round.
+    pub fn is_ready(&self, round: &Round, step: usize) -> bool {
+        let done = |i: &u16| {
+            let i = usize::from(*i);
+            round.steps[i].done == self.record.spec.steps[i].count
+        };
+        self.record.spec.steps[step].after.iter().all(done)
+    }
+
+    /// Returns the state that callers may be told; `None` while the acceptance isn't durable.
+    pub fn shown(&self) -> Option<Shown> {
+        Some(match self.durable? {
+            State::Done => Shown::Done,
+            State::Failed => Shown::Failed,
+            State::Cancelled => Shown::Cancelled,
+            State::Open if self.begun => Shown::Running,
+            State::Open => Shown::Queued,
+        })
+    }
+
+    /// Returns the record as it is to be written.
+    pub fn to_record(&self) -> Record {
+        let mut record = self.record.clone();
+        let rounds = (0u32..).zip(&self.rounds);
+        for (round, r) in rounds {
+            for (step, s) in (0u16..).zip(&r.steps) {
+                for (index, task) in (0u32..).zip(&s.tasks) {
+                    if task.done || !task.failed.is_empty() || !task.saved.is_empty() {
+                        record.tasks.push(TaskNote {
+                            round,
+                            step,
+                            index,
+                            done: task.done,
+                            failed: task.failed.clone(),
+                            saved: if task.done { String::new() } else { task.saved.clone() },
+                        });
+                    }
+                }
+            }
+        }
+        record
+    }
+
+    /// Returns the estimated run time of the longest chain that isn't done, in milliseconds.
+    pub fn left_ms(&self) -> u64 {
+        let steps = &self.record.spec.steps;
+        let mut longest = 0;
+        for round in &self.rounds {
+            let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+            for (step, run) in steps.iter().zip(&round.steps) {
+                let before = step.after.iter().map(|i| ends[usize::from(*i)]).max();
+                let own = if run.done == step.count { 0 } else { step.estimate_ms };
+                ends.push(before.unwrap_or(0) + own);
+            }
+            longest = longest.max(ends.into_iter().max().unwrap_or(0));
+        }
+        longest
+    }
+
+    /// Returns the estimated work of tasks that aren't done, in core-milliseconds.
+    pub fn left_work(&self) -> u64 {
+        let steps = &self.record.spec.steps;
+        let of = |(step, run): (&Step, &StepRun)| {
+            let each = step.room.cores().max(1).saturating_mul(step.estimate_ms);
+            each.saturating_mul(u64::from(step.count - run.done))
+        };
+        let rounds = self.rounds.iter().flat_map(|r| steps.iter().zip(&r.steps));
+        rounds.map(of).fold(0, u64::saturating_add)
+    }
+}
+
+fn find(rounds: &mut [Round], round: u32, step: u16, index: u32) -> Option<&mut Task> {
+    let round = rounds.get_mut(usize::try_from(round).ok()?)?;
+    let step = round.steps.get_mut(usize::from(step))?;
+    step.tasks.get_mut(usize::try_from(index).ok()?)
+}
--- /dev/null
+++ b/marigoldglade/src/batch/engine/links.rs
@@ -0,0 +1,415 @@
+//! Holds and the answers of workers: leases, acknowledgements, and what a worker says it runs.
+
+use std::sync::Arc;
+
+use crate::batch::engine::fleet::{LEASE_MS, Reading, Run, Stage};
+use crate::batch::engine::{Action, Engine, WorkerKey};
+use crate::batch::id::TaskId;
+use crate::batch::worker::{Answer, Hold, Order, Refusal, Report, Running, Start, Stop};
+
+/// How long a hold of a busy worker waits for an end, in milliseconds; source: a quarter of the
+/// lease, so that a lost hold costs no lease.
+pub const HOLD_WAIT_MS: u64 = 1_250;
+/// The time before a hold without an answer is sent again, in milliseconds.
+const LOST_HOLD_MS: u64 = 250;
+/// The time before an idle worker without an answer is asked again, in milliseconds.
+const LOST_IDLE_MS: u64 = 2_000;
+/// How often leases are renewed while ends wait for their commit, in milliseconds.
+const RENEW_MS: u64 = 1_250;
+/// How long a worker that refused a start for want of room gets none, in milliseconds.
+const FULL_MS: u64 = 300;
+/// How long a worker that calls itself unhealthy gets no work, in milliseconds.
+const UNHEALTHY_MS: u64 = 1_000;
+/// Sends of a start before it is given up; source: within the time that a gang waits for members.
+const START_TRIES: u32 = 3;
+
+impl Engine {
+    /// Sends holds to workers that need one.
+    pub(super) fn hold_workers(&mut self, out: &mut Vec<Action>) {
+        let (now, term) = (self.now, self.term);
+        let lease_ms = LEASE_MS.min(self.bounds.lease_limit_ms);
+        for key in self.worker_keys() {
+            let worker = self.worker_mut(key);
+            let unheard = !worker.answered && (worker.listed || !worker.doubt_end.passed(now));
+            let behind = worker.acked > worker.told;
+            let busy = !worker.runs.is_empty();
+            // Unacknowledged ends would end a long poll at once.
+            let uncommitted = worker.seen > worker.acked;
+            let wanted = unheard || behind || (busy && (!uncommitted || worker.renew_at.passed(now)));
+            if worker.holding || !wanted || !worker.hold_after.passed(now) {
+                continue;
+            }
+            let clock = worker.clock(now).filter(|_| worker.answered);
+            let end = clock.filter(|_| busy).map_or(0, |c| c + lease_ms);
+            worker.lease = worker.lease.max(end);
+            worker.holding = true;
+            worker.renew_at = now.after(RENEW_MS);
+            let wait_ms = if busy && worker.answered && !uncommitted { HOLD_WAIT_MS } else { 0 };
+            let hold = Hold {
+                end,
+                acked: worker.acked,
+                wait_ms,
+                term,
+            };
+            out.push(Action::Order(key, Arc::clone(&worker.target), Order::Hold(hold)));
+        }
+    }
+
+    /// Takes the outcome of an order.
+    pub(super) fn answer(
+        &mut self,
+        key: WorkerKey,
+        order: &Order,
+        answer: Answer,
+        out: &mut Vec<Action>,
+    ) {
+        if usize::from(key.0) >= self.workers.len() {
+            return;
+        }
+        if let Answer::Refused(Refusal::Fenced, _) = answer {
+            log::warn!(worker = self.worker(key).target.name.as_str(), term = self.term; "a worker has seen a newer owner");
+            out.push(Action::StepDown);
+            return;
+        }
+        if matches!(answer, Answer::Lost) {
+            self.counts.lost += 1;
+        }
+        match order {
+            Order::Hold(hold) => self.held(key, hold, answer, out),
+            Order::Start(start) => self.started(key, start, &answer),
+            Order::Stop(stop) => self.stop_answered(key, stop, &answer),
+        }
+    }
+
+    fn read_clock(&mut self, key: WorkerKey, clock: Option<u64>) {
+        let now = self.now;
+        let worker = self.worker_mut(key);
+        let Some(clock) = clock.filter(|c| *c > 0) else {
+            return;
+        };
+        if worker.reading.is_none_or(|r| clock > r.clock) {
+            worker.reading = Some(Reading { clock, at: now });
+        }
+    }
+
+    fn held(&mut self, key: WorkerKey, hold: &Hold, answer: Answer, out: &mut Vec<Action>) {
+        let now = self.now;
+        let worker = self.worker_mut(key);
+        worker.holding = false;
+        match answer {
+            Answer::Report(report) => {
+                if worker.lost > 0 {
+                    log::info!(worker = worker.target.name.as_str(), lost = worker.lost; "worker answers again");
+                }
+                worker.lost = 0;
+                worker.told = worker.told.max(hold.acked);
+                worker.hold_after = now;
+                self.report(key, report, out);
+            }
+            Answer::Refused(Refusal::Reborn, _) => {
+                let born = worker.target.born;
+                worker.hold_after = now.after(LOST_IDLE_MS);
+                worker.listed = false;
+                self.reborn(key, born, "another process answers at its address");
+            }
+            Answer::Refused(why, clock) => {
+                worker.hold_after = now.after(LOST_HOLD_MS);
+                worker.full_until = now.after(UNHEALTHY_MS);
+                let why: &'static str = why.into();
+                log::warn!(worker = worker.target.name.as_str(), why = why; "worker refused a hold");
+                self.read_clock(key, clock);
+            }
+            Answer::Lost | Answer::Obeyed(_) => {
+                worker.lost += 1;
+                let busy = !worker.runs.is_empty();
+                let pause = if busy || worker.lost < 3 { LOST_HOLD_MS } else { LOST_IDLE_MS };
+                worker.hold_after = now.after(pause);
+                if worker.lost == 1 {
+                    log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(); "worker doesn't answer holds");
+                }
+                self.replan = true;
+            }
+        }
+    }
+
+    fn started(&mut self, key: WorkerKey, start: &Start, answer: &Answer) {
+        let now = self.now;
+        match answer {
+            Answer::Obeyed(clock) => self.read_clock(key, Some(*clock)),
+            Answer::Refused(_, clock) => self.read_clock(key, *clock),
+            Answer::Report(_) | Answer::Lost => {}
+        }
+        let worker = self.worker_mut(key);
+        let name = Arc::clone(&worker.target);
+        let Some(run) = worker.runs.get_mut(&start.task).filter(|r| r.run == start.run) else {
+            return;
+        };
+        match answer {
+            Answer::Obeyed(clock) => {
+                run.confirmed = run.confirmed.max(*clock);
+                if matches!(run.stage, Stage::Starting | Stage::Unsure) {
+                    run.stage = if run.stage == Stage::Unsure { Stage::Stopping } else { Stage::Running };
+                    run.tries = 0;
+                    run.next = now;
+                    run.moved = now;
+                    let job = run.job;
+                    log::info!(
+                        task:% = start.task, run = start.run, worker = name.name.as_str(),
+                        took_ms = now.since(run.since);
+                        "task started"
+                    );
+                    if let Some(job) = self.jobs.get_mut(&job) {
+                        job.begun = true;
+                    }
+                    self.counts.starts += 1;
+                }
+            }
+            Answer::Refused(why, _) => {
+                let stage = run.stage;
+                let (why, refusal): (&'static str, Refusal) = (why.into(), *why);
+                log::info!(
+                    task:% = start.task, run = start.run, worker = name.name.as_str(), why = why;
+                    "start refused"
+                );
+                match refusal {
+                    Refusal::Late if stage == Stage::Starting && run.tries < START_TRIES => {
+                        run.next = now;
+                        return;
+                    }
+                    // The run has been there: its end is, or will be, listed.
+                    Refusal::Superseded => {
+                        run.stage = Stage::Unsure;
+                        run.barred = true;
+                        run.next = now;
+                        return;
+                    }
+                    // An earlier copy of this start may still be under way.
+                    _ if run.tries > 1 => {
+                        run.stage = Stage::Unsure;
+                        run.next = now;
+                    }
+                    _ => {
+                        self.release(key, &start.task);
+                    }
+                }
+                self.refused(key, &start.task, refusal);
+            }
+            Answer::Lost | Answer::Report(_) => {
+                if run.stage != Stage::Starting {
+                    return;
+                }
+                if run.tries < START_TRIES {
+                    run.next = now;
+                } else {
+                    log::warn!(task:% = start.task, run = start.run, worker = name.name.as_str(); "start given up without an answer");
+                    run.stage = Stage::Unsure;
+                    run.tries = 0;
+                    run.next = now;
+                    worker.full_until = now.after(FULL_MS);
+                    self.break_gang(&start.task, start.run);
+                }
+            }
+        }
+    }
+
+    /// A start was refused: the worker gets none for a while, and a gang is given up whole.
+    fn refused(&mut self, key: WorkerKey, task: &TaskId, why: Refusal) {
+        let now = self.now;
+        let worker = self.worker_mut(key);
+        match why {
+            Refusal::Unhealthy => {
+                worker.full_until = now.after(UNHEALTHY_MS);
+                worker.health.stalled(now);
+            }
+            Refusal::Full => {
+                worker.full_until = now.after(FULL_MS);
+                worker.renew_at = now;
+                self.counts.full += 1;
+            }
+            Refusal::Reborn => {
+                let born = worker.target.born;
+                worker.listed = false;
+                self.reborn(key, born, "another process answers at its address");
+            }
+            _ => {}
+        }
+        if matches!(why, Refusal::Invalid | Refusal::Ticket)
+            && let Some((_, job)) = self.job_mut(task.job)
+            && let Some(task) = job.task(task)
+        {
+            task.retry_at = now.after(UNHEALTHY_MS);
+        }
+        let run = self.job_mut(task.job).and_then(|(_, job)| Some(job.task(task)?.run));
+        if let Some(run) = run {
+            self.break_gang(task, run);
+        }
+        self.replan = true;
+    }
+
+    fn stop_answered(&mut self, key: WorkerKey, stop: &Stop, answer: &Answer) {
+        let clock = match answer {
+            Answer::Obeyed(clock) => Some(*clock),
+            Answer::Refused(_, clock) => *clock,
+            Answer::Report(_) | Answer::Lost => None,
+        };
+        self.read_clock(key, clock);
+        let worker = self.worker_mut(key);
+        let Some(run) = worker.runs.get_mut(&stop.task).filter(|r| r.run == stop.run) else {
+            return;
+        };
+        if let Answer::Obeyed(clock) = answer {
+            run.barred = true;
+            run.confirmed = run.confirmed.max(*clock);
+        }
+    }
+
+    /// Compares what a worker says with what is known.
+    fn report(&mut self, key: WorkerKey, report: Report, out: &mut Vec<Action>) {
+        let worker = self.worker(key);
+        let known = worker.target.born;
+        if report.born > 0 && known > 0 && report.born < known {
+            return;
+        }
+        if report.born > known && known > 0 {
+            self.reborn(key, report.born, "its report shows a new process");
+        }
+        let worker = self.worker(key);
+        if worker.reading.is_some_and(|r| report.clock < r.clock) && worker.answered {
+            // A newer answer came before this one; ends are listed again.
+            return;
+        }
+        self.read_clock(key, Some(report.clock));
+        for end in &report.ended {
+            if end.number > self.worker(key).seen {
+                self.worker_mut(key).seen = end.number;
+                self.ended(key, end);
+            }
+        }
+        for row in &report.running {
+            self.running(key, row, report.clock, out);
+        }
+        self.missing(key, &report);
+        let worker = self.worker_mut(key);
+        if !worker.answered {
+            worker.answered = true;
+            log::info!(worker = worker.target.name.as_str(), runs = worker.runs.len(), clock = report.clock; "worker answered the owner");
+            self.replan = true;
+        }
+    }
+
+    /// A run that the worker lists as running.
+    fn running(&mut self, key: WorkerKey, row: &Running, clock: u64, out: &mut Vec<Action>) {
+        let now = self.now;
+        let worker = self.worker_mut(key);
+        if let Some(run) = worker.runs.get_mut(&row.task).filter(|r| r.run == row.run) {
+            run.confirmed = run.confirmed.max(clock);
+            match run.stage {
+                Stage::Starting => {
+                    run.stage = Stage::Running;
+                    run.moved = now;
+                    let job = run.job;
+                    self.counts.starts += 1;
+                    log::info!(task:% = row.task, run = row.run, worker = self.worker(key).target.name.as_str(); "task started; its answer was lost");
+                    if let Some(job) = self.jobs.get_mut(&job) {
+                        job.begun = true;
+                    }
+                }
+                // A start that was given up took effect after all.
+                Stage::Unsure => {
+                    run.stage = Stage::Stopping;
+                    run.next = now;
+                }
+                Stage::Running | Stage::Stopping => {}
+            }
+            let worker = self.worker_mut(key);
+            if let Some(run) = worker.runs.get_mut(&row.task)
+                && row.percent > run.percent
+            {
+                run.percent = row.percent;
+                run.moved = now;
+            }
+            return;
+        }
+        if !self.adopt(key, row, clock) {
+            log::warn!(task:% = row.task, run = row.run, worker = self.worker(key).target.name.as_str(); "stopping a run that isn't wanted");
+            let stop = Stop {
+                task: row.task,
+                run: row.run,
+                term: self.term,
+            };
+            let target = Arc::clone(&self.worker(key).target);
+            out.push(Action::Order(key, target, Order::Stop(stop)));
+        }
+    }
+
+    /// Takes a run of an earlier owner on; returns false when it isn't wanted.
+    fn adopt(&mut self, key: WorkerKey, row: &Running, clock: u64) -> bool {
+        let now = self.now;
+        let Some((job_key, job)) = self.job_mut(row.task.job) else {
+            return false;
+        };
+        if !job.is_active() || !job.inherited {
+            return false;
+        }
+        let Some(room) = job.step(&row.task).map(|s| s.charge()) else {
+            return false;
+        };
+        let Some(task) = job.task(&row.task) else {
+            return false;
+        };
+        if task.done || task.on.is_some() || task.run > row.run {
+            return false;
+        }
+        task.on = Some(key);
+        task.run = row.run;
+        job.begun = true;
+        let run = Run {
+            job: job_key,
+            run: row.run,
+            room,
+            stage: Stage::Running,
+            since: now,
+            tries: 0,
+            next: now,
+            confirmed: clock,
+            end: 0,
+            percent: row.percent,
+            moved: now,
+            barred: false,
+        };
+        self.worker_mut(key).insert(row.task, run);
+        log::info!(task:% = row.task, run = row.run, worker = self.worker(key).target.name.as_str(); "run taken on from an earlier owner");
+        true
+    }
+
+    /// Runs that a report should show and doesn't.
+    fn missing(&mut self, key: WorkerKey, report: &Report) {
+        let listed = |task: &TaskId, run: u64| report.running.iter().any(|r| r.task == *task && r.run == run);
+        let gone = |task: &TaskId, run: &Run| {
+            if listed(task, run.run) {
+                return false;
+            }
+            match run.stage {
+                Stage::Starting => false,
+                // Once barred or past its deadline it can't begin any more.
+                Stage::Unsure => {
+                    (run.barred && report.clock >= run.confirmed) || report.clock > run.end
+                }
+                Stage::Running | Stage::Stopping => run.confirmed < report.clock,
+            }
+        };
+        let worker = self.worker(key);
+        let tasks: Vec<(TaskId, Stage)> = worker
+            .runs
+            .iter()
+            .filter(|(task, run)| gone(task, run))
+            .map(|(task, run)| (*task, run.stage))
+            .collect();
+        for (task, stage) in tasks {
+            if stage != Stage::Unsure {
+                log::warn!(task:% = task, worker = self.worker(key).target.name.as_str(); "a run vanished without an end");
+            }
+            self.release(key, &task);
+        }
+    }
+}
--- /dev/null
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -0,0 +1,246 @@
+//! Runs on workers: starting, stopping, and giving them up.
+
+use std::sync::Arc;
+
+use crate::batch::engine::fleet::{Run, Stage};
+use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
+use crate::batch::id::TaskId;
+use crate::batch::worker::{Order, Start, Stop};
+
+/// How long a start is valid, in milliseconds; source: below the shortest delay with which a lost
+/// order may still be carried out, two seconds.
+const START_VALID_MS: u64 = 1_700;
+/// The time before a stop is sent again while its run goes on, in milliseconds; source: a stop takes
+/// at most 900 ms by the platform's bounds.
+const STOP_AGAIN_MS: u64 = 500;
+/// How long a run may stand still before it counts as stalled, in milliseconds.
+const STALL_MS: u64 = 3_000;
+/// Run numbers that one term may give a task.
+const RUNS_PER_TERM: u64 = 1 << 16;
+
+impl Engine {
+    /// Sends the start of a task; the task must be idle.
+    pub(super) fn start(&mut self, key: WorkerKey, id: TaskId, run: u64, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some((job_key, job)) = self.job_mut(id.job) else {
+            return;
+        };
+        let Some(room) = job.step(&id).map(|s| s.charge()) else {
+            return;
+        };
+        if let Some(task) = job.task(&id) {
+            task.on = Some(key);
+            task.run = run;
+        }
+        let run = Run {
+            job: job_key,
+            run,
+            room,
+            stage: Stage::Starting,
+            since: now,
+            tries: 0,
+            next: now,
+            confirmed: 0,
+            end: 0,
+            percent: 0,
+            moved: now,
+            barred: false,
+        };
+        self.worker_mut(key).insert(id, run);
+        self.send_start(key, &id, out);
+    }
+
+    /// Returns the number of the next run of a task.
+    pub(super) fn next_run(&self, last: u64) -> u64 {
+        (last + 1).max((self.term.saturating_sub(1)) * RUNS_PER_TERM + 1)
+    }
+
+    fn send_start(&mut self, key: WorkerKey, id: &TaskId, out: &mut Vec<Action>) {
+        let (now, term) = (self.now, self.term);
+        let Some((_, job)) = self.job_mut(id.job) else {
+            return;
+        };
+        let text = job.record.spec.text.clone();
+        let checkpoints = job.step(id).is_some_and(|s| s.checkpoints);
+        let saved = job.task(id).map(|t| t.saved.clone()).filter(|_| checkpoints);
+        let worker = self.worker_mut(key);
+        let Some(clock) = worker.clock(now) else {
+            return;
+        };
+        let end = clock + START_VALID_MS;
+        worker.lease = worker.lease.max(end);
+        let target = Arc::clone(&worker.target);
+        let Some(run) = worker.runs.get_mut(id) else {
+            return;
+        };
+        run.tries += 1;
+        run.end = run.end.max(end);
+        // The answer, or its loss, sets the next step.
+        run.next = now.after(START_VALID_MS * 2);
+        let start = Start {
+            task: *id,
+            run: run.run,
+            text,
+            saved: saved.unwrap_or_default(),
+            end,
+            term,
+        };
+        out.push(Action::Order(key, target, Order::Start(start)));
+    }
+
+    /// Looks at every run: starts and stops to be sent again, leases that lapsed, stalls.
+    pub(super) fn watch_runs(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        for key in self.worker_keys() {
+            let worker = self.worker(key);
+            if worker.runs.is_empty() {
+                continue;
+            }
+            if worker.lost > 0 && worker.lapse().is_some_and(|lapse| lapse.passed(now)) {
+                self.lapsed(key);
+                continue;
+            }
+            let due: Vec<(TaskId, Stage, bool)> = worker
+                .runs
+                .iter()
+                .filter(|(_, r)| r.stage != Stage::Running && r.next.passed(now))
+                .map(|(id, r)| (*id, r.stage, r.tries > 0))
+                .collect();
+            for (id, stage, _) in due {
+                match stage {
+                    Stage::Starting => self.send_start(key, &id, out),
+                    Stage::Stopping | Stage::Unsure => self.send_stop(key, &id, out),
+                    Stage::Running => {}
+                }
+            }
+            self.check_stalls(key);
+        }
+    }
+
+    fn send_stop(&mut self, key: WorkerKey, id: &TaskId, out: &mut Vec<Action>) {
+        let (now, term) = (self.now, self.term);
+        let worker = self.worker_mut(key);
+        let target = Arc::clone(&worker.target);
+        let Some(run) = worker.runs.get_mut(id) else {
+            return;
+        };
+        run.tries += 1;
+        run.next = now.after(STOP_AGAIN_MS * u64::from(run.tries.min(4)));
+        let stop = Stop {
+            task: *id,
+            run: run.run,
+            term,
+        };
+        out.push(Action::Order(key, target, Order::Stop(stop)));
+    }
+
+    /// Asks a run to stop.
+    pub(super) fn stop(&mut self, key: WorkerKey, id: &TaskId) {
+        let now = self.now;
+        if let Some(run) = self.worker_mut(key).runs.get_mut(id)
+            && matches!(run.stage, Stage::Running | Stage::Starting)
+        {
+            // A start that is under way may take effect after the stop.
+            run.stage = if run.stage == Stage::Running { Stage::Stopping } else { Stage::Unsure };
+            run.tries = 0;
+            run.next = now;
+        }
+    }
+
+    /// Stops all runs of a job.
+    pub(super) fn stop_job(&mut self, job: JobKey) {
+        for key in self.worker_keys() {
+            let worker = self.worker(key);
+            let runs = worker.runs.iter().filter(|(_, r)| r.job == job);
+            let tasks: Vec<TaskId> = runs.map(|(id, _)| *id).collect();
+            for id in tasks {
+                self.stop(key, &id);
+            }
+        }
+    }
+
+    /// Stops the other members of a gang when one of this run can't take part.
+    pub(super) fn break_gang(&mut self, id: &TaskId, run: u64) {
+        let Some((_, job)) = self.job_mut(id.job) else {
+            return;
+        };
+        if !job.step(id).is_some_and(|s| s.gang) {
+            return;
+        }
+        let Some(step) = job.step_run(id) else {
+            return;
+        };
+        let members = (0u32..).zip(&step.tasks);
+        let placed: Vec<(u32, WorkerKey)> = members
+            .filter(|(_, t)| t.run == run)
+            .filter_map(|(i, t)| Some((i, t.on?)))
+            .collect();
+        for (index, key) in placed {
+            self.stop(key, &TaskId { index, ..*id });
+        }
+    }
+
+    /// Takes a run off a worker; its task is idle then.
+    pub(super) fn release(&mut self, key: WorkerKey, id: &TaskId) -> Option<Run> {
+        let run = self.worker_mut(key).remove(id)?;
+        if let Some((_, job)) = self.job_mut(id.job)
+            && let Some(task) = job.task(id)
+            && task.on == Some(key)
+        {
+            task.on = None;
+        }
+        self.replan = true;
+        Some(run)
+    }
+
+    /// All leases of a worker that doesn't answer are out: nothing runs there any more.
+    fn lapsed(&mut self, key: WorkerKey) {
+        let worker = self.worker(key);
+        log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(), lost = worker.lost; "leases of a silent worker have lapsed");
+        let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
+        for id in tasks {
+            self.release(key, &id);
+        }
+        self.worker_mut(key).answered = false;
+    }
+
+    /// Runs that make no progress are stopped, and tried elsewhere.
+    fn check_stalls(&mut self, key: WorkerKey) {
+        let now = self.now;
+        let worker = self.worker(key);
+        if worker.lost > 0 {
+            return;
+        }
+        let stalled = |r: &Run| r.stage == Stage::Running && now.since(r.moved) > STALL_MS;
+        let tasks: Vec<(TaskId, JobKey, u64)> = worker
+            .runs
+            .iter()
+            .filter(|(_, r)| stalled(r))
+            .map(|(id, r)| (*id, r.job, r.run))
+            .collect();
+        for (id, job, run) in tasks {
+            let step = self.jobs.get(&job).and_then(|j| j.step(&id));
+            let (gang, endless) = step.map_or((false, false), |s| (s.gang, s.endless));
+            let percent = self.worker(key).runs.get(&id).map_or(0, |r| r.percent);
+            if endless || percent >= 100 {
+                continue;
+            }
+            let worker = self.worker_mut(key);
+            let name = Arc::clone(&worker.target);
+            log::warn!(task:% = id, run, percent, worker = name.name.as_str(); "run stalls; trying it elsewhere");
+            // A gang stands still as a whole: that is no evidence against each of its workers.
+            if !gang {
+                worker.health.stalled(now);
+            }
+            self.stop(key, &id);
+            if let Some((_, job)) = self.job_mut(id.job)
+                && let Some(task) = job.task(&id)
+            {
+                task.avoid.push(key);
+            }
+            if gang {
+                self.break_gang(&id, run);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/marigoldglade/src/batch/pack.rs
@@ -0,0 +1,135 @@
+//! Where tasks go: best fit over accelerators, cores and memory.
+//!
+//! Free rooms and a need flow in, one worker a task flows out, or `None` when it doesn't fit.
+//! Small work fills workers and racks that are in use already, so that whole ones stay free for
+//! wide gangs.
+
+use crate::batch::engine::WorkerKey;
+use crate::batch::health::Grade;
+use crate::batch::worker::Room;
+
+/// A rack, as an index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RackKey(pub u16);
+
+/// A worker that may take the tasks.
+#[derive(Clone, Copy, Debug)]
+pub struct Bin {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// Its rack.
+    pub rack: RackKey,
+    /// Its free room.
+    pub free: Room,
+    /// Its whole room.
+    pub whole: Room,
+    /// How much it is trusted.
+    pub grade: Grade,
+    /// How many more of these tasks it may take.
+    pub most: u32,
+}
+
+impl Bin {
+    fn is_empty(&self) -> bool {
+        self.free == self.whole
+    }
+}
+
+/// Tasks that need a place.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// The room of each.
+    pub room: Room,
+    /// How many.
+    pub count: u32,
+    /// Whether they should share a rack.
+    pub one_rack: bool,
+    /// The rack near their data.
+    pub near: Option<RackKey>,
+}
+
+/// Returns a place for a task: the worker with the least left over.
+#[must_use]
+pub fn place_one(bins: &[Bin], need: &Need) -> Option<usize> {
+    let fits = |b: &Bin| b.most > 0 && b.free.fits(&need.room);
+    let empty_in = |rack: RackKey| bins.iter().filter(|b| b.rack == rack && b.is_empty()).count();
+    let score = |b: &Bin| {
+        let left = b.free.minus(&need.room);
+        let far = need.near.is_some_and(|rack| rack != b.rack);
+        // Of equals, the rack with the fewest whole workers, so that others stay whole.
+        let breaks = if b.is_empty() { empty_in(b.rack) } else { 0 };
+        (far, b.grade, left.accels, b.is_empty(), breaks, left.share(&b.whole))
+    };
+    let candidates = bins.iter().enumerate().filter(|(_, b)| fits(b));
+    candidates.min_by_key(|(_, b)| score(b)).map(|(i, _)| i)
+}
+
+/// Returns the worker of each task, or `None` when they don't all fit.
+#[must_use]
+pub fn place_all(bins: &[Bin], need: &Need) -> Option<Vec<WorkerKey>> {
+    let mut bins = bins.to_vec();
+    let mut places = Vec::with_capacity(usize::try_from(need.count).ok()?);
+    for _ in 0..need.count {
+        let i = place_one(&bins, need)?;
+        let bin = &mut bins[i];
+        bin.free = bin.free.minus(&need.room);
+        bin.most -= 1;
+        places.push(bin.worker);
+    }
+    Some(places)
+}
+
+/// Returns how many of the tasks a set of workers could take if all `rooms` were free.
+#[must_use]
+pub fn capacity(bins: &[Bin], need: &Need, room: impl Fn(&Bin) -> Room) -> u32 {
+    let holds = |b: &Bin| room(b).holds(&need.room, b.most);
+    bins.iter().map(holds).fold(0, u32::saturating_add)
+}
+
+/// Returns the racks of the bins, in order.
+#[must_use]
+pub fn racks(bins: &[Bin]) -> Vec<RackKey> {
+    let mut racks: Vec<RackKey> = bins.iter().map(|b| b.rack).collect();
+    racks.sort_unstable();
+    racks.dedup();
+    racks
+}
+
+/// Returns the bins of one rack.
+#[must_use]
+pub fn in_rack(bins: &[Bin], rack: RackKey) -> Vec<Bin> {
+    bins.iter().filter(|b| b.rack == rack).copied().collect()
+}
+
+/// Returns the worker of each task of a gang.
+///
+/// A gang that should share a rack goes to the rack with the least left over; only one that no
+/// rack could ever hold is spread.
+#[must_use]
+pub fn place_gang(bins: &[Bin], need: &Need) -> Option<Vec<WorkerKey>> {
+    if !need.one_rack || !fits_a_rack(bins, need) {
+        return place_all(bins, need);
+    }
+    let mut best: Option<((bool, Grade, u32), Vec<WorkerKey>)> = None;
+    for rack in racks(bins) {
+        let members = in_rack(bins, rack);
+        let Some(places) = place_all(&members, need) else {
+            continue;
+        };
+        let spare = capacity(&members, need, |b| b.free);
+        let grades = members.iter().filter(|b| places.contains(&b.worker)).map(|b| b.grade);
+        let grade = grades.max().unwrap_or_default();
+        let score = (need.near.is_some_and(|near| near != rack), grade, spare);
+        if best.as_ref().is_none_or(|(least, _)| score < *least) {
+            best = Some((score, places));
+        }
+    }
+    best.map(|(_, places)| places)
+}
+
+/// Returns whether some rack could hold all the tasks if it were empty.
+#[must_use]
+pub fn fits_a_rack(bins: &[Bin], need: &Need) -> bool {
+    let whole = |rack| capacity(&in_rack(bins, rack), need, |b| b.whole) >= need.count;
+    racks(bins).into_iter().any(whole)
+}
--- /dev/null
+++ b/marigoldglade/src/batch/preempt.rs
@@ -0,0 +1,111 @@
+//! Which runs make way for more urgent work.
+//!
+//! Workers with what runs on them and a need flow in, the cheapest set of runs to stop flows out.
+
+use std::collections::BTreeSet;
+
+use crate::batch::engine::WorkerKey;
+use crate::batch::pack::{Bin, Need, fits_a_rack, in_rack, racks};
+use crate::batch::worker::Room;
+
+/// A run that may be stopped.
+#[derive(Clone, Copy, Debug)]
+pub struct Victim {
+    /// Where it runs.
+    pub worker: WorkerKey,
+    /// Runs of one group end together.
+    pub group: u32,
+    /// The room that it frees.
+    pub room: Room,
+    /// The work that stopping the whole group throws away, in core-milliseconds.
+    pub cost: u64,
+}
+
+/// Groups to stop, and where the tasks go then.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The groups.
+    pub groups: BTreeSet<u32>,
+    /// The worker of each task.
+    pub places: Vec<WorkerKey>,
+    /// The work thrown away, in core-milliseconds.
+    pub cost: u64,
+}
+
+/// Returns the cheapest way found to make room for all tasks of a need.
+#[must_use]
+pub fn make_room(bins: &[Bin], victims: &[Victim], need: &Need) -> Option<Plan> {
+    if !need.one_rack || !fits_a_rack(bins, need) {
+        return make_room_in(bins, victims, need);
+    }
+    let near = |rack| need.near.is_some_and(|near| near != rack);
+    let plans = racks(bins).into_iter().filter_map(|rack| {
+        let plan = make_room_in(&in_rack(bins, rack), victims, need)?;
+        Some(((near(rack), plan.cost), plan))
+    });
+    plans.min_by_key(|(score, _)| *score).map(|(_, plan)| plan)
+}
+
+/// The groups to stop on one worker for one more task, and what that costs.
+fn clear(bin: &Bin, victims: &[Victim], stopped: &BTreeSet<u32>, room: &Room) -> Option<(u64, Vec<u32>)> {
+    let mut free = bin.free;
+    let mut chosen: Vec<&Victim> = Vec::new();
+    let mut here: Vec<&Victim> = victims
+        .iter()
+        .filter(|v| v.worker == bin.worker && !stopped.contains(&v.group))
+        .collect();
+    here.sort_by_key(|v| (v.cost / v.room.cores().max(1), v.group));
+    for victim in here {
+        if free.fits(room) {
+            break;
+        }
+        free = free.plus(&victim.room);
+        chosen.push(victim);
+    }
+    if !free.fits(room) {
+        return None;
+    }
+    // What was taken early may be needless once larger runs were added.
+    for i in (0..chosen.len()).rev() {
+        let without = free.minus(&chosen[i].room);
+        if without.fits(room) {
+            free = without;
+            chosen.remove(i);
+        }
+    }
+    let mut groups: Vec<u32> = chosen.iter().map(|v| v.group).collect();
+    groups.sort_unstable();
+    groups.dedup();
+    let cost = |group: &u32| chosen.iter().find(|v| v.group == *group).map_or(0, |v| v.cost);
+    Some((groups.iter().map(cost).sum(), groups))
+}
+
+fn make_room_in(bins: &[Bin], victims: &[Victim], need: &Need) -> Option<Plan> {
+    let mut bins = bins.to_vec();
+    let mut plan = Plan {
+        groups: BTreeSet::new(),
+        places: Vec::new(),
+        cost: 0,
+    };
+    for _ in 0..need.count {
+        let options = bins.iter().enumerate().filter(|(_, b)| b.most > 0);
+        let (i, cost, groups) = options
+            .filter_map(|(i, b)| {
+                let (cost, groups) = clear(b, victims, &plan.groups, &need.room)?;
+                Some((i, cost, groups))
+            })
+            .min_by_key(|(i, cost, _)| (*cost, bins[*i].grade, bins[*i].free.accels))?;
+        for victim in victims.iter().filter(|v| groups.contains(&v.group)) {
+            if let Some(bin) = bins.iter_mut().find(|b| b.worker == victim.worker) {
+                bin.free = bin.free.plus(&victim.room);
+            }
+        }
+        plan.groups.extend(groups);
+        plan.cost += cost;
+        let bin = &mut bins[i];
+        bin.free = bin.free.minus(&need.room);
+        bin.most -= 1;
+        plan.places.push(bin.worker);
+    }
+    Some(plan)
+}
--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -5,6 +5,7 @@
 //! generator, and input and output pass through plain structs of closures.
 
 pub mod admit;
+pub mod batch;
 pub mod api;
 mod blocks;
 pub mod breaker;
--- a/marigoldglade/src/mesh.rs
+++ b/marigoldglade/src/mesh.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
+use crate::batch::talk;
 use crate::error::{Error, Kind, Result};
 use crate::frame_auth::{self, End, NONCE_BYTES, Opener, Proof, Sealer, TAG_BYTES};
 use crate::job_call;
@@ -65,6 +66,8 @@
     Job(String, job_call::Call),
     /// The answer to a call for jobs.
     JobReply(job_call::Reply),
+    /// Jobs of steps.
+    Batch(Box<talk::Message>),
     /// The answer to a call that failed.
     Refused(Error),
     /// The answer to a call that has nothing to tell.
--- a/marigoldglade/src/settings.rs
+++ b/marigoldglade/src/settings.rs
@@ -23,8 +23,22 @@
     Json,
 }
 
+/// Where log lines are written.
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, EnumString, Serialize, Deserialize,
+)]
+#[strum(serialize_all = "lowercase")]
+#[serde(rename_all = "lowercase")]
+pub enum LogOutput {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
 /// Everything a daemon is told at its start.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The daemon's name, unique among live daemons.
@@ -44,7 +58,9 @@
     /// Mesh addresses of other daemons to begin with; the VM list adds to them.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
-    /// The secret that daemons share, at least 16 bytes.
+    /// The secret that daemons share, at least 16 bytes; on the users' platform it may be empty,
+    /// and the daemons keep one in the store.
+    #[serde(default)]
     pub mesh_key: String,
     /// Log settings.
     #[serde(default)]
@@ -52,6 +68,32 @@
     /// Bounds on what the daemon takes.
     #[serde(default)]
     pub limits: Limits,
+    /// The users' platform, when the daemon runs there.
+    #[serde(default)]
+    pub platform: Option<Platform>,
+}
+
+/// What a daemon on the users' platform is told besides. Spans are the platform's bounds, in
+/// seconds or milliseconds as its names say.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Where the platform asks whether the daemon takes calls.
+    pub ready: SocketAddr,
+    /// The time from a request to stop until the process is killed, in seconds.
+    pub grace_s: f64,
+    /// The longest lease that a worker grants, in milliseconds.
+    pub lease_limit_ms: u64,
+    /// The longest stop of a task, in milliseconds.
+    pub task_stop_ms: u64,
+    /// How long members of a gang wait for each other, in milliseconds.
+    pub gang_wait_ms: u64,
+    /// How long ended jobs stay known, in seconds.
+    pub status_s: f64,
+    /// The factor on a task's time away from its data.
+    pub far_factor: f64,
+    /// The time in which guaranteed work begins, in milliseconds.
+    pub reclaim_ms: u64,
 }
 
 /// What is logged and how.
@@ -62,6 +104,8 @@
     pub level: log::LevelFilter,
     /// How lines are written.
     pub format: LogFormat,
+    /// Where lines are written.
+    pub output: LogOutput,
     /// Levels for single modules, by name.
     pub modules: std::collections::BTreeMap<String, log::LevelFilter>,
     /// Whether trace spans are written to standard output.
@@ -73,6 +117,7 @@
         Self {
             level: log::LevelFilter::Info,
             format: LogFormat::Text,
+            output: LogOutput::Stderr,
             modules: Default::default(),
             spans: false,
         }
@@ -154,7 +199,7 @@
                 return Err(bad(format!("{field}: expected 1 to 128 word characters")));
             }
         }
-        if self.mesh_key.len() < MESH_KEY_MIN_BYTES {
+        if self.platform.is_none() && self.mesh_key.len() < MESH_KEY_MIN_BYTES {
             return Err(bad(format!(
                 "mesh_key: expected at least {MESH_KEY_MIN_BYTES} bytes"
             )));
--- /dev/null
+++ b/marigoldgladed/src/batch.rs
@@ -0,0 +1,209 @@
+//! The daemon on the users' platform: one thread, no disk, all that lasts in the store.
+//!
+//! Callers' connections, the store's watches and peers flow in; the parts below share a [`Node`].
+
+mod calls;
+mod client;
+mod front;
+mod live;
+mod metrics;
+mod owner;
+mod peers;
+mod policy;
+mod store;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigoldglade::batch::policy::Policy;
+use marigoldglade::prelude::*;
+use marigoldglade::settings::{self, Settings};
+use marigoldglade::time::SECOND_MS;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::clock;
+use crate::stop::Stop;
+
+use client::Client;
+use live::View;
+use metrics::Metrics;
+use owner::Input;
+use peers::Peers;
+use store::Store;
+
+/// How long a stopping daemon still takes calls, in milliseconds; source: the platform asks once a
+/// second and sends no new connections after two refusals.
+const LINGER_MS: u64 = 2_500;
+/// What is left of the grace for open calls and the process's exit, in milliseconds.
+const EXIT_MARGIN_MS: u64 = 800;
+/// The time between looks at the settings file, in milliseconds.
+const SETTINGS_LOOK_MS: u64 = 2_000;
+
+/// What the daemon's parts share.
+pub(crate) struct Node {
+    settings: RefCell<Settings>,
+    platform: settings::Platform,
+    name: String,
+    /// Tells this process from earlier ones of the same name.
+    life: u64,
+    store: Store,
+    client: Client,
+    peers: Peers,
+    policy: watch::Sender<Option<Arc<Policy>>>,
+    view: watch::Sender<View>,
+    /// The way to the engine while this daemon is the owner.
+    engine: RefCell<Option<mpsc::UnboundedSender<Input>>>,
+    /// The term in which this daemon is the owner.
+    term: Cell<Option<u64>>,
+    stop: Stop,
+    metrics: Metrics,
+}
+
+impl Node {
+    /// Returns the configuration in force.
+    fn policy(&self) -> Option<Arc<Policy>> {
+        self.policy.borrow().clone()
+    }
+}
+
+/// Runs the daemon until a signal stops it.
+///
+/// # Errors
+///
+/// [`Kind::Internal`] when an address can't be bound.
+pub(crate) fn run(settings: Settings, file: String) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(internal)?;
+    LocalSet::new().block_on(&runtime, serve(settings, file))
+}
+
+async fn serve(settings: Settings, file: String) -> Result<()> {
+    let Some(platform) = settings.platform.clone() else {
+        return Err(Error::new(Kind::BadInput, "platform: missing"));
+    };
+    let mut terminate = signal(SignalKind::terminate()).map_err(internal)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(internal)?;
+    let front = TcpListener::bind(settings.listen).await.map_err(internal)?;
+    let ready = TcpListener::bind(platform.ready).await.map_err(internal)?;
+    let mesh = TcpListener::bind(settings.mesh).await.map_err(internal)?;
+    let admin = TcpListener::bind(settings.admin).await.map_err(internal)?;
+    let life: u64 = rand::random::<u64>() >> 12;
+    let metrics = Metrics::new();
+    let node = Rc::new(Node {
+        store: Store::new(settings.store[0], metrics.store.clone()),
+        client: Client::default(),
+        peers: Peers::new(&settings),
+        policy: watch::Sender::new(None),
+        view: watch::Sender::new(View::default()),
+        engine: RefCell::new(None),
+        term: Cell::new(None),
+        stop: Stop::new(),
+        name: settings.name.clone(),
+        life,
+        metrics,
+        platform,
+        settings: RefCell::new(settings),
+    });
+    log::info!(
+        daemon = node.name.as_str(), life = node.life,
+        listen:% = node.settings.borrow().listen, mesh:% = node.settings.borrow().mesh,
+        version = env!("CARGO_PKG_VERSION");
+        "daemon started"
+    );
+    spawn_local(Rc::clone(&node).follow_policy());
+    spawn_local(Rc::clone(&node).follow_live());
+    spawn_local(Rc::clone(&node).ask_peers());
+    spawn_local(Rc::clone(&node).announce());
+    spawn_local(Rc::clone(&node).seek_ownership());
+    spawn_local(Rc::clone(&node).serve_peers(mesh));
+    spawn_local(front::serve_ready(Rc::clone(&node), ready));
+    spawn_local(front::serve_metrics(Rc::clone(&node), admin));
+    spawn_local(front::serve(Rc::clone(&node), front));
+    spawn_local(watch_settings(Rc::clone(&node), file));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&node, terminate).await;
+    Ok(())
+}
+
+/// Hands over, lets callers finish, and returns when the process may end.
+async fn stop(node: &Rc<Node>, mut again: tokio::signal::unix::Signal) {
+    let grace_ms = Duration::try_from_secs_f64(node.platform.grace_s)
+        .map_or(SECOND_MS, |d| u64::try_from(d.as_millis()).unwrap_or(SECOND_MS));
+    let end = clock::now().after(grace_ms.saturating_sub(EXIT_MARGIN_MS));
+    let linger = clock::now().after(LINGER_MS).min(end);
+    log::info!(daemon = node.name.as_str(), term = node.term.get(), grace_ms; "daemon stops");
+    node.stop.begin(end);
+    let quit = async {
+        clock::sleep_until(linger).await;
+        node.stop.close();
+        node.stop.idle().await;
+    };
+    tokio::select! {
+        () = quit => log::info!(daemon = node.name.as_str(); "daemon stopped with nothing in flight"),
+        () = clock::sleep_until(end) => log::warn!(daemon = node.name.as_str(); "daemon stopped with calls in flight"),
+        _ = again.recv() => log::warn!(daemon = node.name.as_str(); "daemon stopped by a second signal"),
+    }
+    node.withdraw().await;
+    crate::logs::flush();
+}
+
+/// Rereads the settings when the file changes or a signal asks for it.
+async fn watch_settings(node: Rc<Node>, file: String) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        log::error!("can't listen for SIGHUP");
+        return;
+    };
+    let mut text = std::fs::read_to_string(&file).unwrap_or_default();
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(Duration::from_millis(SETTINGS_LOOK_MS)) => {}
+        }
+        let now = match std::fs::read_to_string(&file) {
+            Ok(now) => now,
+            Err(e) => {
+                log::warn!(file = file.as_str(), error:% = e; "settings can't be read; the old ones stay");
+                continue;
+            }
+        };
+        if now == text {
+            continue;
+        }
+        text = now;
+        match Settings::parse(&file, &text) {
+            Ok(settings) => {
+                log::info!(file = file.as_str(); "settings reloaded");
+                node.peers.seed(&settings.peers);
+                *node.settings.borrow_mut() = settings;
+            }
+            Err(e) => log::warn!(file = file.as_str(), error:% = e; "settings are wrong; the old ones stay"),
+        }
+    }
+}
+
+fn internal(e: std::io::Error) -> Error {
+    Error::new(Kind::Internal, e.to_string())
+}
+
+/// Returns the time of day, in milliseconds since the Unix epoch; it may jump.
+fn wall_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
+}
+
+/// Returns a steady clock that also counts while the VM is suspended, in milliseconds.
+fn boot_ms() -> u64 {
+    let at = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let part = |n: i64| u64::try_from(n).unwrap_or(0);
+    part(at.tv_sec) * SECOND_MS + part(at.tv_nsec) / 1_000_000
+}
--- /dev/null
+++ b/marigoldgladed/src/batch/client.rs
@@ -0,0 +1,127 @@
+//! The daemon's HTTP client: a request flows in, a whole response or how it failed flows out.
+//!
+//! Connections are kept and used again. One on which anything went wrong is closed, and with it
+//! the idle ones to the same address: they may be as dead.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use marigoldglade::time::UnixMs;
+use platform::{Request, Response};
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, spawn_local};
+
+use crate::clock;
+
+/// The time that connecting may take, in milliseconds; source: twice the retransmission of an opening
+/// packet is far above it, so a retry by hand is quicker.
+const CONNECT_MS: u64 = 600;
+/// The largest response, in bytes; source: above a page of the store.
+const RESPONSE_LIMIT_BYTES: usize = 8 << 20;
+/// Idle connections kept to one address.
+const IDLE_LIMIT: usize = 4;
+
+/// How a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Failure {
+    /// It provably didn't reach the peer.
+    NotSent,
+    /// It may have.
+    Lost,
+}
+
+struct Conn {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Connections to any number of addresses.
+#[derive(Default)]
+pub(super) struct Client {
+    idle: RefCell<HashMap<SocketAddr, Vec<Conn>>>,
+}
+
+impl Client {
+    /// Sends a request and waits for its whole response until `end`.
+    pub(super) async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request,
+        end: UnixMs,
+    ) -> Result<Response, Failure> {
+        let outcome = tokio::time::timeout(clock::until(end), self.exchange(addr, request)).await;
+        let outcome = outcome.unwrap_or(Err(Failure::Lost));
+        if outcome.is_err() {
+            self.idle.borrow_mut().remove(&addr);
+        }
+        outcome
+    }
+
+    async fn exchange(&self, addr: SocketAddr, request: Request) -> Result<Response, Failure> {
+        let request = request.map(Full::new);
+        let mut conn = match self.take(addr) {
+            Some(conn) => conn,
+            None => connect(addr).await?,
+        };
+        let response = match conn.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut e) => {
+                // A kept connection that the peer had closed hands the request back unsent.
+                let request = e.take_message().ok_or(Failure::Lost)?;
+                conn = connect(addr).await?;
+                let sent = conn.sender.send_request(request).await;
+                sent.map_err(|_| Failure::Lost)?
+            }
+        };
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), RESPONSE_LIMIT_BYTES).collect().await;
+        let body = body.map_err(|_| Failure::Lost)?.to_bytes();
+        self.put(addr, conn);
+        Ok(Response { status, body })
+    }
+
+    fn take(&self, addr: SocketAddr) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let conns = idle.get_mut(&addr)?;
+        loop {
+            let conn = conns.pop()?;
+            if !conn.sender.is_closed() {
+                return Some(conn);
+            }
+        }
+    }
+
+    fn put(&self, addr: SocketAddr, conn: Conn) {
+        let mut idle = self.idle.borrow_mut();
+        let conns = idle.entry(addr).or_default();
+        if conns.len() < IDLE_LIMIT && !conn.sender.is_closed() {
+            conns.push(conn);
+        }
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Result<Conn, Failure> {
+    let limit = Duration::from_millis(CONNECT_MS);
+    let stream = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
+    let stream = stream.map_err(|_| Failure::NotSent)?.map_err(|_| Failure::NotSent)?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| Failure::NotSent)?;
+    let driver = spawn_local(async move {
+        let _ = connection.await;
+    });
+    Ok(Conn { sender, driver })
+}
--- /dev/null
+++ b/marigoldgladed/src/batch/front.rs
@@ -0,0 +1,229 @@
+//! Where callers connect: calls are checked here by the configuration, then made.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use marigoldglade::batch::policy::{Caller, Limits};
+use marigoldglade::batch::talk::{Call, Reply};
+use marigoldglade::prelude::*;
+use platform::front::{self, Ask};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+
+use crate::batch::calls::RETRY_MS;
+use crate::batch::{Node, clock};
+
+/// How long a caller waits that doesn't say so, in milliseconds; source: the deployments' deadlines.
+const WAIT_MS: u64 = 3_000;
+/// The longest wait that is kept to, in milliseconds.
+const WAIT_LIMIT_MS: u64 = 60_000;
+/// What is kept of a caller's wait for the answer's way back, in milliseconds.
+const ANSWER_MARGIN_MS: u64 = 100;
+/// The time between tries to accept while descriptors are short, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 10;
+
+type Answer = Response<Full<Bytes>>;
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    answer
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                return stream;
+            }
+            // The process is out of descriptors; some will come back.
+            Err(_) => tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await,
+        }
+    }
+}
+
+/// Answers the platform's question whether this daemon takes calls.
+pub(super) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        let node = Rc::clone(&node);
+        let service = service_fn(move |_: Request<Incoming>| {
+            let (status, why) = if node.stop.stopping() {
+                (StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
+            } else if node.policy().is_none() {
+                (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n")
+            } else {
+                (StatusCode::OK, "ready\n")
+            };
+            async move { Ok::<_, Infallible>(text(status, why)) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        // A peer that breaks off harms nobody.
+        spawn_local(async move { drop(connection.await) });
+    }
+}
+
+/// Serves the metrics page.
+pub(super) async fn serve_metrics(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        let node = Rc::clone(&node);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = match (request.uri().path(), node.metrics.text()) {
+                ("/metrics", Ok(page)) => text(StatusCode::OK, page),
+                ("/metrics", Err(e)) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+                _ => text(StatusCode::NOT_FOUND, "not found\n"),
+            };
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        spawn_local(async move { drop(connection.await) });
+    }
+}
+
+/// Accepts callers' connections until the task is aborted.
+pub(super) async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let room = usize::try_from(node.settings.borrow().limits.connections).unwrap_or(usize::MAX);
+    let room = Rc::new(Semaphore::new(room.min(Semaphore::MAX_PERMITS)));
+    let mut refused: u64 = 0;
+    loop {
+        let stream = accept(&listener).await;
+        if room.available_permits() == 0 {
+            refused += 1;
+            if refused.is_power_of_two() {
+                log::warn!(refused; "connections of callers are refused: too many are open");
+            }
+            continue;
+        }
+        let (node, room) = (Rc::clone(&node), Rc::clone(&room));
+        spawn_local(async move {
+            let _place = room.acquire().await;
+            connection(node, stream).await;
+        });
+    }
+}
+
+async fn connection(node: Rc<Node>, stream: TcpStream) {
+    let limits = node.policy().map_or_else(Limits::default, |p| p.limits);
+    let service = {
+        let node = Rc::clone(&node);
+        service_fn(move |request| {
+            let node = Rc::clone(&node);
+            async move { Ok::<_, Infallible>(answer(node, request).await) }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // It also bounds the idle time between calls.
+        .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.head_ms)))
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = node.stop.closed() => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+/// The least buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+    let _busy = node.stop.busy();
+    let began = clock::now();
+    let (parts, body) = request.into_parts();
+    let (kind, answer) = match judge(&node, &parts, body).await {
+        Ok(answered) => answered,
+        Err(e) => {
+            log::info!(path = parts.uri.path(), kind:% = e.kind, why = e.detail.as_str(); "call refused");
+            ("refused", front::problem(&e))
+        }
+    };
+    let took_ms = clock::now().since(began);
+    node.metrics.call(kind, answer.status().as_u16(), took_ms);
+    answer.map(Full::new)
+}
+
+/// Checks a call by the configuration and makes it.
+async fn judge(node: &Rc<Node>, parts: &Parts, body: Incoming) -> Result<(&'static str, Response<Bytes>)> {
+    let began = clock::now();
+    let Some(policy) = node.policy() else {
+        return Ok(("early", front::answer(Reply::Refused(RETRY_MS))));
+    };
+    let path = parts.uri.path();
+    let Some((queue, rest)) = policy.route(front::host(parts), path) else {
+        log::info!(host = front::host(parts), path = path, version = policy.version; "no queue for a call");
+        return Err(Error::new(Kind::NotFound, "no such queue"));
+    };
+    let workspace = match policy.caller(queue, front::key(parts)) {
+        Caller::Workspace(workspace) => workspace.name.clone(),
+        Caller::Anyone => String::new(),
+        Caller::Unknown => {
+            log::info!(path = path, queue = queue.name.as_str(), version = policy.version; "call with an unknown key refused");
+            return Ok(("unauthorized", front::unauthorized()));
+        }
+    };
+    let ask = front::ask(&parts.method, rest)?;
+    let wait = front::wait_ms(parts).unwrap_or(WAIT_MS).min(WAIT_LIMIT_MS);
+    let end = began.after(wait.saturating_sub(ANSWER_MARGIN_MS));
+    let (kind, call, id) = match ask {
+        Ask::Submit(id) => {
+            let body = read(body, policy.limits.body_bytes, policy.limits.idle_ms).await?;
+            let spec = front::job(&body)?;
+            if queue.advised {
+                return Err(Error::new(Kind::Shed, "queues with placement advice aren't served"));
+            }
+            let call = Call::Submit {
+                id,
+                queue: queue.clone(),
+                workspace: workspace.clone(),
+                spec,
+            };
+            ("submit", call, Some(id))
+        }
+        Ask::Cancel(id) => ("cancel", Call::Cancel(id), Some(id)),
+        Ask::Status(id) => ("status", Call::Status(id), Some(id)),
+        Ask::Pending => ("pending", Call::Pending(queue.name.clone()), None),
+    };
+    let reply = node.make_call(call, end).await;
+    let job = id.map(String::from).unwrap_or_default();
+    log::info!(
+        call = kind, job = job.as_str(), queue = queue.name.as_str(), workspace = workspace.as_str(),
+        policy = policy.version, reply:? = reply, took_ms = clock::now().since(began);
+        "call answered"
+    );
+    let reply = match (kind, reply) {
+        // Reads are safe to ask again.
+        ("status" | "pending", Reply::Unsure | Reply::NotOwner) => Reply::Refused(RETRY_MS),
+        (_, reply) => reply,
+    };
+    Ok((kind, front::answer(reply)))
+}
+
+/// Reads a whole body within its bounds.
+async fn read(body: Incoming, limit: usize, read_ms: u64) -> Result<Bytes> {
+    let whole = Limited::new(body, limit).collect();
+    match tokio::time::timeout(Duration::from_millis(read_ms), whole).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.downcast_ref::<LengthLimitError>().is_some() => {
+            let detail = format!("the body has more than {limit} bytes");
+            Err(Error::new(Kind::TooLarge, detail))
+        }
+        Ok(Err(e)) => Err(Error::new(Kind::BadInput, format!("the body broke: {e}"))),
+        Err(_) => Err(Error::new(Kind::SlowInput, "the body didn't come in time")),
+    }
+}
--- /dev/null
+++ b/marigoldgladed/src/batch/live.rs
@@ -0,0 +1,242 @@
+//! Which daemons live and which one is the owner, as the store's leased keys tell.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use marigoldglade::batch::talk::Owner;
+use marigoldglade::prelude::*;
+use marigoldglade::store::{Body, Call, Change, Compare, Op, Pair, Revision, Txn};
+
+use crate::batch::Node;
+
+/// Under which keys daemons and the owner are found.
+const PREFIX: &str = "mg/live/";
+/// The owner's key.
+pub(super) const OWNER_KEY: &str = "mg/live/owner";
+/// The secret that daemons share.
+const SECRET_KEY: &str = "mg/live/secret";
+/// Under which keys daemons announce themselves.
+const DAEMON_PREFIX: &str = "mg/live/daemon/";
+/// The bytes of the shared secret.
+const SECRET_BYTES: usize = 32;
+/// The lease of a daemon's own key, in seconds.
+const DAEMON_LEASE_S: u32 = 10;
+/// The time between its renewals, in milliseconds.
+const DAEMON_RENEW_MS: u64 = 3_000;
+
+/// The owner as this daemon knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Known {
+    pub owner: Owner,
+    /// The last change of its key; `None` when a peer told of it.
+    pub changed: Option<Revision>,
+}
+
+/// What is known of the other daemons.
+#[derive(Clone, Debug, Default)]
+pub(super) struct View {
+    pub owner: Option<Known>,
+    /// Whether the store has shown that nobody is the owner.
+    pub vacant: bool,
+    pub daemons: BTreeMap<String, SocketAddr>,
+}
+
+/// Encodes a small value as CBOR (RFC 8949).
+pub(super) fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    if let Err(e) = ciborium::into_writer(value, &mut bytes) {
+        log::error!(error:% = e; "a value can't be encoded");
+    }
+    bytes
+}
+
+/// Decodes a small value; a broken one is logged.
+pub(super) fn decode<T: serde::de::DeserializeOwned>(pair: &Pair) -> Option<T> {
+    let value = ciborium::from_reader(pair.value.as_slice());
+    value
+        .inspect_err(|e| log::warn!(key = pair.key.as_str(), error:% = e; "a value can't be read"))
+        .ok()
+}
+
+impl Node {
+    /// Follows the keys of the owner and the daemons.
+    pub(super) async fn follow_live(self: Rc<Self>) {
+        loop {
+            let (pairs, mut since) = self.store.list(PREFIX).await;
+            self.view.send_modify(|view| {
+                view.daemons.clear();
+                view.vacant = !pairs.iter().any(|p| p.key == OWNER_KEY);
+            });
+            if !pairs.iter().any(|p| p.key == SECRET_KEY) {
+                self.make_secret().await;
+            }
+            for pair in &pairs {
+                self.note_live(pair);
+            }
+            while let Some(changes) = self.store.watch(PREFIX, &mut since).await {
+                for change in changes {
+                    match change {
+                        Change::Put(pair) => self.note_live(&pair),
+                        Change::Gone(key, _) => self.note_gone(&key),
+                    }
+                }
+            }
+            log::info!("history of the daemons' keys was dropped; reading them anew");
+        }
+    }
+
+    fn note_live(&self, pair: &Pair) {
+        if pair.key == OWNER_KEY {
+            let Some(owner) = decode::<Owner>(pair) else {
+                return;
+            };
+            let changed = Some(pair.changed);
+            self.set_owner(Known { owner, changed });
+        } else if pair.key == SECRET_KEY {
+            self.peers.set_key(pair.value.clone());
+        } else if let Some(name) = pair.key.strip_prefix(DAEMON_PREFIX)
+            && let Some(addr) = decode::<SocketAddr>(pair)
+        {
+            self.view.send_modify(|view| {
+                view.daemons.insert(name.to_owned(), addr);
+            });
+        }
+    }
+
+    fn note_gone(&self, key: &str) {
+        if key == OWNER_KEY {
+            log::info!("no daemon is the owner");
+            self.view.send_modify(|view| view.vacant = true);
+        } else if let Some(name) = key.strip_prefix(DAEMON_PREFIX) {
+            self.view.send_modify(|view| {
+                view.daemons.remove(name);
+            });
+        }
+    }
+
+    fn set_owner(&self, known: Known) {
+        let old = self.view.borrow().owner.as_ref().map_or(0, |k| k.owner.term);
+        if known.owner.term < old {
+            return;
+        }
+        if known.owner.term > old {
+            log::info!(owner = known.owner.name.as_str(), term = known.owner.term, from_store = known.changed.is_some(); "a daemon became the owner");
+        }
+        self.view.send_modify(|view| {
+            view.vacant = false;
+            view.owner = Some(known);
+        });
+    }
+
+    /// Takes an owner that a peer told of, when its term is newer.
+    pub(super) fn heard_owner(&self, owner: Owner) {
+        let old = self.view.borrow().owner.as_ref().map_or(0, |k| k.owner.term);
+        if owner.term > old {
+            let changed = None;
+            self.set_owner(Known { owner, changed });
+        }
+    }
+
+    async fn make_secret(&self) {
+        let secret: [u8; SECRET_BYTES] = rand::random();
+        let txn = Txn {
+            when: vec![Compare::Absent(SECRET_KEY.to_owned())],
+            then: vec![Op::Put(SECRET_KEY.to_owned(), secret.to_vec(), 0)],
+            other: Vec::new(),
+        };
+        // Whoever was first, the watch shows the secret.
+        if self.store.call(&Call::Txn(txn)).await.is_err() {
+            log::warn!("the shared secret couldn't be written");
+        }
+        match self.store.get(SECRET_KEY).await {
+            Ok(Some(pair)) => self.peers.set_key(pair.value),
+            Ok(None) | Err(_) => log::warn!("the shared secret couldn't be read"),
+        }
+    }
+
+    /// Keeps this daemon's own key alive.
+    pub(super) async fn announce(self: Rc<Self>) {
+        let mut lease = None;
+        loop {
+            match lease {
+                None => lease = self.announce_once().await,
+                Some(id) => {
+                    let renewed = self.store.call(&Call::Renew { lease: id }).await;
+                    if matches!(renewed.map(|r| r.body), Ok(Body::Lease { ttl_s: 0, .. })) {
+                        log::info!("this daemon's key has lapsed; writing it anew");
+                        lease = None;
+                        continue;
+                    }
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(DAEMON_RENEW_MS)).await;
+        }
+    }
+
+    async fn announce_once(&self) -> Option<i64> {
+        let lease = self.grant(DAEMON_LEASE_S).await?;
+        let key = format!("{DAEMON_PREFIX}{}", self.name);
+        let value = encode(&self.settings.borrow().mesh);
+        let txn = Txn {
+            then: vec![Op::Put(key, value, lease)],
+            ..Txn::default()
+        };
+        let done = self.store.call(&Call::Txn(txn)).await;
+        let held = matches!(done.map(|r| r.body), Ok(Body::Txn(d)) if d.held);
+        held.then_some(lease)
+    }
+
+    /// Asks the store for a lease.
+    pub(super) async fn grant(&self, ttl_s: u32) -> Option<i64> {
+        match self.store.call(&Call::Grant { ttl_s }).await {
+            Ok(reply) => match reply.body {
+                Body::Lease { lease, .. } => Some(lease),
+                _ => None,
+            },
+            Err(_) => None,
+        }
+    }
+
+    /// Returns the mesh addresses of other daemons.
+    pub(super) fn peer_addrs(&self) -> Vec<SocketAddr> {
+        let own = self.settings.borrow().mesh;
+        let mut addrs: Vec<SocketAddr> = self.view.borrow().daemons.values().copied().collect();
+        addrs.extend(self.peers.seeds());
+        addrs.sort_unstable();
+        addrs.dedup();
+        addrs.retain(|a| *a != own);
+        addrs
+    }
+
+    /// Lets this daemon's own key go, so that nobody calls it any more.
+    pub(super) async fn withdraw(&self) {
+        let key = format!("{DAEMON_PREFIX}{}", self.name);
+        let txn = Txn {
+            then: vec![Op::Delete(key)],
+            ..Txn::default()
+        };
+        let call = Call::Txn(txn);
+        let limit = Duration::from_millis(200);
+        let _ = tokio::time::timeout(limit, self.store.call(&call)).await;
+    }
+
+    /// Returns the place of this daemon among the living, from zero.
+    pub(super) fn place(&self) -> usize {
+        let view = self.view.borrow();
+        view.daemons.keys().position(|name| *name == self.name).unwrap_or(0)
+    }
+}
+
+/// Reads a value that isn't there as its default.
+pub(super) fn decode_or_default<T>(pair: Option<&Pair>) -> Result<T>
+where
+    T: serde::de::DeserializeOwned + Default,
+{
+    match pair {
+        None => Ok(T::default()),
+        Some(pair) => ciborium::from_reader(pair.value.as_slice())
+            .map_err(|e| Error::new(Kind::Internal, format!("{}: {e}", pair.key))),
+    }
+}
--- a/marigoldgladed/src/demo.rs
+++ b/marigoldgladed/src/demo.rs
@@ -44,6 +44,7 @@
             ..Log::default()
         },
         limits: Limits::default(),
+        platform: None,
     };
     logs::start(&settings.log)?;
     app::run(settings, |settings| {
--- a/marigoldgladed/src/logs.rs
+++ b/marigoldgladed/src/logs.rs
@@ -1,37 +1,152 @@
 //! Logging: the settings flow in, a `log` sink by `fern` is set for the process.
+//!
+//! Lines wait in a bounded queue for a thread that writes them, so that a slow reader of the
+//! output never holds the daemon up. Lines beyond the bounds are counted and the count is logged.
 
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Mutex, OnceLock, PoisonError};
+use std::time::Duration;
+
+use log::kv::{Key, Value, VisitSource};
 use marigoldglade::prelude::*;
-use marigoldglade::settings::{Log, LogFormat};
+use marigoldglade::settings::{Log, LogFormat, LogOutput};
+use marigoldglade::time::SECOND_MS;
+
+/// Lines that wait to be written, at most.
+const QUEUE_LINES: usize = 4_096;
+/// Lines below warnings in a second, at most; source: bounds a daemon's logs to about 100 KB a second.
+const LINES_PER_SECOND: u64 = 600;
+/// The time in which lines are gathered for one write, in milliseconds.
+const GATHER_MS: u64 = 50;
+/// How long the last lines of a process may take, in milliseconds.
+const FLUSH_MS: u64 = 100;
 
-/// Sets the process's log sink: standard error, one event a line.
+static QUEUE: OnceLock<SyncSender<String>> = OnceLock::new();
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+static RATE: Mutex<(u64, u64)> = Mutex::new((0, 0));
+
+/// Sets the process's log sink, one event a line.
 ///
 /// # Errors
 ///
 /// [`Kind::Internal`] when a sink is set already.
 pub(crate) fn start(log: &Log) -> Result<()> {
+    let (queue, lines) = sync_channel(QUEUE_LINES);
+    let output = log.output;
+    std::thread::Builder::new()
+        .name("logs".to_owned())
+        .spawn(move || write_lines(&lines, output))
+        .map_err(|e| Error::new(Kind::Internal, e.to_string()))?;
+    let _ = QUEUE.set(queue);
     let format = log.format;
     let mut sink = fern::Dispatch::new()
         .level(log.level)
-        .format(move |out, message, record| {
-            let at = crate::clock::now().0;
-            let (level, module) = (record.level(), record.target());
-            match format {
-                LogFormat::Text => out.finish(format_args!("{at} {level} {module}: {message}")),
-                LogFormat::Json => {
-                    let line = serde_json::json!({
-                        "at_ms": at,
-                        "level": level.as_str(),
-                        "module": module,
-                        "message": message.to_string(),
-                    });
-                    out.finish(format_args!("{line}"));
-                }
-            }
+        .filter(|metadata| metadata.level() <= log::Level::Warn || within_rate())
+        .format(move |out, message, record| match format {
+            LogFormat::Text => out.finish(format_args!("{}", text_line(message, record))),
+            LogFormat::Json => out.finish(format_args!("{}", json_line(message, record))),
         })
-        .chain(std::io::stderr());
+        .chain(fern::Output::call(|record| enqueue(record.args().to_string())));
     for (module, level) in &log.modules {
         sink = sink.level_for(module.clone(), *level);
     }
     sink.apply()
         .map_err(|e| Error::new(Kind::Internal, e.to_string()))
 }
+
+/// Gives the last lines of the process time to be written.
+pub(crate) fn flush() {
+    std::thread::sleep(Duration::from_millis(FLUSH_MS));
+}
+
+fn within_rate() -> bool {
+    let second = crate::clock::now().0 / SECOND_MS;
+    let mut rate = RATE.lock().unwrap_or_else(PoisonError::into_inner);
+    if rate.0 != second {
+        *rate = (second, 0);
+    }
+    rate.1 += 1;
+    let within = rate.1 <= LINES_PER_SECOND;
+    if !within {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+    }
+    within
+}
+
+fn enqueue(line: String) {
+    if let Some(queue) = QUEUE.get()
+        && let Err(TrySendError::Full(_)) = queue.try_send(line)
+    {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn write_lines(lines: &Receiver<String>, output: LogOutput) {
+    let mut block = String::new();
+    while let Ok(line) = lines.recv() {
+        block.clear();
+        block.push_str(&line);
+        block.push('\n');
+        std::thread::sleep(Duration::from_millis(GATHER_MS));
+        for line in lines.try_iter() {
+            block.push_str(&line);
+            block.push('\n');
+        }
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let at = crate::clock::now().0;
+            block.push_str(&format!(
+                "{{\"at_ms\":{at},\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n"
+            ));
+        }
+        // There is nowhere to report a log that can't be written.
+        let _ = match output {
+            LogOutput::Stdout => std::io::stdout().lock().write_all(block.as_bytes()),
+            LogOutput::Stderr => std::io::stderr().lock().write_all(block.as_bytes()),
+        };
+    }
+}
+
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> std::result::Result<(), log::kv::Error> {
+        let value = if let Some(n) = value.to_u64() {
+            n.into()
+        } else if let Some(b) = value.to_bool() {
+            b.into()
+        } else {
+            value.to_string().into()
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+fn fields(record: &log::Record<'_>) -> serde_json::Map<String, serde_json::Value> {
+    let mut fields = Fields(serde_json::Map::new());
+    // Reading fields that were given by value can't fail.
+    let _ = record.key_values().visit(&mut fields);
+    fields.0
+}
+
+fn json_line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+    let mut line = serde_json::Map::new();
+    line.insert("at_ms".to_owned(), crate::clock::now().0.into());
+    line.insert("level".to_owned(), record.level().as_str().into());
+    line.insert("module".to_owned(), record.target().into());
+    line.insert("message".to_owned(), message.to_string().into());
+    line.extend(fields(record));
+    serde_json::Value::Object(line).to_string()
+}
+
+fn text_line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+    let (at, level, module) = (crate::clock::now().0, record.level(), record.target());
+    let mut line = format!("{at} {level} {module}: {message}");
+    for (key, value) in fields(record) {
+        line.push_str(&format!(" {key}={value}"));
+    }
+    line
+}
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod app;
+mod batch;
 mod centre;
 mod clock;
 mod configs;
@@ -87,6 +88,9 @@
         return Ok(());
     }
     logs::start(&settings.log)?;
+    if settings.platform.is_some() {
+        return batch::run(settings, file);
+    }
     spans::start(&settings.name, settings.log.spans);
     app::run(settings, |s| {
         println!("listen {} mesh {} admin {}", s.listen, s.mesh, s.admin);
--- a/marigoldgladed/src/mesh.rs
+++ b/marigoldgladed/src/mesh.rs
@@ -389,7 +389,7 @@
                 Payload::Done
             }
             Payload::Job(dc, call) => self.peer_job(&dc, call).await,
-            Payload::Refused(_) | Payload::JobReply(_) | Payload::Done => {
+            Payload::Refused(_) | Payload::JobReply(_) | Payload::Batch(_) | Payload::Done => {
                 log::debug!("{} told nothing that was asked", peer.name);
                 Payload::Done
             }
--- a/marigoldgladed/src/stop.rs
+++ b/marigoldgladed/src/stop.rs
@@ -11,6 +11,8 @@
     /// When the stop must be over; `None` while the daemon isn't stopping.
     end: Arc<watch::Sender<Option<UnixMs>>>,
     busy: Arc<watch::Sender<u64>>,
+    /// Whether open connections are to end with their current call.
+    closed: Arc<watch::Sender<bool>>,
 }
 
 /// Work in flight, until it is dropped.
@@ -28,6 +30,7 @@
         Self {
             end: Arc::new(watch::Sender::new(None)),
             busy: Arc::new(watch::Sender::new(0)),
+            closed: Arc::new(watch::Sender::new(false)),
         }
     }
 
@@ -47,6 +50,17 @@
         let _ = end.wait_for(Option::is_some).await;
     }
 
+    /// Ends open connections after their current call.
+    pub(crate) fn close(&self) {
+        self.closed.send_replace(true);
+    }
+
+    /// Waits until open connections are to end.
+    pub(crate) async fn closed(&self) {
+        let mut closed = self.closed.subscribe();
+        let _ = closed.wait_for(|closed| *closed).await;
+    }
+
     /// Counts a piece of work until the guard is dropped.
     pub(crate) fn busy(&self) -> Busy {
         self.busy.send_modify(|n| *n += 1);
