Take submissions from the inbox before the cancels that are for them

Ruled out: a lost write (the trace shows both keys accepted by edge-mitt-b-1). Before: test a_cancel_left_for_the_owner_.. failed. After: it passes, the batch tests are green.

--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -149,7 +149,9 @@
     }
 
     /// Takes what other daemons stored while they couldn't reach the owner.
-    pub(super) fn inbox(&mut self, items: Vec<InboxItem>) {
+    pub(super) fn inbox(&mut self, mut items: Vec<InboxItem>) {
+        // A cancel may be listed before the submission that it is for.
+        items.sort_by_key(|i| matches!(i.body, InboxBody::Cancel(_)));
         for item in items {
             if self.handled.contains(&item.key) {
                 continue;
@@ -169,6 +171,10 @@
                 InboxBody::Cancel(id) => {
                     log::info!(job = id.as_str(); "cancel taken from the inbox");
                     let wall = self.wall;
+                    if !self.ids.contains_key(&id) {
+                        log::warn!(job = id.as_str(); "a cancel in the inbox is for no known job");
+                        continue;
+                    }
                     if let Some((key, job)) = self.job_mut(id)
                         && job.is_open()
                     {
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -121,6 +121,20 @@
     assert_eq!(w.starts, 1);
 }
 
+#[test]
+fn a_cancel_left_for_the_owner_holds_whatever_its_place_in_the_inbox() {
+    let mut w = World::new(9, 1, 2);
+    w.kill_owner();
+    w.leave_submission(1, "sweep", spec(vec![step(2, 1, 900)]), 1_000);
+    w.leave_cancel(1);
+    // The store lists keys in order, cancels first.
+    w.inbox.reverse();
+    w.elect();
+    w.run_for(5_000);
+    assert_eq!(w.status(1), Some(Shown::Cancelled));
+    assert_eq!(w.starts, 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, rng_seed: RngSeed::Fixed(20_261_204), ..ProptestConfig::default() })]
 
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -548,6 +548,18 @@
         self.feed(seat, Event::Inbox(vec![item]));
     }
 
+    /// Another daemon stores a cancel because it can't reach the owner.
+    pub fn leave_cancel(&mut self, n: u64) {
+        let id = job_id(n);
+        let item = InboxItem {
+            key: format!("in/cancel/{id}"),
+            body: InboxBody::Cancel(id),
+        };
+        self.inbox.push(item.clone());
+        let seat = self.owner();
+        self.feed(seat, Event::Inbox(vec![item]));
+    }
+
     pub fn all_done(&mut self, jobs: impl IntoIterator<Item = u64>) -> bool {
         let jobs: Vec<u64> = jobs.into_iter().collect();
         jobs.into_iter().all(|n| self.status(n) == Some(Shown::Done))
