Treat jobs from the inbox as possibly started by an earlier owner

Ruled out: unfenced orders of the old owner (the log shows the new owner stopping the runs as unwanted). Before: test a_job_from_the_inbox_goes_on_.. failed with 4 starts for 2 tasks.

--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -161,7 +161,8 @@
                     let id = record.id;
                     if !self.ids.contains_key(&id) {
                         log::info!(job = id.as_str(); "submission taken from the inbox");
-                        self.load(*record, false);
+                        // An earlier owner may have started it and not have moved it yet.
+                        self.load(*record, self.term > 1);
                         if let Some((key, job)) = self.job_mut(id) {
                             job.changed += 1;
                             self.dirty.insert(key);
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -121,6 +121,22 @@
     assert_eq!(w.starts, 1);
 }
 
+#[test]
+fn a_job_from_the_inbox_goes_on_when_its_owner_dies_before_moving_it() {
+    let mut w = World::new(10, 1, 2);
+    w.run_for(200);
+    w.store_down = true;
+    w.leave_submission(1, "sweep", spec(vec![step(2, 1, 4_000)]), 4_000);
+    w.run_for(500);
+    assert_eq!(w.starts, 2);
+    w.kill_owner();
+    w.store_down = false;
+    w.elect();
+    w.run_for(5_000);
+    assert_eq!(w.status(1), Some(Shown::Done));
+    assert_eq!(w.starts, 2);
+}
+
 #[test]
 fn a_cancel_left_for_the_owner_holds_whatever_its_place_in_the_inbox() {
     let mut w = World::new(9, 1, 2);
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -367,11 +367,21 @@
         }
     }
 
+    /// What is on record, the inbox included.
+    fn specs(&self) -> HashMap<JobId, JobSpec> {
+        let left = self.inbox.iter().filter_map(|i| match &i.body {
+            InboxBody::Submit(record) => Some((record.id, record.spec.clone())),
+            InboxBody::Cancel(_) => None,
+        });
+        let kept = self.records.values().map(|r| (r.id, r.spec.clone()));
+        left.chain(kept).collect()
+    }
+
     fn carry_out(&mut self, target: &Target, order: &Order) -> Option<Answer> {
         let now = self.now;
         let name = target.name.as_str();
         let works = &self.work;
-        let records = &self.records;
+        let specs = self.specs();
         let worker = self.workers.get_mut(name).expect("known worker");
         if worker.cut || worker.gone {
             return None;
@@ -385,7 +395,7 @@
         let failed = &self.failed;
         let answer = worker.obey(now, order, |start| {
             let (ms, fails) = works.get(&start.task.job).copied().unwrap_or((1_000, 0));
-            let step = &records[&start.task.job].spec.steps[usize::from(start.task.step)];
+            let step = &specs[&start.task.job].steps[usize::from(start.task.step)];
             let failed = failed.get(&start.task).copied().unwrap_or(0);
             (ms, step.charge(), failed < fails)
         });
@@ -435,14 +445,15 @@
     fn check_start(&mut self, name: &str, id: TaskId, run: u64) {
         self.starts += 1;
         self.begun_at.entry(id.job).or_insert(self.now);
-        let record = self.records.get(&id.job).expect("a start of a job that isn't on record");
+        let specs = self.specs();
+        let spec = specs.get(&id.job).expect("a start of a job that isn't on record");
         let live = self.live.entry(id).or_default();
         let others: Vec<&(String, u64)> =
             live.iter().filter(|(n, _)| !self.workers[n].gone).collect();
         assert!(others.is_empty(), "{id} began run {run} on {name} while {others:?} runs");
         assert!(!self.noted.contains(&id), "{id} began again after its end was acknowledged");
-        for before in &record.spec.steps[usize::from(id.step)].after {
-            let count = record.spec.steps[usize::from(*before)].count;
+        for before in &spec.steps[usize::from(id.step)].after {
+            let count = spec.steps[usize::from(*before)].count;
             for index in 0..count {
                 let earlier = TaskId { step: *before, index, ..id };
                 assert!(self.done.contains_key(&earlier), "{id} began before {earlier} was done");
