--- a/marigoldgladed/src/batch.rs
+++ b/marigoldgladed/src/batch.rs
@@ -22,9 +22,9 @@
 use marigoldglade::settings::{self, Settings};
 use marigoldglade::time::SECOND_MS;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
 use crate::clock;
 use crate::stop::Stop;
@@ -41,6 +41,8 @@
 const LINGER_MS: u64 = 2_500;
 /// What is left of the grace for open calls and the process's exit, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 800;
+/// The time for calls on connections that were accepted last, in milliseconds.
+const LAST_CALLS_MS: u64 = 30;
 /// The time between looks at the settings file, in milliseconds.
 const SETTINGS_LOOK_MS: u64 = 2_000;
 
@@ -125,18 +127,18 @@
     spawn_local(Rc::clone(&node).serve_peers(mesh));
     spawn_local(front::serve_ready(Rc::clone(&node), ready));
     spawn_local(front::serve_metrics(Rc::clone(&node), admin));
-    spawn_local(front::serve(Rc::clone(&node), front));
+    let front = spawn_local(front::serve(Rc::clone(&node), front));
     spawn_local(watch_settings(Rc::clone(&node), file));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    stop(&node, terminate).await;
+    stop(&node, terminate, front).await;
     Ok(())
 }
 
 /// Hands over, lets callers finish, and returns when the process may end.
-async fn stop(node: &Rc<Node>, mut again: tokio::signal::unix::Signal) {
+async fn stop(node: &Rc<Node>, mut again: Signal, front: JoinHandle<()>) {
     let grace_ms = Duration::try_from_secs_f64(node.platform.grace_s)
         .map_or(SECOND_MS, |d| u64::try_from(d.as_millis()).unwrap_or(SECOND_MS));
     let end = clock::now().after(grace_ms.saturating_sub(EXIT_MARGIN_MS));
@@ -144,16 +146,22 @@
     log::info!(daemon = node.name.as_str(), term = node.term.get(), grace_ms; "daemon stops");
     node.stop.begin(end);
     let quit = async {
+        node.withdraw().await;
         clock::sleep_until(linger).await;
+        // Connections may still come when most daemons of a data centre are out of rotation.
         node.stop.close();
         node.stop.idle().await;
+        front.abort();
+        node.stop.close();
+        // Calls whose bytes are already here are read, and answered.
+        tokio::time::sleep(Duration::from_millis(LAST_CALLS_MS)).await;
+        node.stop.idle().await;
     };
     tokio::select! {
         () = quit => log::info!(daemon = node.name.as_str(); "daemon stopped with nothing in flight"),
         () = clock::sleep_until(end) => log::warn!(daemon = node.name.as_str(); "daemon stopped with calls in flight"),
         _ = again.recv() => log::warn!(daemon = node.name.as_str(); "daemon stopped by a second signal"),
     }
-    node.withdraw().await;
     crate::logs::flush();
 }
 
--- a/marigoldgladed/src/batch/front.rs
+++ b/marigoldgladed/src/batch/front.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -115,6 +116,7 @@
 }
 
 async fn connection(node: Rc<Node>, stream: TcpStream) {
+    let closing = node.stop.closing();
     let limits = node.policy().map_or_else(Limits::default, |p| p.limits);
     let service = {
         let node = Rc::clone(&node);
@@ -132,7 +134,7 @@
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => {}
-        () = node.stop.closed() => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
@@ -155,7 +157,12 @@
     };
     let took_ms = clock::now().since(began);
     node.metrics.call(kind, answer.status().as_u16(), took_ms);
-    answer.map(Full::new)
+    let mut answer = answer.map(Full::new);
+    if node.stop.stopping() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
 }
 
 /// Checks a call by the configuration and makes it.
--- a/marigoldgladed/src/stop.rs
+++ b/marigoldgladed/src/stop.rs
@@ -11,8 +11,8 @@
     /// When the stop must be over; `None` while the daemon isn't stopping.
     end: Arc<watch::Sender<Option<UnixMs>>>,
     busy: Arc<watch::Sender<u64>>,
-    /// Whether open connections are to end with their current call.
-    closed: Arc<watch::Sender<bool>>,
+    /// How often open connections were told to end with their current call.
+    closes: Arc<watch::Sender<u32>>,
 }
 
 /// Work in flight, until it is dropped.
@@ -30,7 +30,7 @@
         Self {
             end: Arc::new(watch::Sender::new(None)),
             busy: Arc::new(watch::Sender::new(0)),
-            closed: Arc::new(watch::Sender::new(false)),
+            closes: Arc::new(watch::Sender::new(0)),
         }
     }
 
@@ -50,15 +50,18 @@
         let _ = end.wait_for(Option::is_some).await;
     }
 
-    /// Ends open connections after their current call.
+    /// Ends the connections that are open now after their current call.
     pub(crate) fn close(&self) {
-        self.closed.send_replace(true);
+        self.closes.send_modify(|n| *n += 1);
     }
 
-    /// Waits until open connections are to end.
-    pub(crate) async fn closed(&self) {
-        let mut closed = self.closed.subscribe();
-        let _ = closed.wait_for(|closed| *closed).await;
+    /// Returns a future that waits for the next [`Stop::close`].
+    pub(crate) fn closing(&self) -> impl Future<Output = ()> + use<> {
+        let mut closes = self.closes.subscribe();
+        let now = *closes.borrow_and_update();
+        async move {
+            let _ = closes.wait_for(|n| *n > now).await;
+        }
     }
 
     /// Counts a piece of work until the guard is dropped.
