Bound what urgent work throws away, and fill the first racks with small work

Cause: an urgent task of little work could stop whole gangs, and small tasks were spread over all racks, which broke the whole racks that gangs need.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -23,6 +23,10 @@
 const STOP_COST_MS: u64 = 500;
 /// What a stop of a run with checkpoints throws away at most, in milliseconds.
 const CHECKPOINT_COST_MS: u64 = 600;
+/// The work that an urgent unit beyond its guarantee may throw away, in core-milliseconds, and on top
+/// of that in percent of its own; source: docs/design/preemption.md.
+const URGENT_COST: u64 = 300_000;
+const URGENT_COST_PERCENT: u64 = 150;
 /// How long a wide gang waits before a rack is kept free for it, in milliseconds.
 const RESERVE_AFTER_MS: u64 = 1_500;
 /// How long a rack is kept free for one gang at most, in milliseconds; source: about the longest
@@ -243,7 +247,15 @@
             pass.claims.push(claim);
             return;
         }
-        if shape.priority == 0 && !wait_near && self.preempt(unit, &all, &need, pass) {
+        let work = need.room.cores().max(1) * step.estimate_ms * u64::from(count);
+        let limit = match (shape.guaranteed, shape.priority) {
+            (true, _) => Some(u64::MAX),
+            (false, 0) => Some(URGENT_COST + work * URGENT_COST_PERCENT / 100),
+            (false, _) => None,
+        };
+        if let Some(limit) = limit.filter(|_| !wait_near)
+            && self.preempt(unit, &all, &need, limit, pass)
+        {
             return;
         }
         if step.gang && shape.priority > 0 && self.reserved.is_none() && waited > RESERVE_AFTER_MS {
@@ -380,7 +392,7 @@
     }
 
     /// Stops less urgent runs so that a unit finds room; returns whether room is on the way.
-    fn preempt(&mut self, unit: Unit, bins: &[Bin], need: &Need, pass: &mut Pass) -> bool {
+    fn preempt(&mut self, unit: Unit, bins: &[Bin], need: &Need, limit: u64, pass: &mut Pass) -> bool {
         let guaranteed = pass.guaranteed.contains(&unit.job);
         let Some(priority) = self.jobs.get(&unit.job).map(|j| j.record.queue.priority) else {
             return false;
@@ -423,7 +435,7 @@
         for v in &mut victims {
             v.cost = totals.get(&v.group).copied().unwrap_or(v.cost);
         }
-        let Some(plan) = make_room(bins, &victims, need) else {
+        let Some(plan) = make_room(bins, &victims, need).filter(|p| p.cost <= limit) else {
             return false;
         };
         for (group, key, id) in members {
--- a/marigoldglade/src/batch/pack.rs
+++ b/marigoldglade/src/batch/pack.rs
@@ -4,6 +4,8 @@
 //! Small work fills workers and racks that are in use already, so that whole ones stay free for
 //! wide gangs.
 
+use std::cmp::Reverse;
+
 use crate::batch::engine::WorkerKey;
 use crate::batch::health::Grade;
 use crate::batch::worker::Room;
@@ -29,12 +31,6 @@
     pub most: u32,
 }
 
-impl Bin {
-    fn is_empty(&self) -> bool {
-        self.free == self.whole
-    }
-}
-
 /// Tasks that need a place.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
@@ -52,13 +48,11 @@
 #[must_use]
 pub fn place_one(bins: &[Bin], need: &Need) -> Option<usize> {
     let fits = |b: &Bin| b.most > 0 && b.free.fits(&need.room);
-    let empty_in = |rack: RackKey| bins.iter().filter(|b| b.rack == rack && b.is_empty()).count();
     let score = |b: &Bin| {
         let left = b.free.minus(&need.room);
         let far = need.near.is_some_and(|rack| rack != b.rack);
-        // Of equals, the rack with the fewest whole workers, so that others stay whole.
-        let breaks = if b.is_empty() { empty_in(b.rack) } else { 0 };
-        (far, b.grade, left.accels, b.is_empty(), breaks, left.share(&b.whole))
+        // Small work fills the first racks, so that the last ones stay whole for gangs.
+        (far, b.grade, b.rack, left.accels, left.share(&b.whole))
     };
     let candidates = bins.iter().enumerate().filter(|(_, b)| fits(b));
     candidates.min_by_key(|(_, b)| score(b)).map(|(i, _)| i)
@@ -110,7 +104,7 @@
     if !need.one_rack || !fits_a_rack(bins, need) {
         return place_all(bins, need);
     }
-    let mut best: Option<((bool, Grade, u32), Vec<WorkerKey>)> = None;
+    let mut best: Option<((bool, Grade, u32, Reverse<RackKey>), Vec<WorkerKey>)> = None;
     for rack in racks(bins) {
         let members = in_rack(bins, rack);
         let Some(places) = place_all(&members, need) else {
@@ -119,7 +113,7 @@
         let spare = capacity(&members, need, |b| b.free);
         let grades = members.iter().filter(|b| places.contains(&b.worker)).map(|b| b.grade);
         let grade = grades.max().unwrap_or_default();
-        let score = (need.near.is_some_and(|near| near != rack), grade, spare);
+        let score = (need.near.is_some_and(|near| near != rack), grade, spare, Reverse(rack));
         if best.as_ref().is_none_or(|(least, _)| score < *least) {
             best = Some((score, places));
         }
