--- a/marigoldglade/src/batch/engine/links.rs
+++ b/marigoldglade/src/batch/engine/links.rs
@@ -10,6 +10,8 @@
 /// How long a hold of a busy worker waits for an end, in milliseconds; source: a quarter of the
 /// lease, so that a lost hold costs no lease.
 pub const HOLD_WAIT_MS: u64 = 1_250;
+/// The same for a worker with urgent runs, whose stalls must show sooner, in milliseconds.
+const URGENT_WAIT_MS: u64 = 600;
 /// The time before a hold without an answer is sent again, in milliseconds.
 const LOST_HOLD_MS: u64 = 250;
 /// The time before an idle worker without an answer is asked again, in milliseconds.
@@ -32,6 +34,7 @@
         let (now, term) = (self.now, self.term);
         let lease_ms = LEASE_MS.min(self.bounds.lease_limit_ms);
         for key in self.worker_keys() {
+            let urgent = self.runs_urgent(key);
             let worker = self.worker_mut(key);
             let unheard = !worker.answered && (worker.listed || !worker.doubt_end.passed(now));
             let behind = worker.acked > worker.told;
@@ -48,7 +51,11 @@
             worker.lease = worker.lease.max(end);
             worker.holding = true;
             worker.renew_at = now.after(RENEW_MS);
-            let wait_ms = if renews && !uncommitted { HOLD_WAIT_MS } else { 0 };
+            let wait_ms = match (renews && !uncommitted, urgent) {
+                (true, true) => URGENT_WAIT_MS,
+                (true, false) => HOLD_WAIT_MS,
+                (false, _) => 0,
+            };
             let hold = Hold {
                 end,
                 acked: worker.acked,
@@ -59,6 +66,14 @@
         }
     }
 
+    fn runs_urgent(&self, key: WorkerKey) -> bool {
+        let urgent = |run: &Run| {
+            let job = self.jobs.get(&run.job);
+            job.is_some_and(|j| j.record.queue.priority == 0)
+        };
+        self.worker(key).runs.values().any(urgent)
+    }
+
     /// Takes the outcome of an order.
     pub(super) fn answer(
         &mut self,
@@ -301,6 +316,7 @@
             self.running(key, row, report.clock, out);
         }
         self.missing(key, &report);
+        self.check_stalls(key);
         let worker = self.worker_mut(key);
         if !worker.answered {
             worker.answered = true;
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -13,8 +13,12 @@
 /// The time before a stop is sent again while its run goes on, in milliseconds; source: a stop takes
 /// at most 900 ms by the platform's bounds.
 const STOP_AGAIN_MS: u64 = 500;
-/// How long a run may stand still before it counts as stalled, in milliseconds.
-const STALL_MS: u64 = 3_000;
+/// How long a run may stand still before it counts as stalled: a share of its estimate, in percent,
+/// within bounds in milliseconds; source: the slowest sound runs of the deployments show progress
+/// within it.
+const STALL_PERCENT: u64 = 60;
+const STALL_MIN_MS: u64 = 1_300;
+const STALL_MAX_MS: u64 = 3_000;
 /// Run numbers that one term may give a task.
 const RUNS_PER_TERM: u64 = 1 << 16;
 
@@ -114,7 +118,6 @@
                     Stage::Running => {}
                 }
             }
-            self.check_stalls(key);
         }
     }
 
@@ -224,18 +227,25 @@
         self.worker_mut(key).answered = false;
     }
 
-    /// Runs that make no progress are stopped, and tried elsewhere.
-    fn check_stalls(&mut self, key: WorkerKey) {
+    /// Runs that a report shows without progress are stopped, and tried elsewhere.
+    pub(super) fn check_stalls(&mut self, key: WorkerKey) {
         let now = self.now;
         let worker = self.worker(key);
         if worker.lost > 0 {
             return;
         }
-        let stalled = |r: &Run| r.stage == Stage::Running && now.since(r.moved) > STALL_MS;
+        let patience = |id: &TaskId, r: &Run| {
+            let step = self.jobs.get(&r.job).and_then(|j| j.step(id));
+            let estimate = step.map_or(STALL_MAX_MS, |s| s.estimate_ms);
+            (estimate * STALL_PERCENT / 100).clamp(STALL_MIN_MS, STALL_MAX_MS)
+        };
+        let stalled = |id: &TaskId, r: &Run| {
+            r.stage == Stage::Running && now.since(r.moved) > patience(id, r)
+        };
         let tasks: Vec<(TaskId, JobKey, u64)> = worker
             .runs
             .iter()
-            .filter(|(_, r)| stalled(r))
+            .filter(|(id, r)| stalled(id, r))
             .map(|(id, r)| (*id, r.job, r.run))
             .collect();
         for (id, job, run) in tasks {
