--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -27,6 +27,9 @@
 /// of that in percent of its own; source: docs/design/preemption.md.
 const URGENT_COST: u64 = 300_000;
 const URGENT_COST_PERCENT: u64 = 150;
+/// One in so many racks takes no single tasks of the least urgent work; source:
+/// docs/design/placement-of-steps.md.
+const KEPT_RACKS_DIVISOR: usize = 3;
 /// How long a wide gang waits before a rack is kept free for it, in milliseconds.
 const RESERVE_AFTER_MS: u64 = 1_500;
 /// How long a rack is kept free for one gang at most, in milliseconds; source: about the longest
@@ -236,6 +239,12 @@
         if let Some(reserved) = self.reserved.filter(|r| r.unit != unit && shape.priority > 0) {
             bins.retain(|b| b.rack != reserved.rack);
         }
+        let more_urgent = |j: &Job| j.is_active() && j.record.queue.priority < shape.priority;
+        if shape.priority > 1 && !step.gang && self.jobs.values().any(more_urgent) {
+            let kept = racks(&bins).len() / KEPT_RACKS_DIVISOR;
+            let last = racks(&bins).into_iter().rev().take(kept).collect::<Vec<_>>();
+            bins.retain(|b| !last.contains(&b.rack));
+        }
         let wait_near = need.near.is_some() && waited < patience;
         let places = self.find(&bins, &need, step.gang, wait_near);
         if let Some(places) = places {
--- /dev/null
+++ b/marigoldglade/tests/batch_loads.rs
@@ -0,0 +1,227 @@
+//! Load patterns of the deployments against the engine's decisions, without a network.
+
+#[path = "batch/world.rs"]
+#[expect(dead_code, reason = "the world serves several test files")]
+mod world;
+#[path = "batch/worker.rs"]
+#[expect(dead_code, reason = "the worker serves several test files")]
+mod worker;
+
+use marigoldglade::batch::admission::{Backlog, refuse};
+use marigoldglade::batch::engine::WorkerKey;
+use marigoldglade::batch::health::{Grade, Health};
+use marigoldglade::batch::pack::{Bin, Need, RackKey, place_all, place_gang, place_one};
+use marigoldglade::batch::preempt::{Victim, make_room};
+use marigoldglade::batch::rank::{Outlook, Want, outlook, rank};
+use marigoldglade::batch::spec::Step;
+use marigoldglade::batch::talk::Shown;
+use marigoldglade::batch::worker::Room;
+use marigoldglade::time::UnixMs;
+use world::{World, job_id, spec, step};
+
+const WHOLE: Room = Room {
+    cpu: 32_000,
+    mem: 131_072,
+    accels: 8,
+};
+
+fn bin(worker: u16, rack: u16, free: Room) -> Bin {
+    Bin {
+        worker: WorkerKey(worker),
+        rack: RackKey(rack),
+        free,
+        whole: WHOLE,
+        grade: Grade::Good,
+        most: u32::MAX,
+    }
+}
+
+fn fleet() -> Vec<Bin> {
+    (0..16).map(|i| bin(i, i / 8, WHOLE)).collect()
+}
+
+fn need(accels: u64, count: u32) -> Need {
+    Need {
+        room: Room {
+            cpu: 1_000,
+            mem: 4_000,
+            accels,
+        },
+        count,
+        one_rack: false,
+        near: None,
+    }
+}
+
+fn gang(mut step: Step) -> Step {
+    step.gang = true;
+    step.one_rack = true;
+    step
+}
+
+#[test]
+fn many_small_tasks_leave_whole_racks_for_wide_gangs() {
+    let places = place_all(&fleet(), &need(1, 40)).unwrap();
+    assert!(places.iter().all(|w| w.0 < 8), "small tasks reached the second rack: {places:?}");
+    let mut bins = fleet();
+    for worker in places {
+        let free = &mut bins[usize::from(worker.0)].free;
+        *free = free.minus(&need(1, 1).room);
+    }
+    let wide = Need {
+        one_rack: true,
+        ..need(8, 8)
+    };
+    assert!(place_gang(&bins, &wide).unwrap().iter().all(|w| w.0 >= 8));
+}
+
+#[test]
+fn memory_binds_before_accelerators() {
+    let sweep = Need {
+        room: Room {
+            cpu: 13_000,
+            mem: 68_000,
+            accels: 1,
+        },
+        ..need(1, 2)
+    };
+    let places = place_all(&fleet(), &sweep).unwrap();
+    assert_ne!(places[0], places[1]);
+}
+
+#[test]
+fn a_gang_wider_than_any_rack_is_spread() {
+    let wide = Need {
+        one_rack: true,
+        ..need(8, 12)
+    };
+    assert_eq!(place_gang(&fleet(), &wide).unwrap().len(), 12);
+}
+
+#[test]
+fn work_goes_near_its_data_when_there_is_room() {
+    let near = Need {
+        near: Some(RackKey(1)),
+        ..need(1, 1)
+    };
+    let bins = fleet();
+    assert_eq!(bins[place_one(&bins, &near).unwrap()].rack, RackKey(1));
+}
+
+#[test]
+fn the_cheapest_runs_make_way_and_none_needlessly() {
+    let room = Room {
+        accels: 4,
+        ..Room::default()
+    };
+    let full = Room::default();
+    let bins = vec![bin(0, 0, full), bin(1, 0, full)];
+    let victim = |worker, group, cost| Victim {
+        worker: WorkerKey(worker),
+        group,
+        room,
+        cost,
+    };
+    let victims = [victim(0, 0, 900), victim(0, 1, 800), victim(1, 2, 10), victim(1, 3, 700)];
+    let small = Need {
+        room,
+        ..need(4, 1)
+    };
+    let plan = make_room(&bins, &victims, &small).unwrap();
+    assert_eq!(plan.groups.into_iter().collect::<Vec<_>>(), [2]);
+    assert_eq!(plan.cost, 10);
+}
+
+#[test]
+fn work_that_can_be_in_time_goes_before_work_that_cannot() {
+    let now = UnixMs(100_000);
+    let want = |since: u64, left_ms| Want {
+        priority: 1,
+        guaranteed: false,
+        since: UnixMs(since),
+        goal: UnixMs(since + 10_000),
+        left_ms,
+        work: 100,
+    };
+    let (fresh, late, lost) = (want(99_000, 5_000), want(93_000, 5_000), want(50_000, 5_000));
+    assert_eq!(outlook(&fresh, now), Outlook::InTime);
+    assert_eq!(outlook(&late, now), Outlook::Late);
+    assert_eq!(outlook(&lost, now), Outlook::Hopeless);
+    assert!(rank(&fresh, now) < rank(&late, now));
+    assert!(rank(&late, now) < rank(&lost, now));
+}
+
+#[test]
+fn one_failure_makes_a_worker_second_choice_and_two_jobs_put_it_in_quarantine() {
+    let now = UnixMs(1_000);
+    let mut health = Health::default();
+    assert!(!health.failed(job_id(1), now));
+    assert!(!health.failed(job_id(1), now));
+    assert_eq!(health.grade(now), Grade::Suspect);
+    assert!(health.failed(job_id(2), now));
+    assert_eq!(health.grade(now), Grade::Quarantined);
+    health.done();
+    assert_eq!(health.grade(now), Grade::Good);
+}
+
+#[test]
+fn a_flood_is_refused_only_when_it_outlasts_its_use() {
+    let backlog = |work| Backlog {
+        work,
+        cores: 100,
+        useful_ms: 30_000,
+    };
+    assert_eq!(refuse(&backlog(100 * 29_000)), None);
+    assert_eq!(refuse(&backlog(100 * 34_000)), Some(4_000));
+}
+
+#[test]
+fn a_flood_of_the_least_urgent_work_keeps_off_racks_that_gangs_need() {
+    let mut w = World::new(20, 3, 4);
+    w.submit(1, "sweep", "w0", spec(vec![step(1, 1, 9_000)]), 9_000);
+    w.run_for(300);
+    for n in 10..40 {
+        w.submit(n, "survey", "w1", spec(vec![step(8, 1, 9_000)]), 9_000);
+    }
+    w.run_for(500);
+    let stops = w.stops;
+    w.submit(2, "sweep", "w2", spec(vec![gang(step(4, 8, 2_000))]), 2_000);
+    w.run_for(3_000);
+    assert_eq!(w.status(2), Some(Shown::Done));
+    assert_eq!(w.stops, stops, "nothing had to be stopped for it");
+}
+
+#[test]
+fn a_small_urgent_task_beyond_its_guarantee_stops_no_large_gang() {
+    let mut w = World::new(21, 1, 4);
+    w.submit(1, "sweep", "w0", spec(vec![gang(step(4, 8, 30_000))]), 30_000);
+    w.run_for(9_000);
+    // The workspace isn't known, so that nothing is guaranteed to it.
+    w.submit(2, "urgent", "", spec(vec![step(1, 1, 500)]), 500);
+    w.run_for(1_000);
+    assert_eq!(w.stops, 0);
+}
+
+#[test]
+fn guaranteed_urgent_work_begins_within_its_bound_in_a_full_fleet() {
+    let mut w = World::new(22, 2, 4);
+    for n in 10..18 {
+        w.submit(n, "sweep", "w0", spec(vec![step(1, 8, 30_000)]), 30_000);
+    }
+    w.run_for(2_000);
+    let began = w.now;
+    w.submit(1, "urgent", "w1", spec(vec![gang(step(3, 8, 2_000))]), 2_000);
+    w.run_for(3_400);
+    let at = w.begun_at[&job_id(1)];
+    assert!(at < began + 3_400);
+}
+
+#[test]
+fn a_poisoned_job_ends_after_as_many_failures_as_its_queue_allows() {
+    let mut w = World::new(23, 1, 4);
+    w.work.insert(job_id(1), (300, 99));
+    w.submit(1, "sweep", "w0", spec(vec![step(3, 1, 300)]), 300);
+    w.run_for(6_000);
+    assert_eq!(w.status(1), Some(Shown::Failed));
+    assert!(w.failed.values().all(|n| *n <= 2));
+}
