--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -212,7 +212,13 @@
 impl Engine {
     /// Makes the engine of a new owner.
     #[must_use]
-    pub fn new(bounds: Bounds, policy: Arc<Policy>, estate: Estate, now: UnixMs, wall: u64) -> Self {
+    pub fn new(
+        bounds: Bounds,
+        policy: Arc<Policy>,
+        estate: Estate,
+        now: UnixMs,
+        wall: u64,
+    ) -> Self {
         let mut engine = Self {
             term: estate.term,
             bounds,
--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -8,7 +8,7 @@
 use crate::batch::rank::LATE_FACTOR;
 use crate::batch::record::{Record, State};
 use crate::batch::spec::JobSpec;
-use crate::batch::talk::{Call, Reply};
+use crate::batch::talk::{Call, Reply, Submission};
 use crate::time::UnixMs;
 
 /// A commit that is under way for longer means trouble with the store, in milliseconds; source:
@@ -19,12 +19,7 @@
     /// Answers a call, now or once it is on record.
     pub(super) fn call(&mut self, ticket: Ticket, call: Call, out: &mut Vec<Action>) {
         let reply = match call {
-            Call::Submit {
-                id,
-                queue,
-                workspace,
-                spec,
-            } => self.submit(ticket, id, queue, workspace, spec),
+            Call::Submit(submission) => self.submit(ticket, *submission),
             Call::Cancel(id) => self.cancel(ticket, id),
             Call::Status(id) => Some(self.status(id)),
             Call::Pending(queue) => Some(Reply::Pending(self.pending(&queue))),
@@ -35,14 +30,8 @@
     }
 
     /// Adds a job; the answer waits for its commit.
-    fn submit(
-        &mut self,
-        ticket: Ticket,
-        id: JobId,
-        queue: Queue,
-        workspace: String,
-        spec: JobSpec,
-    ) -> Option<Reply> {
+    fn submit(&mut self, ticket: Ticket, submission: Submission) -> Option<Reply> {
+        let id = submission.id;
         if let Some((_, job)) = self.job_mut(id) {
             if job.durable.is_some() {
                 return Some(Reply::Accepted);
@@ -54,12 +43,12 @@
             log::info!(job = id.as_str(), closed_ms = self.closed_until.since(self.now); "submission turned away: the store takes no commits");
             return Some(Reply::NotOwner);
         }
-        if let Some(retry_ms) = self.overload(&queue, &spec) {
+        if let Some(retry_ms) = self.overload(&submission.queue, &submission.spec) {
             self.counts.refused += 1;
-            log::info!(job = id.as_str(), queue = queue.name.as_str(), retry_ms; "submission refused: the backlog outlasts its use");
+            log::info!(job = id.as_str(), queue = submission.queue.name.as_str(), retry_ms; "submission refused: the backlog outlasts its use");
             return Some(Reply::Refused(retry_ms));
         }
-        let record = Record::new(id, queue, workspace, spec, self.wall);
+        let record = submission.into_record(self.wall);
         let key = self.add_job(Job::new(record, self.now, false));
         let job = self.jobs.get_mut(&key)?;
         job.submits.push(ticket);
@@ -79,7 +68,10 @@
         }
         let ahead = |j: &&Job| j.is_open() && j.record.queue.priority <= queue.priority;
         let work = self.jobs.values().filter(ahead).map(Job::left_work);
-        let usable = self.workers.iter().filter(|w| w.listed && w.target.pool == queue.pool);
+        let usable = self
+            .workers
+            .iter()
+            .filter(|w| w.listed && w.target.pool == queue.pool);
         let objective = queue.objective_ms(spec.chain_ms());
         refuse(&Backlog {
             work: work.fold(0, u64::saturating_add),
@@ -197,7 +189,12 @@
         let over = |j: &Job| {
             !j.is_open() && j.saved == j.changed && wall.saturating_sub(j.record.ended) > keep
         };
-        let gone: Vec<JobKey> = self.jobs.iter().filter(|(_, j)| over(j)).map(|(k, _)| *k).collect();
+        let gone: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| over(j))
+            .map(|(k, _)| *k)
+            .collect();
         for key in gone {
             if self.is_running(key) {
                 continue;
@@ -212,6 +209,8 @@
     }
 
     fn is_running(&self, key: JobKey) -> bool {
-        self.workers.iter().any(|w| w.runs.values().any(|r| r.job == key))
+        self.workers
+            .iter()
+            .any(|w| w.runs.values().any(|r| r.job == key))
     }
 }
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -85,17 +85,26 @@
             }
         }
         let room = RECORD_LIMIT - batch.puts.len();
-        batch.handled = self.handled.iter().take(if whole { room } else { 0 }).cloned().collect();
+        batch.handled = self
+            .handled
+            .iter()
+            .take(if whole { room } else { 0 })
+            .cloned()
+            .collect();
         flight.handled.clone_from(&batch.handled);
         let room = room.saturating_sub(batch.handled.len());
         batch.drops = self.drops.iter().take(room).copied().collect();
         flight.drops.clone_from(&batch.drops);
         if self.workers_dirty {
             self.workers_dirty = false;
-            let keep = |w: &super::Worker| w.listed || !w.runs.is_empty() || !w.doubt_end.passed(self.now);
+            let keep =
+                |w: &super::Worker| w.listed || !w.runs.is_empty() || !w.doubt_end.passed(self.now);
             let kept = self.worker_keys().filter(|k| keep(self.worker(*k)));
             flight.workers = kept.map(|k| (k, self.worker(k).target.born)).collect();
-            let targets = flight.workers.iter().map(|(k, _)| (*self.worker(*k).target).clone());
+            let targets = flight
+                .workers
+                .iter()
+                .map(|(k, _)| (*self.worker(*k).target).clone());
             batch.workers = Some(targets.collect());
         }
         let nothing_to_write = batch.puts.is_empty()
--- a/marigoldglade/src/batch/engine/ends.rs
+++ b/marigoldglade/src/batch/engine/ends.rs
@@ -16,7 +16,11 @@
         let worker = self.worker(key);
         let current = worker.runs.get(&end.task).is_some_and(|r| r.run == end.run);
         let how: &'static str = end.how.into();
-        let since = worker.runs.get(&end.task).filter(|_| current).map_or(now, |r| r.since);
+        let since = worker
+            .runs
+            .get(&end.task)
+            .filter(|_| current)
+            .map_or(now, |r| r.since);
         log::info!(
             task:% = end.task, run = end.run, how = how, number = end.number,
             worker = worker.target.name.as_str(), ran_ms = now.since(since);
--- a/marigoldglade/src/batch/engine/fleet.rs
+++ b/marigoldglade/src/batch/engine/fleet.rs
@@ -146,7 +146,11 @@
     pub fn lapse(&self) -> Option<UnixMs> {
         let reading = self.reading?;
         let left = self.lease.saturating_sub(reading.clock);
-        Some(reading.at.after(left + left * DRIFT_PERCENT / (100 - DRIFT_PERCENT) + LAPSE_SLACK_MS))
+        Some(
+            reading
+                .at
+                .after(left + left * DRIFT_PERCENT / (100 - DRIFT_PERCENT) + LAPSE_SLACK_MS),
+        )
     }
 
     /// Returns the room that no run takes.
@@ -189,7 +193,11 @@
         (self.lease, self.seen, self.acked, self.told) = (0, 0, 0, 0);
         self.lost = 0;
         self.health = Health::default();
-        self.bars = self.lost_starts.drain(..).map(|(task, run, _)| (task, run)).collect();
+        self.bars = self
+            .lost_starts
+            .drain(..)
+            .map(|(task, run, _)| (task, run))
+            .collect();
     }
 }
 
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -167,7 +167,11 @@
                             index,
                             done: task.done,
                             failed: task.failed.clone(),
-                            saved: if task.done { String::new() } else { task.saved.clone() },
+                            saved: if task.done {
+                                String::new()
+                            } else {
+                                task.saved.clone()
+                            },
                         });
                     }
                 }
@@ -184,7 +188,11 @@
             let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
             for (step, run) in steps.iter().zip(&round.steps) {
                 let before = step.after.iter().map(|i| ends[usize::from(*i)]).max();
-                let own = if run.done == step.count { 0 } else { step.estimate_ms };
+                let own = if run.done == step.count {
+                    0
+                } else {
+                    step.estimate_ms
+                };
                 ends.push(before.unwrap_or(0) + own);
             }
             longest = longest.max(ends.into_iter().max().unwrap_or(0));
--- a/marigoldglade/src/batch/engine/links.rs
+++ b/marigoldglade/src/batch/engine/links.rs
@@ -41,13 +41,17 @@
             let busy = !worker.runs.is_empty();
             // Unacknowledged ends would end a long poll at once.
             let uncommitted = worker.seen > worker.acked;
-            let wanted = unheard || behind || (busy && (!uncommitted || worker.renew_at.passed(now)));
+            let wanted =
+                unheard || behind || (busy && (!uncommitted || worker.renew_at.passed(now)));
             if worker.holding || !wanted || !worker.hold_after.passed(now) {
                 continue;
             }
             // A silent worker is only looked at: otherwise its leases would never be known to lapse.
             let renews = busy && worker.answered && worker.lost == 0;
-            let end = worker.clock(now).filter(|_| renews).map_or(0, |c| c + lease_ms);
+            let end = worker
+                .clock(now)
+                .filter(|_| renews)
+                .map_or(0, |c| c + lease_ms);
             worker.lease = worker.lease.max(end);
             worker.holding = true;
             worker.renew_at = now.after(RENEW_MS);
@@ -62,7 +66,11 @@
                 wait_ms,
                 term,
             };
-            out.push(Action::Order(key, Arc::clone(&worker.target), Order::Hold(hold)));
+            out.push(Action::Order(
+                key,
+                Arc::clone(&worker.target),
+                Order::Hold(hold),
+            ));
         }
     }
 
@@ -142,7 +150,11 @@
             Answer::Lost | Answer::Obeyed(_) => {
                 worker.lost += 1;
                 let busy = !worker.runs.is_empty();
-                let pause = if busy || worker.lost < 3 { LOST_HOLD_MS } else { LOST_IDLE_MS };
+                let pause = if busy || worker.lost < 3 {
+                    LOST_HOLD_MS
+                } else {
+                    LOST_IDLE_MS
+                };
                 worker.hold_after = now.after(pause);
                 if worker.lost == 1 {
                     log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(); "worker doesn't answer holds");
@@ -160,19 +172,29 @@
             Answer::Report(_) => {}
             Answer::Lost => {
                 let worker = self.worker_mut(key);
-                worker.lost_starts.push((start.task, start.run, now.after(LATE_ORDER_MS)));
+                worker
+                    .lost_starts
+                    .push((start.task, start.run, now.after(LATE_ORDER_MS)));
             }
         }
         let worker = self.worker_mut(key);
         let name = Arc::clone(&worker.target);
-        let Some(run) = worker.runs.get_mut(&start.task).filter(|r| r.run == start.run) else {
+        let Some(run) = worker
+            .runs
+            .get_mut(&start.task)
+            .filter(|r| r.run == start.run)
+        else {
             return;
         };
         match answer {
             Answer::Obeyed(clock) => {
                 run.confirmed = run.confirmed.max(*clock);
                 if matches!(run.stage, Stage::Starting | Stage::Unsure) {
-                    run.stage = if run.stage == Stage::Unsure { Stage::Stopping } else { Stage::Running };
+                    run.stage = if run.stage == Stage::Unsure {
+                        Stage::Stopping
+                    } else {
+                        Stage::Running
+                    };
                     run.tries = 0;
                     run.next = now;
                     run.moved = now;
@@ -263,7 +285,9 @@
         {
             task.retry_at = now.after(UNHEALTHY_MS);
         }
-        let run = self.job_mut(task.job).and_then(|(_, job)| Some(job.task(task)?.run));
+        let run = self
+            .job_mut(task.job)
+            .and_then(|(_, job)| Some(job.task(task)?.run));
         if let Some(run) = run {
             self.break_gang(task, run);
         }
@@ -279,9 +303,15 @@
         self.read_clock(key, clock);
         let worker = self.worker_mut(key);
         if clock.is_some() {
-            worker.bars.retain(|(task, run)| (*task, *run) != (stop.task, stop.run));
+            worker
+                .bars
+                .retain(|(task, run)| (*task, *run) != (stop.task, stop.run));
         }
-        let Some(run) = worker.runs.get_mut(&stop.task).filter(|r| r.run == stop.run) else {
+        let Some(run) = worker
+            .runs
+            .get_mut(&stop.task)
+            .filter(|r| r.run == stop.run)
+        else {
             return;
         };
         if let Answer::Obeyed(clock) = answer {
@@ -412,7 +442,12 @@
 
     /// Runs that a report should show and doesn't.
     fn missing(&mut self, key: WorkerKey, report: &Report) {
-        let listed = |task: &TaskId, run: u64| report.running.iter().any(|r| r.task == *task && r.run == run);
+        let listed = |task: &TaskId, run: u64| {
+            report
+                .running
+                .iter()
+                .any(|r| r.task == *task && r.run == run)
+        };
         let gone = |task: &TaskId, run: &Run| {
             if listed(task, run.run) {
                 return false;
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -101,11 +101,18 @@
         let mut claims = std::mem::take(&mut self.claims);
         let ready: HashSet<Unit> = units.iter().map(|(_, u)| *u).collect();
         claims.retain(|c| !c.end.passed(now) && ready.contains(&c.unit));
-        if self.reserved.is_some_and(|r| r.end.passed(now) || !ready.contains(&r.unit)) {
+        if self
+            .reserved
+            .is_some_and(|r| r.end.passed(now) || !ready.contains(&r.unit))
+        {
             self.reserved = None;
         }
         let mut pass = Pass {
-            free: self.workers.iter().map(super::fleet::Worker::free).collect(),
+            free: self
+                .workers
+                .iter()
+                .map(super::fleet::Worker::free)
+                .collect(),
             failed: HashSet::new(),
             guaranteed: self.guaranteed_jobs(),
             claims,
@@ -126,8 +133,13 @@
                 continue;
             }
             let steps = job.record.spec.steps.iter();
-            let need = steps.map(|s| s.room.accels * u64::from(s.count)).max().unwrap_or(0);
-            let left = left.entry(workspace).or_insert_with(|| self.policy.guarantee(workspace));
+            let need = steps
+                .map(|s| s.room.accels * u64::from(s.count))
+                .max()
+                .unwrap_or(0);
+            let left = left
+                .entry(workspace)
+                .or_insert_with(|| self.policy.guarantee(workspace));
             if let Some(rest) = left.checked_sub(need) {
                 *left = rest;
                 covered.insert(*key);
@@ -137,7 +149,10 @@
     }
 
     fn want(&self, key: JobKey, job: &Job, round: usize) -> Want {
-        let queue = self.policy.queue(&job.record.queue.name).unwrap_or(&job.record.queue);
+        let queue = self
+            .policy
+            .queue(&job.record.queue.name)
+            .unwrap_or(&job.record.queue);
         let since = match job.rounds[round].due {
             Some(due) => UnixMs(self.now.0.saturating_sub(self.wall.saturating_sub(due))),
             None => job.since,
@@ -181,7 +196,8 @@
                         step: u16::try_from(s).unwrap_or(u16::MAX),
                         index,
                     };
-                    let rank = *rank_of.get_or_insert_with(|| rank(&self.want(*key, job, r), self.now));
+                    let rank =
+                        *rank_of.get_or_insert_with(|| rank(&self.want(*key, job, r), self.now));
                     if step.gang {
                         if run.tasks.iter().all(idle) {
                             units.push((rank, unit(None)));
@@ -201,18 +217,26 @@
             return;
         };
         let step = job.record.spec.steps[usize::from(unit.step)].clone();
-        let tasks = &job.rounds[usize::try_from(unit.round).unwrap_or(0)].steps[usize::from(unit.step)].tasks;
-        let queue = self.policy.queue(&job.record.queue.name).unwrap_or(&job.record.queue);
+        let tasks = &job.rounds[usize::try_from(unit.round).unwrap_or(0)].steps
+            [usize::from(unit.step)]
+        .tasks;
+        let queue = self
+            .policy
+            .queue(&job.record.queue.name)
+            .unwrap_or(&job.record.queue);
         let count = if step.gang { step.count } else { 1 };
         let waited = self.now.since(job.since);
         let patience = queue.objective_ms(job.record.spec.chain_ms()) * NEAR_PERCENT / 100;
-        let near = self.rack_of(&step.near_rack).filter(|_| !step.near_rack.is_empty());
+        let near = self
+            .rack_of(&step.near_rack)
+            .filter(|_| !step.near_rack.is_empty());
         let avoid: Vec<WorkerKey> = match unit.index {
             Some(i) => tasks[usize::try_from(i).unwrap_or(0)].avoid.clone(),
             None => tasks.iter().flat_map(|t| t.avoid.iter().copied()).collect(),
         };
         let fails = tasks.iter().map(|t| t.failed.len()).max().unwrap_or(0);
-        let last_try = fails > 0 && fails + 1 >= usize::try_from(queue.attempts).unwrap_or(usize::MAX);
+        let last_try =
+            fails > 0 && fails + 1 >= usize::try_from(queue.attempts).unwrap_or(usize::MAX);
         let shape = Shape {
             pool: queue.pool.clone(),
             room: step.charge(),
@@ -233,16 +257,27 @@
             one_rack: shape.one_rack,
             near,
         };
-        let claimed = pass.claims.iter().position(|c| c.unit == unit).map(|i| pass.claims.remove(i));
+        let claimed = pass
+            .claims
+            .iter()
+            .position(|c| c.unit == unit)
+            .map(|i| pass.claims.remove(i));
         let mut bins = self.bins(&unit, &shape, &avoid, pass);
         let all = bins.clone();
-        if let Some(reserved) = self.reserved.filter(|r| r.unit != unit && shape.priority > 0) {
+        if let Some(reserved) = self
+            .reserved
+            .filter(|r| r.unit != unit && shape.priority > 0)
+        {
             bins.retain(|b| b.rack != reserved.rack);
         }
         let more_urgent = |j: &Job| j.is_active() && j.record.queue.priority < shape.priority;
         if shape.priority > 1 && !step.gang && self.jobs.values().any(more_urgent) {
             let kept = racks(&bins).len() / KEPT_RACKS_DIVISOR;
-            let last = racks(&bins).into_iter().rev().take(kept).collect::<Vec<_>>();
+            let last = racks(&bins)
+                .into_iter()
+                .rev()
+                .take(kept)
+                .collect::<Vec<_>>();
             bins.retain(|b| !last.contains(&b.rack));
         }
         let wait_near = need.near.is_some() && waited < patience;
@@ -276,10 +311,19 @@
     }
 
     fn rack_of(&self, name: &str) -> Option<RackKey> {
-        self.racks.iter().find(|((_, rack), _)| rack == name).map(|(_, key)| *key)
+        self.racks
+            .iter()
+            .find(|((_, rack), _)| rack == name)
+            .map(|(_, key)| *key)
     }
 
-    fn find(&self, bins: &[Bin], need: &Need, gang: bool, wait_near: bool) -> Option<Vec<WorkerKey>> {
+    fn find(
+        &self,
+        bins: &[Bin],
+        need: &Need,
+        gang: bool,
+        wait_near: bool,
+    ) -> Option<Vec<WorkerKey>> {
         let near_only: Vec<Bin>;
         let bins = match need.near {
             Some(near) if wait_near => {
@@ -315,7 +359,9 @@
                 let here = c.places.iter().filter(|p| **p == key).count();
                 (here > 0).then(|| c.room.times(u64::try_from(here).unwrap_or(u64::MAX)))
             });
-            let free = claimed.fold(pass.free[usize::from(key.0)], |free, room| free.minus(&room));
+            let free = claimed.fold(pass.free[usize::from(key.0)], |free, room| {
+                free.minus(&room)
+            });
             bins.push(Bin {
                 worker: key,
                 rack: worker.rack,
@@ -401,7 +447,14 @@
     }
 
     /// Stops less urgent runs so that a unit finds room; returns whether room is on the way.
-    fn preempt(&mut self, unit: Unit, bins: &[Bin], need: &Need, limit: u64, pass: &mut Pass) -> bool {
+    fn preempt(
+        &mut self,
+        unit: Unit,
+        bins: &[Bin],
+        need: &Need,
+        limit: u64,
+        pass: &mut Pass,
+    ) -> bool {
         let guaranteed = pass.guaranteed.contains(&unit.job);
         let Some(priority) = self.jobs.get(&unit.job).map(|j| j.record.queue.priority) else {
             return false;
@@ -425,9 +478,15 @@
                 };
                 let member = if step.gang { u32::MAX } else { id.index };
                 let next = u32::try_from(groups.len()).unwrap_or(u32::MAX);
-                let group = *groups.entry((run.job, id.round, id.step, member)).or_insert(next);
+                let group = *groups
+                    .entry((run.job, id.round, id.step, member))
+                    .or_insert(next);
                 let elapsed = self.now.since(run.since);
-                let lost = if step.checkpoints { elapsed.min(CHECKPOINT_COST_MS) } else { elapsed };
+                let lost = if step.checkpoints {
+                    elapsed.min(CHECKPOINT_COST_MS)
+                } else {
+                    elapsed
+                };
                 victims.push(Victim {
                     worker: key,
                     group,
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -66,7 +66,10 @@
         };
         let text = job.record.spec.text.clone();
         let checkpoints = job.step(id).is_some_and(|s| s.checkpoints);
-        let saved = job.task(id).map(|t| t.saved.clone()).filter(|_| checkpoints);
+        let saved = job
+            .task(id)
+            .map(|t| t.saved.clone())
+            .filter(|_| checkpoints);
         let worker = self.worker_mut(key);
         let Some(clock) = worker.clock(now) else {
             return;
@@ -136,7 +139,11 @@
                 run: *run,
                 term,
             };
-            out.push(Action::Order(key, Arc::clone(&worker.target), Order::Stop(stop)));
+            out.push(Action::Order(
+                key,
+                Arc::clone(&worker.target),
+                Order::Stop(stop),
+            ));
         }
     }
 
@@ -164,7 +171,11 @@
             && matches!(run.stage, Stage::Running | Stage::Starting)
         {
             // A start that is under way may take effect after the stop.
-            run.stage = if run.stage == Stage::Running { Stage::Stopping } else { Stage::Unsure };
+            run.stage = if run.stage == Stage::Running {
+                Stage::Stopping
+            } else {
+                Stage::Unsure
+            };
             run.tries = 0;
             run.next = now;
         }
--- a/marigoldglade/src/batch/id.rs
+++ b/marigoldglade/src/batch/id.rs
@@ -17,7 +17,10 @@
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
         let digits: [u8; ID_DIGITS] = text.as_bytes().try_into().ok()?;
-        digits.iter().all(u8::is_ascii_hexdigit).then_some(Self(digits))
+        digits
+            .iter()
+            .all(u8::is_ascii_hexdigit)
+            .then_some(Self(digits))
     }
 
     /// Returns the id as it was written.
@@ -54,9 +57,7 @@
 }
 
 /// One task of a job.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskId {
     /// The job.
     pub job: JobId,
@@ -88,6 +89,10 @@
 
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}.{}.{}", self.job, self.round, self.step, self.index)
+        write!(
+            f,
+            "{}.{}.{}.{}",
+            self.job, self.round, self.step, self.index
+        )
     }
 }
--- a/marigoldglade/src/batch/pack.rs
+++ b/marigoldglade/src/batch/pack.rs
@@ -104,20 +104,16 @@
     if !need.one_rack || !fits_a_rack(bins, need) {
         return place_all(bins, need);
     }
-    let mut best: Option<((bool, Grade, u32, Reverse<RackKey>), Vec<WorkerKey>)> = None;
-    for rack in racks(bins) {
+    let options = racks(bins).into_iter().filter_map(|rack| {
         let members = in_rack(bins, rack);
-        let Some(places) = place_all(&members, need) else {
-            continue;
-        };
+        let places = place_all(&members, need)?;
         let spare = capacity(&members, need, |b| b.free);
-        let grades = members.iter().filter(|b| places.contains(&b.worker)).map(|b| b.grade);
-        let grade = grades.max().unwrap_or_default();
-        let score = (need.near.is_some_and(|near| near != rack), grade, spare, Reverse(rack));
-        if best.as_ref().is_none_or(|(least, _)| score < *least) {
-            best = Some((score, places));
-        }
-    }
+        let chosen = members.iter().filter(|b| places.contains(&b.worker));
+        let grade = chosen.map(|b| b.grade).max().unwrap_or_default();
+        let far = need.near.is_some_and(|near| near != rack);
+        Some(((far, grade, spare, Reverse(rack)), places))
+    });
+    let best = options.min_by_key(|(score, _)| *score);
     best.map(|(_, places)| places)
 }
 
--- a/marigoldglade/src/batch/policy.rs
+++ b/marigoldglade/src/batch/policy.rs
@@ -110,10 +110,18 @@
     #[must_use]
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
         let host = host.rsplit_once(':').map_or(host, |(name, port)| {
-            if port.bytes().all(|b| b.is_ascii_digit()) { name } else { host }
+            if port.bytes().all(|b| b.is_ascii_digit()) {
+                name
+            } else {
+                host
+            }
         });
         let fits = |q: &&Queue| q.host.eq_ignore_ascii_case(host) && path.starts_with(&q.prefix);
-        let queue = self.queues.iter().filter(fits).max_by_key(|q| q.prefix.len())?;
+        let queue = self
+            .queues
+            .iter()
+            .filter(fits)
+            .max_by_key(|q| q.prefix.len())?;
         Some((queue, &path[queue.prefix.len()..]))
     }
 
--- a/marigoldglade/src/batch/preempt.rs
+++ b/marigoldglade/src/batch/preempt.rs
@@ -47,7 +47,12 @@
 }
 
 /// The groups to stop on one worker for one more task, and what that costs.
-fn clear(bin: &Bin, victims: &[Victim], stopped: &BTreeSet<u32>, room: &Room) -> Option<(u64, Vec<u32>)> {
+fn clear(
+    bin: &Bin,
+    victims: &[Victim],
+    stopped: &BTreeSet<u32>,
+    room: &Room,
+) -> Option<(u64, Vec<u32>)> {
     let mut free = bin.free;
     let mut chosen: Vec<&Victim> = Vec::new();
     let mut here: Vec<&Victim> = victims
@@ -76,7 +81,12 @@
     let mut groups: Vec<u32> = chosen.iter().map(|v| v.group).collect();
     groups.sort_unstable();
     groups.dedup();
-    let cost = |group: &u32| chosen.iter().find(|v| v.group == *group).map_or(0, |v| v.cost);
+    let cost = |group: &u32| {
+        chosen
+            .iter()
+            .find(|v| v.group == *group)
+            .map_or(0, |v| v.cost)
+    };
     Some((groups.iter().map(cost).sum(), groups))
 }
 
--- a/marigoldglade/src/batch/record.rs
+++ b/marigoldglade/src/batch/record.rs
@@ -10,7 +10,17 @@
 
 /// Where a job stands.
 #[derive(
-    Clone, Copy, Debug, Default, Display, EnumString, IntoStaticStr, PartialEq, Eq, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
 )]
 #[strum(serialize_all = "lowercase")]
 #[serde(rename_all = "lowercase")]
--- a/marigoldglade/src/batch/spec.rs
+++ b/marigoldglade/src/batch/spec.rs
@@ -105,7 +105,9 @@
     pub fn work(&self) -> u64 {
         let step = |s: &Step| {
             let cores = s.room.cores().max(1);
-            cores.saturating_mul(s.estimate_ms).saturating_mul(u64::from(s.count))
+            cores
+                .saturating_mul(s.estimate_ms)
+                .saturating_mul(u64::from(s.count))
         };
         self.steps.iter().map(step).fold(0, u64::saturating_add)
     }
--- a/marigoldglade/src/batch/talk.rs
+++ b/marigoldglade/src/batch/talk.rs
@@ -5,22 +5,35 @@
 
 use crate::batch::id::JobId;
 use crate::batch::policy::{Policy, Queue};
+use crate::batch::record::Record;
 use crate::batch::spec::JobSpec;
 
+/// A job that is handed in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Submission {
+    /// The job's id.
+    pub id: JobId,
+    /// Its queue.
+    pub queue: Queue,
+    /// Its workspace; empty for none.
+    pub workspace: String,
+    /// What it asks for.
+    pub spec: JobSpec,
+}
+
+impl Submission {
+    /// Returns the record of the job when it is accepted at a time of day.
+    #[must_use]
+    pub fn into_record(self, accepted: u64) -> Record {
+        Record::new(self.id, self.queue, self.workspace, self.spec, accepted)
+    }
+}
+
 /// A call of a caller that has passed the entry daemon's checks.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Call {
     /// Accept a job.
-    Submit {
-        /// The job's id.
-        id: JobId,
-        /// Its queue.
-        queue: Queue,
-        /// Its workspace; empty for none.
-        workspace: String,
-        /// What it asks for.
-        spec: JobSpec,
-    },
+    Submit(Box<Submission>),
     /// Cancel a job.
     Cancel(JobId),
     /// Tell where a job stands.
@@ -30,9 +43,7 @@
 }
 
 /// A job's state as callers see it.
-#[derive(
-    Clone, Copy, Debug, Display, IntoStaticStr, PartialEq, Eq, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Display, IntoStaticStr, PartialEq, Eq, Serialize, Deserialize)]
 #[strum(serialize_all = "lowercase")]
 pub enum Shown {
     /// Nothing of it has run.
--- a/marigoldglade/src/lib.rs
+++ b/marigoldglade/src/lib.rs
@@ -5,8 +5,8 @@
 //! generator, and input and output pass through plain structs of closures.
 
 pub mod admit;
-pub mod batch;
 pub mod api;
+pub mod batch;
 mod blocks;
 pub mod breaker;
 pub mod budget;
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -2,8 +2,6 @@
 
 #[path = "batch/world.rs"]
 mod world;
-#[path = "batch/worker.rs"]
-mod worker;
 
 use marigoldglade::batch::talk::{Reply, Shown};
 use proptest::prelude::*;
@@ -52,7 +50,10 @@
     }
     w.run_for(40_000);
     let left = w.workers["worker-0-1"].runs.len();
-    assert!(w.done.len() + left >= 2, "the task of the silent worker never ran again");
+    assert!(
+        w.done.len() + left >= 2,
+        "the task of the silent worker never ran again"
+    );
 }
 
 #[test]
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -1,8 +1,8 @@
 //! A simulated platform around the engine: workers, a store, and orders that are delayed, lost or
 //! carried out late. It checks the promises of the engine after each event.
 
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
 
 use marigoldglade::batch::engine::{
@@ -12,18 +12,21 @@
 use marigoldglade::batch::policy::{Policy, Queue, Workspace};
 use marigoldglade::batch::record::{Record, State};
 use marigoldglade::batch::spec::{JobSpec, Step};
-use marigoldglade::batch::talk::{Call, Reply, Shown};
+use marigoldglade::batch::talk::{Call, Reply, Shown, Submission};
 use marigoldglade::batch::worker::{Answer, How, Order, Refusal, Room, Target};
 use marigoldglade::time::UnixMs;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-use super::worker::{Note, SimWorker};
+use standin::batch_worker::{Note, SimWorker};
+
+/// Ends that a life of a worker has listed, by number.
+type Ends = Vec<(u64, TaskId, How)>;
 
 /// Something that happens at a time.
 enum Happening {
     /// An order reaches a worker; the engine of this number hears of it when it isn't lost.
-    Arrive(usize, WorkerKey, Target, Order, bool),
+    Arrive(usize, WorkerKey, Box<Target>, Order, bool),
     /// An event reaches an engine.
     Hear(usize, Box<Event>),
     /// A commit reaches the store.
@@ -82,7 +85,7 @@
     cancelled: BTreeMap<JobId, u64>,
     pub starts: u32,
     pub stops: u32,
-    ends: HashMap<(String, u64), Vec<(u64, TaskId, How)>>,
+    ends: HashMap<(String, u64), Ends>,
 }
 
 pub const POOL: &str = "pool";
@@ -207,7 +210,9 @@
                     draining: false,
                     born: 1_000,
                 };
-                world.workers.insert(name.clone(), SimWorker::new(target, world.now - 10_000));
+                world
+                    .workers
+                    .insert(name.clone(), SimWorker::new(target, world.now - 10_000));
                 world.listed.insert(name);
             }
         }
@@ -231,7 +236,13 @@
             workers: self.stored_workers.clone(),
             inherited: self.term > 1,
         };
-        let engine = Engine::new(BOUNDS, Arc::clone(&self.policy), estate, UnixMs(self.now), self.now);
+        let engine = Engine::new(
+            BOUNDS,
+            Arc::clone(&self.policy),
+            estate,
+            UnixMs(self.now),
+            self.now,
+        );
         self.seats.push(Seat {
             engine,
             alive: true,
@@ -255,7 +266,11 @@
     }
 
     pub fn tell_registry(&mut self, seat: usize) {
-        let targets = self.listed.iter().map(|n| self.workers[n].target.clone()).collect();
+        let targets = self
+            .listed
+            .iter()
+            .map(|n| self.workers[n].target.clone())
+            .collect();
         self.feed(seat, Event::Registry(targets));
     }
 
@@ -265,7 +280,9 @@
         }
         let mut out = Vec::new();
         let now = self.now;
-        self.seats[seat].engine.step(UnixMs(now), now, event, &mut out);
+        self.seats[seat]
+            .engine
+            .step(UnixMs(now), now, event, &mut out);
         for action in out {
             self.perform(seat, action);
         }
@@ -290,7 +307,11 @@
         let delay = self.rng.random_range(1..4);
         let lost = roll < self.faults.late + self.faults.unanswered;
         let late = roll < self.faults.late;
-        let at = if late { self.now + self.rng.random_range(2_000..12_000) } else { self.now + delay };
+        let at = if late {
+            self.now + self.rng.random_range(2_000..12_000)
+        } else {
+            self.now + delay
+        };
         if lost {
             let limit = match &order {
                 Order::Hold(h) => h.wait_ms + 600,
@@ -299,7 +320,10 @@
             let event = Event::Answer(worker, order.clone(), Answer::Lost);
             self.at(self.now + limit, Happening::Hear(seat, Box::new(event)));
         }
-        self.at(at, Happening::Arrive(seat, worker, target.clone(), order, !lost));
+        self.at(
+            at,
+            Happening::Arrive(seat, worker, Box::new(target.clone()), order, !lost),
+        );
     }
 
     /// Lets time pass.
@@ -346,20 +370,33 @@
                 if !answered {
                     return;
                 }
-                let event = Event::Answer(worker, order.clone(), answer.clone().unwrap_or(Answer::Lost));
+                let event = Event::Answer(
+                    worker,
+                    order.clone(),
+                    answer.clone().unwrap_or(Answer::Lost),
+                );
                 let wait = match (&order, &answer) {
                     (_, None) => match &order {
                         Order::Hold(h) => h.wait_ms + 600,
                         Order::Start(_) | Order::Stop(_) => 500,
                     },
                     // A long poll that finds no end waits.
-                    (Order::Hold(h), Some(Answer::Report(r))) if r.ended.is_empty() => h.wait_ms.min(300),
+                    (Order::Hold(h), Some(Answer::Report(r))) if r.ended.is_empty() => {
+                        h.wait_ms.min(300)
+                    }
                     _ => 2,
                 };
-                if matches!((&order, &answer), (Order::Hold(h), Some(Answer::Report(r))) if h.wait_ms > 0 && r.ended.is_empty()) {
+                if matches!((&order, &answer), (Order::Hold(h), Some(Answer::Report(r))) if h.wait_ms > 0 && r.ended.is_empty())
+                {
                     // The report is made when the wait is over.
-                    let look = Order::Hold(marigoldglade::batch::worker::Hold { wait_ms: 0, ..hold_of(&order) });
-                    self.at(self.now + wait, Happening::Arrive(seat, worker, target, look, true));
+                    let look = Order::Hold(marigoldglade::batch::worker::Hold {
+                        wait_ms: 0,
+                        ..hold_of(&order)
+                    });
+                    self.at(
+                        self.now + wait,
+                        Happening::Arrive(seat, worker, target, look, true),
+                    );
                     return;
                 }
                 self.at(self.now + wait, Happening::Hear(seat, Box::new(event)));
@@ -407,13 +444,14 @@
         let worker = self.workers.get_mut(name).expect("known worker");
         let born = worker.target.born;
         let notes = std::mem::take(&mut worker.notes);
-        let mut number = worker.last_end - u64::try_from(notes.iter().filter(|n| matches!(n, Note::Ended(_, _, how) if *how != How::Lapsed || !worker.gone)).count()).unwrap_or(0).min(worker.last_end);
         for note in notes {
             match note {
                 Note::Began(id, run) => self.check_start(name, id, run),
-                Note::Ended(id, run, how) => {
-                    number += 1;
-                    self.ends.entry((name.to_owned(), born)).or_default().push((number, id, how));
+                Note::Ended(number, id, run, how) => {
+                    self.ends
+                        .entry((name.to_owned(), born))
+                        .or_default()
+                        .push((number, id, how));
                     if let Some(live) = self.live.get_mut(&id) {
                         live.retain(|(n, r)| n != name || *r != run);
                     }
@@ -426,15 +464,23 @@
                     }
                 }
                 Note::Acked(acked) => {
-                    let ends = self.ends.get(&(name.to_owned(), born)).cloned().unwrap_or_default();
+                    let ends = self
+                        .ends
+                        .get(&(name.to_owned(), born))
+                        .cloned()
+                        .unwrap_or_default();
                     for (_, id, how) in ends.iter().filter(|(n, ..)| *n <= acked) {
                         if *how == How::Done {
                             self.noted.insert(*id);
                             let record = &self.records[&id.job];
                             let kept = record.tasks.iter().any(|t| {
-                                t.done && (t.round, t.step, t.index) == (id.round, id.step, id.index)
+                                t.done
+                                    && (t.round, t.step, t.index) == (id.round, id.step, id.index)
                             });
-                            assert!(kept, "an end of {id} was acknowledged before it was on record");
+                            assert!(
+                                kept,
+                                "an end of {id} was acknowledged before it was on record"
+                            );
                         }
                     }
                 }
@@ -446,21 +492,40 @@
         self.starts += 1;
         self.begun_at.entry(id.job).or_insert(self.now);
         let specs = self.specs();
-        let spec = specs.get(&id.job).expect("a start of a job that isn't on record");
+        let spec = specs
+            .get(&id.job)
+            .expect("a start of a job that isn't on record");
         let live = self.live.entry(id).or_default();
         let others: Vec<&(String, u64)> =
             live.iter().filter(|(n, _)| !self.workers[n].gone).collect();
-        assert!(others.is_empty(), "{id} began run {run} on {name} while {others:?} runs");
-        assert!(!self.noted.contains(&id), "{id} began again after its end was acknowledged");
+        assert!(
+            others.is_empty(),
+            "{id} began run {run} on {name} while {others:?} runs"
+        );
+        assert!(
+            !self.noted.contains(&id),
+            "{id} began again after its end was acknowledged"
+        );
         for before in &spec.steps[usize::from(id.step)].after {
             let count = spec.steps[usize::from(*before)].count;
             for index in 0..count {
-                let earlier = TaskId { step: *before, index, ..id };
-                assert!(self.done.contains_key(&earlier), "{id} began before {earlier} was done");
+                let earlier = TaskId {
+                    step: *before,
+                    index,
+                    ..id
+                };
+                assert!(
+                    self.done.contains_key(&earlier),
+                    "{id} began before {earlier} was done"
+                );
             }
         }
         if let Some(at) = self.cancelled.get(&id.job) {
-            assert!(self.now < at + 3_000, "{id} began {} ms after its cancel", self.now - at);
+            assert!(
+                self.now < at + 3_000,
+                "{id} began {} ms after its cancel",
+                self.now - at
+            );
         }
         live.push((name.to_owned(), run));
     }
@@ -468,11 +533,17 @@
     fn commit(&mut self, seat: usize, batch: Batch) {
         let number = batch.number;
         if self.store_down {
-            self.at(self.now + 5, Happening::Hear(seat, Box::new(Event::Stored(number, Stored::Nothing))));
+            self.at(
+                self.now + 5,
+                Happening::Hear(seat, Box::new(Event::Stored(number, Stored::Nothing))),
+            );
             return;
         }
         if self.seats[seat].seq != self.seq {
-            self.at(self.now + 3, Happening::Hear(seat, Box::new(Event::Stored(number, Stored::Fenced))));
+            self.at(
+                self.now + 3,
+                Happening::Hear(seat, Box::new(Event::Stored(number, Stored::Fenced))),
+            );
             return;
         }
         self.seq += 1;
@@ -481,17 +552,32 @@
             if record.state == State::Done {
                 for (s, step) in record.spec.steps.iter().enumerate() {
                     for index in 0..step.count {
-                        let id = TaskId { job: record.id, round: 0, step: u16::try_from(s).unwrap(), index };
-                        assert!(self.done.contains_key(&id) || step.gang, "{} is done without {id}", record.id);
+                        let id = TaskId {
+                            job: record.id,
+                            round: 0,
+                            step: u16::try_from(s).expect("few steps"),
+                            index,
+                        };
+                        assert!(
+                            self.done.contains_key(&id) || step.gang,
+                            "{} is done without {id}",
+                            record.id
+                        );
                     }
                 }
             }
             if record.state == State::Failed {
-                let worst = self.failed.iter().filter(|(id, _)| id.job == record.id).map(|(_, n)| *n).max();
+                let worst = self
+                    .failed
+                    .iter()
+                    .filter(|(id, _)| id.job == record.id)
+                    .map(|(_, n)| *n)
+                    .max();
                 assert!(worst >= Some(1), "{} failed without cause", record.id);
             }
             let bytes = record.encode().expect("a record has a form");
-            self.records.insert(record.id, Record::decode(&bytes).expect("and is read back"));
+            self.records
+                .insert(record.id, Record::decode(&bytes).expect("and is read back"));
         }
         for id in batch.drops {
             self.records.remove(&id);
@@ -500,7 +586,10 @@
         if let Some(workers) = batch.workers {
             self.stored_workers = workers;
         }
-        self.at(self.now + 3, Happening::Hear(seat, Box::new(Event::Stored(number, Stored::Done))));
+        self.at(
+            self.now + 3,
+            Happening::Hear(seat, Box::new(Event::Stored(number, Stored::Done))),
+        );
     }
 
     fn call(&mut self, call: Call) -> Ticket {
@@ -515,16 +604,23 @@
     }
 
     /// Submits a job whose tasks run `work_ms` each.
-    pub fn submit(&mut self, n: u64, queue_name: &str, workspace: &str, spec: JobSpec, work_ms: u64) -> Ticket {
+    pub fn submit(
+        &mut self,
+        n: u64,
+        queue_name: &str,
+        workspace: &str,
+        spec: JobSpec,
+        work_ms: u64,
+    ) -> Ticket {
         let id = job_id(n);
         self.work.entry(id).or_insert((work_ms, 0));
         let queue = self.policy.queue(queue_name).expect("known queue").clone();
-        self.call(Call::Submit {
+        self.call(Call::Submit(Box::new(Submission {
             id,
             queue,
             workspace: workspace.to_owned(),
             spec,
-        })
+        })))
     }
 
     pub fn cancel(&mut self, n: u64) -> Ticket {
@@ -573,7 +669,8 @@
 
     pub fn all_done(&mut self, jobs: impl IntoIterator<Item = u64>) -> bool {
         let jobs: Vec<u64> = jobs.into_iter().collect();
-        jobs.into_iter().all(|n| self.status(n) == Some(Shown::Done))
+        jobs.into_iter()
+            .all(|n| self.status(n) == Some(Shown::Done))
     }
 }
 
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -3,9 +3,6 @@
 #[path = "batch/world.rs"]
 #[expect(dead_code, reason = "the world serves several test files")]
 mod world;
-#[path = "batch/worker.rs"]
-#[expect(dead_code, reason = "the worker serves several test files")]
-mod worker;
 
 use marigoldglade::batch::admission::{Backlog, refuse};
 use marigoldglade::batch::engine::WorkerKey;
@@ -62,7 +59,10 @@
 #[test]
 fn many_small_tasks_leave_whole_racks_for_wide_gangs() {
     let places = place_all(&fleet(), &need(1, 40)).unwrap();
-    assert!(places.iter().all(|w| w.0 < 8), "small tasks reached the second rack: {places:?}");
+    assert!(
+        places.iter().all(|w| w.0 < 8),
+        "small tasks reached the second rack: {places:?}"
+    );
     let mut bins = fleet();
     for worker in places {
         let free = &mut bins[usize::from(worker.0)].free;
@@ -122,11 +122,13 @@
         room,
         cost,
     };
-    let victims = [victim(0, 0, 900), victim(0, 1, 800), victim(1, 2, 10), victim(1, 3, 700)];
-    let small = Need {
-        room,
-        ..need(4, 1)
-    };
+    let victims = [
+        victim(0, 0, 900),
+        victim(0, 1, 800),
+        victim(1, 2, 10),
+        victim(1, 3, 700),
+    ];
+    let small = Need { room, ..need(4, 1) };
     let plan = make_room(&bins, &victims, &small).unwrap();
     assert_eq!(plan.groups.into_iter().collect::<Vec<_>>(), [2]);
     assert_eq!(plan.cost, 10);
@@ -143,7 +145,11 @@
         left_ms,
         work: 100,
     };
-    let (fresh, late, lost) = (want(99_000, 5_000), want(93_000, 5_000), want(50_000, 5_000));
+    let (fresh, late, lost) = (
+        want(99_000, 5_000),
+        want(93_000, 5_000),
+        want(50_000, 5_000),
+    );
     assert_eq!(outlook(&fresh, now), Outlook::InTime);
     assert_eq!(outlook(&late, now), Outlook::Late);
     assert_eq!(outlook(&lost, now), Outlook::Hopeless);
@@ -194,7 +200,13 @@
 #[test]
 fn a_small_urgent_task_beyond_its_guarantee_stops_no_large_gang() {
     let mut w = World::new(21, 1, 4);
-    w.submit(1, "sweep", "w0", spec(vec![gang(step(4, 8, 30_000))]), 30_000);
+    w.submit(
+        1,
+        "sweep",
+        "w0",
+        spec(vec![gang(step(4, 8, 30_000))]),
+        30_000,
+    );
     w.run_for(9_000);
     // The workspace isn't known, so that nothing is guaranteed to it.
     w.submit(2, "urgent", "", spec(vec![step(1, 1, 500)]), 500);
@@ -210,7 +222,13 @@
     }
     w.run_for(2_000);
     let began = w.now;
-    w.submit(1, "urgent", "w1", spec(vec![gang(step(3, 8, 2_000))]), 2_000);
+    w.submit(
+        1,
+        "urgent",
+        "w1",
+        spec(vec![gang(step(3, 8, 2_000))]),
+        2_000,
+    );
     w.run_for(3_400);
     let at = w.begun_at[&job_id(1)];
     assert!(at < began + 3_400);
--- a/marigoldgladed/src/batch.rs
+++ b/marigoldgladed/src/batch.rs
@@ -86,8 +86,8 @@
     LocalSet::new().block_on(&runtime, serve(settings, file))
 }
 
-async fn serve(settings: Settings, file: String) -> Result<()> {
-    let Some(platform) = settings.platform.clone() else {
+async fn serve(mut settings: Settings, file: String) -> Result<()> {
+    let Some(mut platform) = settings.platform.clone() else {
         return Err(Error::new(Kind::BadInput, "platform: missing"));
     };
     let mut terminate = signal(SignalKind::terminate()).map_err(internal)?;
@@ -96,6 +96,11 @@
     let ready = TcpListener::bind(platform.ready).await.map_err(internal)?;
     let mesh = TcpListener::bind(settings.mesh).await.map_err(internal)?;
     let admin = TcpListener::bind(settings.admin).await.map_err(internal)?;
+    // Port 0 lets the kernel choose.
+    settings.listen = front.local_addr().map_err(internal)?;
+    settings.mesh = mesh.local_addr().map_err(internal)?;
+    settings.admin = admin.local_addr().map_err(internal)?;
+    platform.ready = ready.local_addr().map_err(internal)?;
     let life: u64 = rand::random::<u64>() >> 12;
     let metrics = Metrics::new();
     let node = Rc::new(Node {
@@ -116,6 +121,7 @@
     log::info!(
         daemon = node.name.as_str(), life = node.life,
         listen:% = node.settings.borrow().listen, mesh:% = node.settings.borrow().mesh,
+        admin:% = node.settings.borrow().admin, ready:% = node.platform.ready,
         version = env!("CARGO_PKG_VERSION");
         "daemon started"
     );
@@ -139,8 +145,9 @@
 
 /// Hands over, lets callers finish, and returns when the process may end.
 async fn stop(node: &Rc<Node>, mut again: Signal, front: JoinHandle<()>) {
-    let grace_ms = Duration::try_from_secs_f64(node.platform.grace_s)
-        .map_or(SECOND_MS, |d| u64::try_from(d.as_millis()).unwrap_or(SECOND_MS));
+    let grace_ms = Duration::try_from_secs_f64(node.platform.grace_s).map_or(SECOND_MS, |d| {
+        u64::try_from(d.as_millis()).unwrap_or(SECOND_MS)
+    });
     let end = clock::now().after(grace_ms.saturating_sub(EXIT_MARGIN_MS));
     let linger = clock::now().after(LINGER_MS).min(end);
     log::info!(daemon = node.name.as_str(), term = node.term.get(), grace_ms; "daemon stops");
@@ -194,7 +201,9 @@
                 node.peers.seed(&settings.peers);
                 *node.settings.borrow_mut() = settings;
             }
-            Err(e) => log::warn!(file = file.as_str(), error:% = e; "settings are wrong; the old ones stay"),
+            Err(e) => {
+                log::warn!(file = file.as_str(), error:% = e; "settings are wrong; the old ones stay");
+            }
         }
     }
 }
--- a/marigoldgladed/src/batch/calls.rs
+++ b/marigoldgladed/src/batch/calls.rs
@@ -4,7 +4,7 @@
 
 use marigoldglade::batch::id::JobId;
 use marigoldglade::batch::record::{Record, State};
-use marigoldglade::batch::talk::{Call, Message, Reply, Shown};
+use marigoldglade::batch::talk::{Call, Message, Reply, Shown, Submission};
 use marigoldglade::prelude::*;
 use marigoldglade::store::{self, Body, Compare, Fault, Op, Txn};
 
@@ -57,7 +57,7 @@
                 Tried::Unsure => sure = false,
             }
             // Reads are harmless; and a submission that provably has no effect is refused at once.
-            let write = matches!(call, Call::Submit { .. } | Call::Cancel(_));
+            let write = matches!(call, Call::Submit(_) | Call::Cancel(_));
             if sure || !write {
                 return Reply::Refused(RETRY_MS);
             }
@@ -88,7 +88,7 @@
             Err(e) => sure = e.kind == Kind::NoTarget,
         }
         let direct = match call {
-            Call::Submit { .. } => self.submit_direct(call).await,
+            Call::Submit(submission) => self.submit_direct(submission).await,
             Call::Status(id) => self.status_direct(*id).await,
             Call::Cancel(id) => self.cancel_direct(*id).await,
             Call::Pending(_) => return Tried::Nothing,
@@ -121,7 +121,10 @@
         let question = Message::Call(call.clone());
         match self.peers.ask(known.owner.addr, question, end).await? {
             Message::Reply(reply) => Ok(reply),
-            _ => Err(Error::new(Kind::Unknown, "the owner answered something else")),
+            _ => Err(Error::new(
+                Kind::Unknown,
+                "the owner answered something else",
+            )),
         }
     }
 
@@ -135,21 +138,16 @@
         let question = Message::Relay(call.clone());
         match self.peers.ask(addrs[pick], question, end).await? {
             Message::Reply(reply) => Ok(reply),
-            _ => Err(Error::new(Kind::Unknown, "the peer answered something else")),
+            _ => Err(Error::new(
+                Kind::Unknown,
+                "the peer answered something else",
+            )),
         }
     }
 
-    async fn submit_direct(&self, call: &Call) -> std::result::Result<Reply, Fault> {
-        let Call::Submit {
-            id,
-            queue,
-            workspace,
-            spec,
-        } = call
-        else {
-            return Err(Fault::NotSent);
-        };
-        let record = Record::new(*id, queue.clone(), workspace.clone(), spec.clone(), wall_ms());
+    async fn submit_direct(&self, submission: &Submission) -> std::result::Result<Reply, Fault> {
+        let id = &submission.id;
+        let record = submission.clone().into_record(wall_ms());
         let value = record.encode().map_err(|e| {
             log::error!(job = id.as_str(), error:% = e; "a record can't be encoded");
             Fault::NotSent
--- a/marigoldgladed/src/batch/client.rs
+++ b/marigoldgladed/src/batch/client.rs
@@ -86,7 +86,9 @@
             }
         };
         let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), RESPONSE_LIMIT_BYTES).collect().await;
+        let body = Limited::new(response.into_body(), RESPONSE_LIMIT_BYTES)
+            .collect()
+            .await;
         let body = body.map_err(|_| Failure::Lost)?.to_bytes();
         self.put(addr, conn);
         Ok(Response { status, body })
@@ -115,7 +117,9 @@
 async fn connect(addr: SocketAddr) -> Result<Conn, Failure> {
     let limit = Duration::from_millis(CONNECT_MS);
     let stream = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
-    let stream = stream.map_err(|_| Failure::NotSent)?.map_err(|_| Failure::NotSent)?;
+    let stream = stream
+        .map_err(|_| Failure::NotSent)?
+        .map_err(|_| Failure::NotSent)?;
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
--- a/marigoldgladed/src/batch/front.rs
+++ b/marigoldgladed/src/batch/front.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use marigoldglade::batch::policy::{Caller, Limits};
-use marigoldglade::batch::talk::{Call, Reply};
+use marigoldglade::batch::talk::{Call, Reply, Submission};
 use marigoldglade::prelude::*;
 use platform::front::{self, Ask};
 use tokio::net::{TcpListener, TcpStream};
@@ -166,7 +166,11 @@
 }
 
 /// Checks a call by the configuration and makes it.
-async fn judge(node: &Rc<Node>, parts: &Parts, body: Incoming) -> Result<(&'static str, Response<Bytes>)> {
+async fn judge(
+    node: &Rc<Node>,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<(&'static str, Response<Bytes>)> {
     let began = clock::now();
     let Some(policy) = node.policy() else {
         return Ok(("early", front::answer(Reply::Refused(RETRY_MS))));
@@ -192,14 +196,17 @@
             let body = read(body, policy.limits.body_bytes, policy.limits.idle_ms).await?;
             let spec = front::job(&body)?;
             if queue.advised {
-                return Err(Error::new(Kind::Shed, "queues with placement advice aren't served"));
+                return Err(Error::new(
+                    Kind::Shed,
+                    "queues with placement advice aren't served",
+                ));
             }
-            let call = Call::Submit {
+            let call = Call::Submit(Box::new(Submission {
                 id,
                 queue: queue.clone(),
                 workspace: workspace.clone(),
                 spec,
-            };
+            }));
             ("submit", call, Some(id))
         }
         Ask::Cancel(id) => ("cancel", Call::Cancel(id), Some(id)),
--- a/marigoldgladed/src/batch/live.rs
+++ b/marigoldgladed/src/batch/live.rs
@@ -117,7 +117,12 @@
     }
 
     fn set_owner(&self, known: Known) {
-        let old = self.view.borrow().owner.as_ref().map_or(0, |k| k.owner.term);
+        let old = self
+            .view
+            .borrow()
+            .owner
+            .as_ref()
+            .map_or(0, |k| k.owner.term);
         if known.owner.term < old {
             return;
         }
@@ -132,7 +137,12 @@
 
     /// Takes an owner that a peer told of, when its term is newer.
     pub(super) fn heard_owner(&self, owner: Owner) {
-        let old = self.view.borrow().owner.as_ref().map_or(0, |k| k.owner.term);
+        let old = self
+            .view
+            .borrow()
+            .owner
+            .as_ref()
+            .map_or(0, |k| k.owner.term);
         if owner.term > old {
             let changed = None;
             self.set_owner(Known { owner, changed });
@@ -225,7 +235,10 @@
     /// Returns the place of this daemon among the living, from zero.
     pub(super) fn place(&self) -> usize {
         let view = self.view.borrow();
-        view.daemons.keys().position(|name| *name == self.name).unwrap_or(0)
+        view.daemons
+            .keys()
+            .position(|name| *name == self.name)
+            .unwrap_or(0)
     }
 }
 
--- a/marigoldgladed/src/batch/metrics.rs
+++ b/marigoldgladed/src/batch/metrics.rs
@@ -40,7 +40,10 @@
     last: Cell<Counts>,
 }
 
-#[expect(clippy::cast_precision_loss, reason = "milliseconds are far below 2^52")]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "milliseconds are far below 2^52"
+)]
 fn seconds(ms: u64) -> f64 {
     ms as f64 / MILLIS_PER_SECOND
 }
@@ -50,17 +53,43 @@
     pub(super) fn new() -> Self {
         let mut registry = Registry::with_prefix("marigoldglade");
         let calls = admin::Counts::default();
-        registry.register("calls", "Calls of callers by kind and status", calls.clone());
+        registry.register(
+            "calls",
+            "Calls of callers by kind and status",
+            calls.clone(),
+        );
         let call_times = Times::new_with_constructor(times);
-        registry.register_with_unit("call", "Time of calls by kind", Unit::Seconds, call_times.clone());
+        registry.register_with_unit(
+            "call",
+            "Time of calls by kind",
+            Unit::Seconds,
+            call_times.clone(),
+        );
         let store = admin::Counts::default();
-        registry.register("store_calls", "Calls to the store by kind and outcome", store.clone());
+        registry.register(
+            "store_calls",
+            "Calls to the store by kind and outcome",
+            store.clone(),
+        );
         let order_times = Times::new_with_constructor(times);
-        registry.register_with_unit("order", "Time of orders and commits", Unit::Seconds, order_times.clone());
+        registry.register_with_unit(
+            "order",
+            "Time of orders and commits",
+            Unit::Seconds,
+            order_times.clone(),
+        );
         let events = admin::Counts::default();
-        registry.register("engine_events", "Events of the owner's engine", events.clone());
+        registry.register(
+            "engine_events",
+            "Events of the owner's engine",
+            events.clone(),
+        );
         let term = Gauge::default();
-        registry.register("term", "Term in which this daemon is the owner, or 0", term.clone());
+        registry.register(
+            "term",
+            "Term in which this daemon is the owner, or 0",
+            term.clone(),
+        );
         let open_jobs = Gauge::default();
         registry.register("open_jobs", "Jobs that haven't ended", open_jobs.clone());
         Self {
@@ -80,7 +109,9 @@
     pub(super) fn call(&self, kind: &'static str, status: u16, ms: u64) {
         let label = vec![("call", kind.to_owned()), ("status", status.to_string())];
         self.calls.get_or_create(&label).inc();
-        self.call_times.get_or_create(&vec![("call", kind.to_owned())]).observe(seconds(ms));
+        self.call_times
+            .get_or_create(&vec![("call", kind.to_owned())])
+            .observe(seconds(ms));
     }
 
     /// Notes an order that was answered.
@@ -90,12 +121,16 @@
             Order::Stop(_) => "stop",
             Order::Hold(_) => "hold",
         };
-        self.order_times.get_or_create(&vec![("order", kind.to_owned())]).observe(seconds(ms));
+        self.order_times
+            .get_or_create(&vec![("order", kind.to_owned())])
+            .observe(seconds(ms));
     }
 
     /// Notes a commit.
     pub(super) fn commit(&self, ms: u64) {
-        self.order_times.get_or_create(&vec![("order", "commit".to_owned())]).observe(seconds(ms));
+        self.order_times
+            .get_or_create(&vec![("order", "commit".to_owned())])
+            .observe(seconds(ms));
     }
 
     /// Takes the engine's counts over.
@@ -115,7 +150,9 @@
             // A new term counts from zero.
             let more = if now >= before { now - before } else { now };
             if more > 0 {
-                self.events.get_or_create(&vec![("event", what.to_owned())]).inc_by(more);
+                self.events
+                    .get_or_create(&vec![("event", what.to_owned())])
+                    .inc_by(more);
             }
         }
     }
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -105,7 +105,10 @@
         loop {
             let name = self.name.clone();
             let open = view.wait_for(|v| {
-                let former_self = v.owner.as_ref().is_some_and(|k| k.owner.name == name && k.changed.is_some());
+                let former_self = v
+                    .owner
+                    .as_ref()
+                    .is_some_and(|k| k.owner.name == name && k.changed.is_some());
                 v.vacant || former_self
             });
             if open.await.is_err() || self.stop.stopping() {
@@ -234,7 +237,9 @@
         .map(Abort);
         *self.engine.borrow_mut() = Some(inputs.clone());
         self.term.set(Some(tenure.term));
-        self.metrics.term.set(i64::try_from(tenure.term).unwrap_or(i64::MAX));
+        self.metrics
+            .term
+            .set(i64::try_from(tenure.term).unwrap_or(i64::MAX));
         self.drive(engine, &tenure, inputs, queue).await;
         self.term.set(None);
         self.metrics.term.set(0);
@@ -245,7 +250,9 @@
 
     fn bounds(&self) -> Bounds {
         let p = &self.platform;
-        let ms = |s: f64| Duration::try_from_secs_f64(s).map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0));
+        let ms = |s: f64| {
+            Duration::try_from_secs_f64(s).map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
+        };
         Bounds {
             lease_limit_ms: p.lease_limit_ms,
             stop_ms: p.task_stop_ms,
@@ -267,7 +274,12 @@
                 log::warn!(term = tenure.term, blind_ms = blind; "ownership couldn't be confirmed for too long");
                 return;
             }
-            let newer = self.view.borrow().owner.as_ref().is_some_and(|k| k.owner.term > tenure.term);
+            let newer = self
+                .view
+                .borrow()
+                .owner
+                .as_ref()
+                .is_some_and(|k| k.owner.term > tenure.term);
             if newer {
                 log::warn!(term = tenure.term; "another daemon has become the owner");
                 return;
@@ -333,7 +345,9 @@
             for pair in &pairs {
                 take_entry(&mut entries, pair);
             }
-            let _ = inputs.send(Input::Event(Event::Registry(entries.values().cloned().collect())));
+            let _ = inputs.send(Input::Event(Event::Registry(
+                entries.values().cloned().collect(),
+            )));
             while let Some(changes) = self.store.watch(prefix, &mut since).await {
                 if changes.is_empty() {
                     continue;
@@ -346,7 +360,9 @@
                         }
                     }
                 }
-                let _ = inputs.send(Input::Event(Event::Registry(entries.values().cloned().collect())));
+                let _ = inputs.send(Input::Event(Event::Registry(
+                    entries.values().cloned().collect(),
+                )));
             }
             log::info!("history of the registry was dropped; reading it anew");
             (pairs, since) = self.store.list(prefix).await;
@@ -360,7 +376,9 @@
         inputs: mpsc::UnboundedSender<Input>,
     ) {
         loop {
-            let _ = inputs.send(Input::Event(Event::Inbox(pairs.iter().filter_map(inbox_item).collect())));
+            let _ = inputs.send(Input::Event(Event::Inbox(
+                pairs.iter().filter_map(inbox_item).collect(),
+            )));
             while let Some(changes) = self.store.watch(INBOX_PREFIX, &mut since).await {
                 let items = changes.into_iter().filter_map(|c| match c {
                     Change::Put(pair) => inbox_item(&pair),
@@ -451,7 +469,11 @@
 
 fn read_record(pair: &Pair) -> Option<Record> {
     let record = Record::decode(&pair.value);
-    record.inspect_err(|e| log::error!(key = pair.key.as_str(), error:% = e; "a record can't be read")).ok()
+    record
+        .inspect_err(
+            |e| log::error!(key = pair.key.as_str(), error:% = e; "a record can't be read"),
+        )
+        .ok()
 }
 
 fn take_entry(entries: &mut BTreeMap<String, Target>, pair: &Pair) {
@@ -518,7 +540,10 @@
     }
 
     fn order(&mut self, worker: WorkerKey, target: Arc<Target>, order: Order) {
-        let lane = self.lanes.entry(worker).or_insert_with(|| Rc::new(Semaphore::new(ORDERS_AT_ONCE)));
+        let lane = self
+            .lanes
+            .entry(worker)
+            .or_insert_with(|| Rc::new(Semaphore::new(ORDERS_AT_ONCE)));
         let lane = Rc::clone(lane);
         let (node, inputs) = (Rc::clone(&self.node), self.inputs.clone());
         spawn_local(async move {
@@ -532,7 +557,11 @@
     }
 
     fn commit(&mut self, batch: Batch) {
-        let (node, tenure, inputs) = (Rc::clone(&self.node), Rc::clone(&self.tenure), self.inputs.clone());
+        let (node, tenure, inputs) = (
+            Rc::clone(&self.node),
+            Rc::clone(&self.tenure),
+            self.inputs.clone(),
+        );
         spawn_local(async move {
             let number = batch.number;
             let began = clock::now();
@@ -556,7 +585,10 @@
         }
     };
     let began = clock::now();
-    let sent = node.client.send(target.addr, request, began.after(limit)).await;
+    let sent = node
+        .client
+        .send(target.addr, request, began.after(limit))
+        .await;
     match sent {
         Ok(response) => {
             node.metrics.order(order, clock::now().since(began));
@@ -576,7 +608,9 @@
     for record in &batch.puts {
         match record.encode() {
             Ok(value) => then.push(Op::Put(job_key(record.id), value, 0)),
-            Err(e) => log::error!(job = record.id.as_str(), error:% = e; "a record can't be encoded"),
+            Err(e) => {
+                log::error!(job = record.id.as_str(), error:% = e; "a record can't be encoded");
+            }
         }
     }
     then.extend(batch.drops.iter().map(|id| Op::Delete(job_key(*id))));
@@ -621,4 +655,3 @@
     }
     Stored::Fenced
 }
-
--- a/marigoldgladed/src/batch/peers.rs
+++ b/marigoldgladed/src/batch/peers.rs
@@ -81,7 +81,12 @@
     ///
     /// [`Kind::NoTarget`] when the question provably didn't reach it, [`Kind::Unknown`] when it may
     /// have.
-    pub(super) async fn ask(&self, addr: SocketAddr, question: Message, end: UnixMs) -> Result<Message> {
+    pub(super) async fn ask(
+        &self,
+        addr: SocketAddr,
+        question: Message,
+        end: UnixMs,
+    ) -> Result<Message> {
         let line = self.line(addr, end).await?;
         let number = self.next.get();
         self.next.set(number + 1);
@@ -123,7 +128,9 @@
         let key = self.key.borrow().clone();
         let key = key.ok_or_else(|| Error::new(Kind::NoTarget, "no shared secret yet"))?;
         let dial = tokio::time::timeout(clock::until(end), link::dial(addr, &key, &self.hello));
-        let link = dial.await.unwrap_or_else(|_| Err(Error::new(Kind::NoTarget, "dialling took too long")));
+        let link = dial
+            .await
+            .unwrap_or_else(|_| Err(Error::new(Kind::NoTarget, "dialling took too long")));
         let link = link.map_err(|e| Error::new(Kind::NoTarget, e.detail))?;
         let (frames, queue) = mpsc::channel(QUEUE_LIMIT);
         let answers = Answers::default();
@@ -138,7 +145,12 @@
 }
 
 /// Carries frames both ways until the link breaks; then the waiting questions end.
-async fn drive(mut outlet: Outlet, mut inlet: Inlet, mut queue: mpsc::Receiver<Frame>, answers: Answers) {
+async fn drive(
+    mut outlet: Outlet,
+    mut inlet: Inlet,
+    mut queue: mpsc::Receiver<Frame>,
+    answers: Answers,
+) {
     let send = async {
         while let Some(frame) = queue.recv().await {
             if outlet.send(&frame).await.is_err() {
@@ -178,7 +190,10 @@
             let node = Rc::clone(&self);
             spawn_local(async move {
                 match link::accept(tcp, &key, &node.peers.hello).await {
-                    Ok(link) => node.answer_peer(link.peer.name, link.outlet, link.inlet).await,
+                    Ok(link) => {
+                        node.answer_peer(link.peer.name, link.outlet, link.inlet)
+                            .await;
+                    }
                     Err(e) => log::info!(error:% = e; "a peer's link was refused"),
                 }
             });
@@ -195,7 +210,8 @@
             }
         });
         while let Ok((frame, _)) = inlet.receive().await {
-            let (Way::Ask(number, end), Payload::Batch(message)) = (frame.way, frame.payload) else {
+            let (Way::Ask(number, end), Payload::Batch(message)) = (frame.way, frame.payload)
+            else {
                 log::warn!(peer = name.as_str(); "a peer sent a frame of another kind");
                 continue;
             };
--- a/marigoldgladed/src/batch/policy.rs
+++ b/marigoldgladed/src/batch/policy.rs
@@ -40,7 +40,9 @@
         }
         match platform::policy::decode(&pair.value) {
             Ok(policy) => self.adopt_policy(policy, "store"),
-            Err(e) => log::error!(revision = pair.changed, error:% = e; "the configuration can't be read; the old one stays"),
+            Err(e) => {
+                log::error!(revision = pair.changed, error:% = e; "the configuration can't be read; the old one stays");
+            }
         }
     }
 
@@ -70,10 +72,16 @@
             let addr = addrs[turn % addrs.len()];
             let question = Message::Newer {
                 version: self.policy().map_or(0, |p| p.version),
-                term: self.view.borrow().owner.as_ref().map_or(0, |o| o.owner.term),
+                term: self
+                    .view
+                    .borrow()
+                    .owner
+                    .as_ref()
+                    .map_or(0, |o| o.owner.term),
             };
             let end = clock::now().after(ANSWER_MS);
-            if let Ok(Message::Newest { policy, owner }) = self.peers.ask(addr, question, end).await {
+            if let Ok(Message::Newest { policy, owner }) = self.peers.ask(addr, question, end).await
+            {
                 if let Some(policy) = policy {
                     self.adopt_policy(*policy, "peer");
                 }
--- a/marigoldgladed/src/batch/store.rs
+++ b/marigoldgladed/src/batch/store.rs
@@ -61,7 +61,10 @@
             log::error!(error:% = e; "a call to the store can't be encoded");
             Fault::NotSent
         })?;
-        let sent = self.client.send(self.addr, request, clock::now().after(limit)).await;
+        let sent = self
+            .client
+            .send(self.addr, request, clock::now().after(limit))
+            .await;
         let outcome = match sent {
             Ok(response) => platform::store::decode(call, &response),
             Err(Failure::NotSent) => Err(Fault::NotSent),
--- a/marigoldgladed/src/logs.rs
+++ b/marigoldgladed/src/logs.rs
@@ -48,7 +48,9 @@
             LogFormat::Text => out.finish(format_args!("{}", text_line(message, record))),
             LogFormat::Json => out.finish(format_args!("{}", json_line(message, record))),
         })
-        .chain(fern::Output::call(|record| enqueue(record.args().to_string())));
+        .chain(fern::Output::call(|record| {
+            enqueue(record.args().to_string());
+        }));
     for (module, level) in &log.modules {
         sink = sink.level_for(module.clone(), *level);
     }
@@ -112,7 +114,11 @@
 struct Fields(serde_json::Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> std::result::Result<(), log::kv::Error> {
+    fn visit_pair(
+        &mut self,
+        key: Key<'kvs>,
+        value: Value<'kvs>,
+    ) -> std::result::Result<(), log::kv::Error> {
         let value = if let Some(n) = value.to_u64() {
             n.into()
         } else if let Some(b) = value.to_bool() {
--- /dev/null
+++ b/marigoldgladed/tests/platform.rs
@@ -0,0 +1,281 @@
+//! Whole daemons in front of the platform's stand-ins, under its faults.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use cluster::{Cluster, job, until};
+use platform_standin::store::Mood;
+use rstest::rstest;
+
+#[test]
+fn a_job_is_submitted_run_and_shown_as_completed_by_every_daemon() {
+    let c = Cluster::new(2, 2);
+    assert_eq!(c.daemons[1].submit(1, &job("run_ms=200", 3)), 200);
+    for daemon in &c.daemons {
+        until("completion", || daemon.state(1) == "completed");
+    }
+    assert_eq!(c.began(), 3);
+    let (status, body) = c.daemons[0].call("GET", "/sweep/", "secret", None);
+    assert_eq!((status, body["pending"].as_u64()), (200, Some(0)));
+    // From the job's id to its course, in the logs.
+    for message in ["job accepted", "work placed", "job ended"] {
+        let logged = || {
+            c.daemons.iter().any(|d| {
+                d.logged("job", "0000000000000001")
+                    .iter()
+                    .any(|l| l == message)
+            })
+        };
+        until(message, logged);
+    }
+}
+
+#[test]
+fn one_id_through_two_daemons_is_one_job() {
+    let c = Cluster::new(1, 2);
+    for daemon in [0, 1, 0] {
+        assert_eq!(c.daemons[daemon].submit(2, &job("run_ms=200", 1)), 200);
+    }
+    until("completion", || c.daemons[0].state(2) == "completed");
+    assert_eq!(c.daemons[1].submit(2, &job("run_ms=200", 1)), 200);
+    assert_eq!(c.began(), 1);
+}
+
+#[rstest]
+#[case::unknown_key("GET", "/sweep/", "wrong", None, 401)]
+#[case::unknown_queue("GET", "/nothing/", "secret", None, 404)]
+#[case::unknown_job("GET", "/sweep/00000000000000ff", "secret", None, 410)]
+#[case::cancel_of_unknown_job("DELETE", "/sweep/00000000000000ff", "secret", None, 410)]
+#[case::broken_json("POST", "/sweep/00000000000000fe", "secret", Some("{\"steps\":"), 400)]
+#[case::no_tasks(
+    "POST",
+    "/sweep/00000000000000fe",
+    "secret",
+    Some("{\"spec\":\"\",\"steps\":[{\"count\":0}]}"),
+    400
+)]
+#[case::too_many_tasks(
+    "POST",
+    "/sweep/00000000000000fe",
+    "secret",
+    Some("{\"spec\":\"\",\"steps\":[{\"count\":1000000000}]}"),
+    400
+)]
+#[case::forward_step(
+    "POST",
+    "/sweep/00000000000000fe",
+    "secret",
+    Some("{\"spec\":\"\",\"steps\":[{\"count\":1,\"after\":[0]}]}"),
+    400
+)]
+#[case::bad_id("POST", "/sweep/xyz", "secret", Some("{}"), 400)]
+#[case::bad_method("PUT", "/sweep/00000000000000fe", "secret", Some("{}"), 405)]
+fn bad_calls_get_a_clear_status(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] body: Option<&str>,
+    #[case] expected: u16,
+) {
+    let c = Cluster::new(0, 1);
+    let (status, _) = c.daemons[0].call(method, path, key, body.map(str::as_bytes));
+    assert_eq!(status, expected);
+}
+
+#[test]
+fn a_long_text_and_a_large_body_are_refused() {
+    let c = Cluster::new(0, 1);
+    assert_eq!(c.daemons[0].submit(3, &job(&"x".repeat(4_001), 1)), 400);
+    let large = vec![b' '; 300_000];
+    let (status, _) = c.daemons[0].call("POST", "/sweep/00000000000000fd", "secret", Some(&large));
+    assert_eq!(status, 413);
+}
+
+#[test]
+fn a_key_that_was_removed_is_refused_everywhere() {
+    let mut c = Cluster::new(0, 2);
+    c.configure("other");
+    for daemon in &c.daemons {
+        until("the refusal", || {
+            daemon.call("GET", "/sweep/", "secret", None).0 == 401
+        });
+        assert_eq!(daemon.call("GET", "/sweep/", "other", None).0, 200);
+    }
+}
+
+#[test]
+fn a_daemon_that_the_store_turns_away_learns_the_configuration_from_a_peer() {
+    let mut c = Cluster::new(0, 2);
+    let away = 1 - c.owner();
+    // The link must be known before the store is out of reach.
+    assert_eq!(
+        c.daemons[away].call("GET", "/sweep/", "secret", None).0,
+        200
+    );
+    c.daemons[away].door.set(Mood::Busy);
+    c.configure("other");
+    until("the refusal", || {
+        c.daemons[away].call("GET", "/sweep/", "secret", None).0 == 401
+    });
+}
+
+#[test]
+fn a_daemon_that_the_store_turns_away_still_accepts_jobs() {
+    let c = Cluster::new(1, 2);
+    let away = 1 - c.owner();
+    c.daemons[away].door.set(Mood::Busy);
+    assert_eq!(c.daemons[away].submit(4, &job("run_ms=100", 1)), 200);
+    until("completion", || c.daemons[away].state(4) == "completed");
+}
+
+#[test]
+fn without_the_store_jobs_are_refused_at_once_and_never_run() {
+    let c = Cluster::new(1, 2);
+    for daemon in &c.daemons {
+        daemon.door.set(Mood::Busy);
+    }
+    let (status, again, _) = c.daemons[0].call_whole(
+        "POST",
+        "/sweep/0000000000000005",
+        "secret",
+        Some(job("", 1).to_string().as_bytes()),
+    );
+    assert_eq!(status, 503);
+    assert!(again.is_some(), "when to come back isn't told");
+    for daemon in &c.daemons {
+        daemon.door.set(Mood::Well);
+    }
+    until("the store", || c.daemons[0].state(5) == "410");
+    assert_eq!(c.began(), 0);
+}
+
+#[test]
+fn a_commit_whose_answer_is_lost_is_read_back() {
+    let c = Cluster::new(1, 1);
+    c.daemons[0].door.set(Mood::LosesAnswers);
+    let restore = std::thread::scope(|s| {
+        let submit = s.spawn(|| c.daemons[0].submit(6, &job("run_ms=100", 1)));
+        std::thread::sleep(Duration::from_millis(400));
+        c.daemons[0].door.set(Mood::Well);
+        submit.join().expect("no panic")
+    });
+    assert_eq!(restore, 200);
+    until("completion", || c.daemons[0].state(6) == "completed");
+    assert_eq!(c.began(), 1);
+}
+
+#[test]
+fn what_runs_goes_on_when_the_owner_is_killed() {
+    let mut c = Cluster::new(2, 3);
+    let owner = c.owner();
+    let other = (owner + 1) % 3;
+    assert_eq!(c.daemons[other].submit(7, &job("run_ms=5000", 4)), 200);
+    until("the starts", || c.began() == 4);
+    let name = c.daemons.remove(owner);
+    drop(name);
+    until("completion", || c.daemons[0].state(7) == "completed");
+    assert_eq!(c.began(), 4, "no task was started again");
+}
+
+#[test]
+fn a_start_whose_answer_is_lost_runs_once() {
+    let c = Cluster::new(1, 1);
+    c.workers[0].lose_starts(1);
+    assert_eq!(c.daemons[0].submit(8, &job("run_ms=1500", 1)), 200);
+    until("completion", || c.daemons[0].state(8) == "completed");
+    assert_eq!(c.began(), 1);
+}
+
+#[test]
+fn tasks_of_a_worker_that_restarted_run_again() {
+    let c = Cluster::new(1, 1);
+    assert_eq!(c.daemons[0].submit(9, &job("run_ms=1500", 2)), 200);
+    until("the starts", || c.began() == 2);
+    c.workers[0].reborn();
+    until("completion", || c.daemons[0].state(9) == "completed");
+    assert_eq!(c.began(), 4);
+}
+
+#[test]
+fn a_broken_registry_entry_hides_its_worker_and_no_other() {
+    let c = Cluster::new(1, 1);
+    c.store.put("servers/i-broken", b"{\"service\": 7}");
+    c.store.put("servers/i-garbage", &[0xff, 0x00]);
+    assert_eq!(c.daemons[0].submit(10, &job("run_ms=100", 1)), 200);
+    until("completion", || c.daemons[0].state(10) == "completed");
+}
+
+#[test]
+fn a_dropped_history_is_read_anew() {
+    let mut c = Cluster::new(1, 2);
+    c.store.compact();
+    c.configure("third");
+    c.store.compact();
+    for daemon in &c.daemons {
+        until("the new key", || {
+            daemon.call("GET", "/sweep/", "third", None).0 == 200
+        });
+    }
+}
+
+#[test]
+fn a_cancelled_job_stops_and_is_shown_as_canceled() {
+    let c = Cluster::new(1, 1);
+    assert_eq!(c.daemons[0].submit(11, &job("run_ms=60000", 2)), 200);
+    until("the starts", || c.began() == 2);
+    assert_eq!(
+        c.daemons[0]
+            .call("DELETE", "/sweep/000000000000000b", "secret", None)
+            .0,
+        200
+    );
+    until("the cancel", || c.daemons[0].state(11) == "canceled");
+    assert_eq!(
+        c.daemons[0]
+            .call("DELETE", "/sweep/000000000000000b", "secret", None)
+            .0,
+        200
+    );
+}
+
+#[test]
+fn a_stopping_daemon_hands_over_and_answers_late_connections() {
+    let mut c = Cluster::new(1, 2);
+    let owner = c.owner();
+    assert_eq!(c.daemons[owner].submit(12, &job("run_ms=4000", 1)), 200);
+    c.daemons[owner].signal("TERM");
+    until("the balancer's check to fail", || {
+        !c.daemons[owner].is_ready()
+    });
+    let end = std::time::Instant::now() + Duration::from_millis(2_900);
+    let mut answered = 0;
+    // Connections until the listener is gone: each one that was taken is answered.
+    while std::time::Instant::now() < end {
+        let Ok(mut stream) = TcpStream::connect(&c.daemons[owner].front) else {
+            break;
+        };
+        let call = "GET /sweep/000000000000000c HTTP/1.1\r\nhost: h.example\r\nauthorization: Token secret\r\n\r\n";
+        if stream.write_all(call.as_bytes()).is_err() {
+            break;
+        }
+        let mut text = String::new();
+        if stream.read_to_string(&mut text).is_err() {
+            break;
+        }
+        assert!(
+            text.starts_with("HTTP/1.1 200") || text.is_empty(),
+            "{text}"
+        );
+        answered += usize::from(!text.is_empty());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(answered > 50, "only {answered} calls were answered");
+    assert!(c.daemons[owner].wait().success());
+    c.daemons.remove(owner);
+    until("completion", || c.daemons[0].state(12) == "completed");
+    assert_eq!(c.began(), 1);
+}
--- /dev/null
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -0,0 +1,254 @@
+//! Real daemons on loopback in front of the platform's stand-ins, ended by id on drop.
+
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use platform_standin::store::{Door, Store};
+use platform_standin::worker::Worker;
+use serde_json::{Value, json};
+
+/// The time after which a condition that doesn't come fails the test.
+const PATIENCE: Duration = Duration::from_secs(40);
+pub const POOL: &str = "pool-a";
+
+/// A daemon's process.
+pub struct Daemon {
+    child: Child,
+    pub front: String,
+    pub ready: String,
+    pub admin: String,
+    pub door: Door,
+    log: Arc<Mutex<Vec<Value>>>,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The stand-ins and the daemons.
+pub struct Cluster {
+    pub store: Store,
+    pub workers: Vec<Worker>,
+    pub daemons: Vec<Daemon>,
+    pub version: u64,
+}
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_secs(8)))
+        .build()
+        .into()
+}
+
+/// Waits until a condition holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "{what} didn't come");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+pub fn document(version: u64, key: &str) -> Value {
+    let route = |name: &str, priority: u32| {
+        json!({
+            "name": name, "host": "h.example", "prefix": format!("/{name}/"), "type": "unsafe",
+            "timeout_ms": 3000, "target_duration_ms": 1000, "priority": priority, "service": POOL,
+            "max_attempts": 2, "slack_factor": 3.0, "public": false,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [route("urgent", 0), route("sweep", 1)],
+        "services": [{"name": POOL, "health_path": "/health", "max_conns": 64, "protocol": "h1",
+            "tls": false, "enforces_capacity": true, "standby": false}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262_144,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "team", "api_keys": [key], "guaranteed": {"gpu": 16}}],
+    })
+}
+
+impl Cluster {
+    pub fn new(workers: usize, daemons: usize) -> Self {
+        let store = Store::default();
+        let worker =
+            |i| Worker::start(&store, &format!("i-{i}"), POOL, "r1").expect("a port is free");
+        let mut cluster = Self {
+            workers: (0..workers).map(worker).collect(),
+            daemons: Vec::new(),
+            version: 0,
+            store,
+        };
+        cluster.configure("secret");
+        for _ in 0..daemons {
+            cluster.start_daemon();
+        }
+        cluster
+    }
+
+    /// Puts a configuration whose only key is this one in force.
+    pub fn configure(&mut self, key: &str) {
+        self.version += 3;
+        let text = document(self.version, key).to_string();
+        self.store.put("op/config", text.as_bytes());
+    }
+
+    pub fn start_daemon(&mut self) {
+        let door = self.store.open().expect("a port is free");
+        let name = format!("daemon-{}", self.daemons.len());
+        let store = door.served.addr;
+        let text = format!(
+            "name: {name}\ndc: dc-a\nlisten: 127.0.0.1:0\nmesh: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
+             store: [\"{store}\"]\nvm_list: 127.0.0.1:1\nlog: {{format: json, output: stdout}}\n\
+             platform:\n  ready: 127.0.0.1:0\n  grace_s: 6\n  lease_limit_ms: 10000\n  task_stop_ms: 900\n  \
+             gang_wait_ms: 3000\n  status_s: 120\n  far_factor: 3\n  reclaim_ms: 3400\n"
+        );
+        let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
+        file.write_all(text.as_bytes()).expect("and written");
+        let (_, path) = file.keep().expect("and kept");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_marigoldgladed"))
+            .arg("--settings")
+            .arg(path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let first = lines.next().expect("a first line").expect("readable");
+        let first: Value = serde_json::from_str(&first).expect("a log line is JSON");
+        let addr = |name: &str| first[name].as_str().expect("an address").to_owned();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let sink = Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                let value = serde_json::from_str(&line).expect("every log line is JSON");
+                sink.lock().expect("no panic").push(value);
+            }
+        });
+        let daemon = Daemon {
+            front: addr("listen"),
+            ready: addr("ready"),
+            admin: addr("admin"),
+            child,
+            door,
+            log,
+        };
+        until("readiness", || daemon.is_ready());
+        self.daemons.push(daemon);
+        until("an owner", || !self.store.keys("mg/live/owner").is_empty());
+    }
+
+    /// Returns which daemon is the owner, by its metrics.
+    pub fn owner(&self) -> usize {
+        let mut found = None;
+        until("an owner that serves", || {
+            found = self.daemons.iter().position(|d| {
+                let page = d.metrics();
+                page.lines()
+                    .any(|l| l.starts_with("marigoldglade_term ") && !l.ends_with(" 0"))
+            });
+            found.is_some()
+        });
+        found.expect("found")
+    }
+
+    pub fn began(&self) -> usize {
+        self.workers.iter().map(|w| w.began().len()).sum()
+    }
+}
+
+pub fn job(text: &str, count: u32) -> Value {
+    json!({"spec": text, "steps": [{"count": count, "cpu": 500, "mem_mb": 256, "gpu": 1, "estimate_ms": 300}]})
+}
+
+impl Daemon {
+    pub fn is_ready(&self) -> bool {
+        let status = agent().get(format!("http://{}/ready", self.ready)).call();
+        status.is_ok_and(|r| r.status() == 200)
+    }
+
+    pub fn metrics(&self) -> String {
+        let page = agent().get(format!("http://{}/metrics", self.admin)).call();
+        page.ok()
+            .and_then(|mut r| r.body_mut().read_to_string().ok())
+            .unwrap_or_default()
+    }
+
+    pub fn call(&self, method: &str, path: &str, key: &str, body: Option<&[u8]>) -> (u16, Value) {
+        let (status, _, body) = self.call_whole(method, path, key, body);
+        (status, body)
+    }
+
+    pub fn call_whole(
+        &self,
+        method: &str,
+        path: &str,
+        key: &str,
+        body: Option<&[u8]>,
+    ) -> (u16, Option<String>, Value) {
+        let request = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.front))
+            .header("host", "h.example")
+            .header("deadline-ms", "3000")
+            .header("authorization", format!("Token {key}"));
+        let sent = match body {
+            Some(body) => agent().run(request.body(body).expect("a request")),
+            None => agent().run(request.body(()).expect("a request")),
+        };
+        let mut response = sent.expect("an answer");
+        let again = response
+            .headers()
+            .get("retry-after")
+            .and_then(|v| v.to_str().ok())
+            .map(str::to_owned);
+        let text = response.body_mut().read_to_string().unwrap_or_default();
+        (
+            response.status().as_u16(),
+            again,
+            serde_json::from_str(&text).unwrap_or_default(),
+        )
+    }
+
+    pub fn submit(&self, id: u64, job: &Value) -> u16 {
+        let body = job.to_string();
+        self.call(
+            "POST",
+            &format!("/sweep/{id:016x}"),
+            "secret",
+            Some(body.as_bytes()),
+        )
+        .0
+    }
+
+    pub fn state(&self, id: u64) -> String {
+        let (status, body) = self.call("GET", &format!("/sweep/{id:016x}"), "secret", None);
+        body["state"]
+            .as_str()
+            .map_or(status.to_string(), str::to_owned)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    pub fn wait(&mut self) -> std::process::ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+
+    /// Returns the messages of log lines that have this field.
+    pub fn logged(&self, field: &str, value: &str) -> Vec<String> {
+        let log = self.log.lock().expect("no panic");
+        let fits = log.iter().filter(|l| l[field].as_str() == Some(value));
+        fits.filter_map(|l| l["message"].as_str().map(str::to_owned))
+            .collect()
+    }
+}
--- a/marigoldglade/tests/batch/worker.rs
+++ b/standin/src/batch_worker.rs
@@ -1,4 +1,6 @@
-//! A simulated worker: leases, fencing, barred runs, gangs and ends as the platform describes them.
+//! Stand-in for a worker that runs tasks of steps: leases, fencing, barred runs and ends.
+//!
+//! Orders and the time flow in, answers and notes of what happened flow out; it owns no clock.
 
 use std::collections::BTreeMap;
 
@@ -9,11 +11,16 @@
 
 /// A run on a worker.
 #[derive(Clone, Debug)]
-pub struct SimRun {
+pub struct StandinRun {
+    /// Which start of the task.
     pub run: u64,
+    /// The room that it takes.
     pub room: Room,
+    /// When it began, on the caller's clock.
     pub began: u64,
+    /// How long it takes, in milliseconds.
     pub work_ms: u64,
+    /// Whether it fails at its end.
     pub fails: bool,
     /// When a stop takes effect, on the world's clock.
     pub stop_at: Option<u64>,
@@ -22,21 +29,31 @@
 /// What happened on a worker, for the world's checks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Note {
+    /// A run began.
     Began(TaskId, u64),
-    Ended(TaskId, u64, How),
+    /// A run ended; the end's number, or zero when it is listed nowhere.
+    Ended(u64, TaskId, u64, How),
     /// Ends up to this number were acknowledged.
     Acked(u64),
 }
 
 /// A simulated worker.
 pub struct SimWorker {
+    /// Its registry entry.
     pub target: Target,
+    /// When its process started, on the caller's clock.
     pub born_at: u64,
+    /// The newest term that it has seen.
     pub term: u64,
+    /// When its leases lapse, on its own clock.
     pub lease: u64,
-    pub runs: BTreeMap<TaskId, SimRun>,
+    /// What runs.
+    pub runs: BTreeMap<TaskId, StandinRun>,
+    /// Ends that weren't acknowledged.
     pub ended: Vec<Ended>,
+    /// The number of the last end.
     pub last_end: u64,
+    /// The highest run of each task that ended or was barred.
     pub barred: BTreeMap<TaskId, u64>,
     /// Whether nothing reaches it or comes from it.
     pub cut: bool,
@@ -46,6 +63,7 @@
     pub grey: bool,
     /// Whether what it runs stands still.
     pub hung: bool,
+    /// What happened since the last look.
     pub notes: Vec<Note>,
 }
 
@@ -55,6 +73,8 @@
 }
 
 impl SimWorker {
+    /// Makes an idle worker.
+    #[must_use]
     pub fn new(target: Target, now: u64) -> Self {
         Self {
             target,
@@ -73,19 +93,26 @@
         }
     }
 
+    /// Returns its steady clock.
+    #[must_use]
     pub fn clock(&self, now: u64) -> u64 {
         slow(now - self.born_at) + 1
     }
 
+    /// Returns the room that nothing takes.
+    #[must_use]
     pub fn free(&self) -> Room {
-        let used = self.runs.values().fold(Room::default(), |sum, r| sum.plus(&r.room));
+        let used = self
+            .runs
+            .values()
+            .fold(Room::default(), |sum, r| sum.plus(&r.room));
         self.target.room.minus(&used)
     }
 
     /// A new life at the same address.
     pub fn reborn(&mut self, now: u64) {
         for (id, run) in std::mem::take(&mut self.runs) {
-            self.notes.push(Note::Ended(id, run.run, How::Lapsed));
+            self.notes.push(Note::Ended(0, id, run.run, How::Lapsed));
         }
         let mut target = self.target.clone();
         target.born += 1_000;
@@ -97,7 +124,7 @@
     /// Its process ends for good.
     pub fn leave(&mut self) {
         for (id, run) in std::mem::take(&mut self.runs) {
-            self.notes.push(Note::Ended(id, run.run, How::Lapsed));
+            self.notes.push(Note::Ended(0, id, run.run, How::Lapsed));
         }
         self.gone = true;
     }
@@ -105,7 +132,11 @@
     fn end(&mut self, id: TaskId, how: How) {
         if let Some(run) = self.runs.remove(&id) {
             self.last_end += 1;
-            let saved = if how == How::Done { String::new() } else { format!("cp{}", run.run) };
+            let saved = if how == How::Done {
+                String::new()
+            } else {
+                format!("cp{}", run.run)
+            };
             self.ended.push(Ended {
                 number: self.last_end,
                 task: id,
@@ -113,7 +144,8 @@
                 how,
                 saved,
             });
-            self.notes.push(Note::Ended(id, run.run, how));
+            self.notes
+                .push(Note::Ended(self.last_end, id, run.run, how));
             self.barred.insert(id, run.run);
         }
     }
@@ -134,7 +166,14 @@
                 if r.stop_at.is_some_and(|at| at <= now) {
                     Some((*id, How::Stopped))
                 } else if !self.hung && now >= r.began + r.work_ms {
-                    Some((*id, if r.fails || self.grey { How::Failed } else { How::Done }))
+                    Some((
+                        *id,
+                        if r.fails || self.grey {
+                            How::Failed
+                        } else {
+                            How::Done
+                        },
+                    ))
                 } else {
                     None
                 }
@@ -146,7 +185,12 @@
     }
 
     /// Carries an order out; `work` says how long a run takes and whether it fails.
-    pub fn obey(&mut self, now: u64, order: &Order, work: impl FnOnce(&Start) -> (u64, Room, bool)) -> Answer {
+    pub fn obey(
+        &mut self,
+        now: u64,
+        order: &Order,
+        work: impl FnOnce(&Start) -> (u64, Room, bool),
+    ) -> Answer {
         self.settle(now);
         let clock = self.clock(now);
         let term = match order {
@@ -165,7 +209,13 @@
         }
     }
 
-    fn start(&mut self, now: u64, clock: u64, s: &Start, work: impl FnOnce(&Start) -> (u64, Room, bool)) -> Answer {
+    fn start(
+        &mut self,
+        now: u64,
+        clock: u64,
+        s: &Start,
+        work: impl FnOnce(&Start) -> (u64, Room, bool),
+    ) -> Answer {
         if self.runs.get(&s.task).is_some_and(|r| r.run == s.run) {
             self.lease = self.lease.max(s.end);
             return Answer::Obeyed(clock);
@@ -182,7 +232,7 @@
             return Answer::Refused(Refusal::Full, Some(clock));
         }
         self.lease = self.lease.max(s.end);
-        let run = SimRun {
+        let run = StandinRun {
             run: s.run,
             room,
             began: now,
@@ -215,11 +265,13 @@
         if self.ended.len() < before {
             self.notes.push(Note::Acked(h.acked));
         }
-        let percent = |r: &SimRun| {
+        let percent = |r: &StandinRun| {
             if self.hung {
                 return 0;
             }
-            u32::try_from((now - r.began) * 100 / r.work_ms.max(1)).unwrap_or(100).min(99)
+            u32::try_from((now - r.began) * 100 / r.work_ms.max(1))
+                .unwrap_or(100)
+                .min(99)
         };
         let running = self.runs.iter().map(|(id, r)| Running {
             task: *id,
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each one serves HTTP on an address of its own, in threads of the process that starts it; the
 //! programs under `bin` start one each. Tests, the demo and nothing else use them.
 
+pub mod batch_worker;
 pub mod http;
 pub mod kv;
 pub mod platform;
