End calls of unknown outcome early, and make no calls to a lost store

Now a lost store is probed apart and not called, so that what provably has no effect is refused at once, and a caller whose outcome is unknown hears so after 1.6 s and can ask another daemon.

--- a/marigoldgladed/src/batch/calls.rs
+++ b/marigoldgladed/src/batch/calls.rs
@@ -16,6 +16,9 @@
 const OWNER_MS: u64 = 900;
 /// The time that a peer has for a call in this daemon's place, in milliseconds.
 pub(super) const RELAY_MS: u64 = 1_200;
+/// How long a call whose outcome isn't known is tried again, in milliseconds; source: half of the
+/// callers' usual patience.
+const UNSURE_MS: u64 = 1_600;
 /// When a caller that was refused is to come back, in milliseconds.
 pub(super) const RETRY_MS: u64 = 1_000;
 
@@ -49,6 +52,8 @@
 impl Node {
     /// Makes a call of a caller, who waits until `end`.
     pub(super) async fn make_call(self: &Rc<Self>, call: Call, end: UnixMs) -> Reply {
+        // A caller that is told early that the outcome isn't known can ask another daemon.
+        let end = end.min(clock::now().after(UNSURE_MS));
         let mut sure = true;
         loop {
             match self.try_call(&call, end, true).await {
@@ -88,6 +93,8 @@
             Err(e) => sure = e.kind == Kind::NoTarget,
         }
         let direct = match call {
+            // Others watch for its return; a call would only wait for its timeout.
+            _ if self.store.is_lost() => Err(Fault::NotSent),
             Call::Submit(submission) => self.submit_direct(submission).await,
             Call::Status(id) => self.status_direct(*id).await,
             Call::Cancel(id) => self.cancel_direct(*id).await,
--- a/marigoldgladed/src/batch/policy.rs
+++ b/marigoldgladed/src/batch/policy.rs
@@ -61,7 +61,11 @@
         let mut turn: usize = 0;
         loop {
             tokio::time::sleep(Duration::from_millis(ASK_MS)).await;
-            if !self.store.is_lost() || !self.peers.is_up() {
+            if !self.store.is_lost() {
+                continue;
+            }
+            self.store.probe().await;
+            if !self.peers.is_up() {
                 continue;
             }
             let addrs = self.peer_addrs();
--- a/marigoldgladed/src/batch/store.rs
+++ b/marigoldgladed/src/batch/store.rs
@@ -17,6 +17,10 @@
 pub(super) const WATCH_WAIT_MS: u64 = 1_500;
 /// What a watch may take beyond its wait, in milliseconds.
 const WATCH_MARGIN_MS: u64 = 500;
+/// The key that probes read; it needn't exist.
+const PROBE_KEY: &str = "mg/probe";
+/// The time that a probe has, in milliseconds; source: above the store's slowest answers.
+const PROBE_MS: u64 = 400;
 /// The pause after a call that failed, in milliseconds.
 const PAUSE_MS: u64 = 150;
 /// Failures in a row after which the store counts as lost.
@@ -106,6 +110,12 @@
         }
     }
 
+    /// Looks whether a lost store answers again.
+    pub(super) async fn probe(&self) {
+        let limit = Duration::from_millis(PROBE_MS);
+        let _ = tokio::time::timeout(limit, self.get(PROBE_KEY)).await;
+    }
+
     /// Makes a call again and again until it has an answer; only for calls that do no harm twice.
     pub(super) async fn insist(&self, call: &Call) -> Reply {
         loop {
