Plan whole steps at once, and do less for each event

Now: single tasks of a step are placed together, runs are looked at on ticks and when something changed, jobs keep their queue as the configuration changes, plans are spaced by fleet size, and daemons on larger VMs come first as owner.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -18,7 +18,7 @@
 
 use crate::batch::id::JobId;
 use crate::batch::pack::RackKey;
-use crate::batch::policy::Policy;
+use crate::batch::policy::{Policy, Queue};
 use crate::batch::record::Record;
 use crate::batch::talk::{Call, Reply};
 use crate::batch::worker::{Answer, Order, Target};
@@ -192,6 +192,8 @@
     /// Whether the plan may be out of date.
     replan: bool,
     plan_after: UnixMs,
+    /// Whether some run may need an order.
+    look: bool,
     /// A rack kept free for a wide gang.
     reserved: Option<plan::Reservation>,
     /// Room kept for work while runs there stop.
@@ -206,6 +208,11 @@
 
 /// The time between two plans at least, in milliseconds; source: bounds the owner's processor time.
 const PLAN_GAP_MS: u64 = 10;
+/// Workers for each millisecond of that time in larger fleets.
+const WORKERS_PER_GAP_MS: u64 = 8;
+/// The time after which a plan is made even when nothing happened, in milliseconds: rounds come due,
+/// and waits for a near worker end.
+const PLAN_LIMIT_MS: u64 = 200;
 /// The time between two ticks at most, in milliseconds.
 const TICK_MS: u64 = 50;
 
@@ -239,6 +246,7 @@
             closed_until: now,
             replan: true,
             plan_after: now,
+            look: true,
             reserved: None,
             claims: Vec::new(),
             covered: HashSet::new(),
@@ -260,10 +268,7 @@
         self.now = self.now.max(now);
         self.wall = wall;
         match event {
-            Event::Policy(policy) => {
-                self.policy = policy;
-                self.replan = true;
-            }
+            Event::Policy(policy) => self.take_policy(policy),
             Event::Registry(targets) => self.registry(targets),
             Event::Call(ticket, call) => self.call(ticket, call, out),
             Event::Inbox(items) => self.inbox(items),
@@ -273,10 +278,16 @@
         }
         if self.replan && self.plan_after.passed(self.now) {
             self.replan = false;
-            self.plan_after = self.now.after(PLAN_GAP_MS);
+            let workers = u64::try_from(self.workers.len()).unwrap_or(u64::MAX);
+            self.plan_after = self
+                .now
+                .after(PLAN_GAP_MS.max(workers / WORKERS_PER_GAP_MS));
             self.plan(out);
         }
-        self.watch_runs(out);
+        if self.look {
+            self.look = false;
+            self.watch_runs(out);
+        }
         self.commit(out);
         self.hold_workers(out);
     }
@@ -318,6 +329,19 @@
         self.jobs.values().filter(|j| j.is_open()).count()
     }
 
+    /// Puts a configuration in force; jobs whose queue it has follow it.
+    fn take_policy(&mut self, policy: Arc<Policy>) {
+        let queues: HashMap<&str, &Queue> =
+            policy.queues.iter().map(|q| (q.name.as_str(), q)).collect();
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = queues.get(job.record.queue.name.as_str()) {
+                job.record.queue = (*queue).clone();
+            }
+        }
+        self.policy = policy;
+        self.replan = true;
+    }
+
     fn worker(&self, key: WorkerKey) -> &Worker {
         &self.workers[usize::from(key.0)]
     }
--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::batch::admission::{Backlog, refuse};
 use crate::batch::engine::job::Job;
-use crate::batch::engine::{Action, Engine, InboxBody, InboxItem, JobKey, Ticket};
+use crate::batch::engine::{Action, Engine, InboxBody, InboxItem, JobKey, PLAN_LIMIT_MS, Ticket};
 use crate::batch::id::JobId;
 use crate::batch::policy::Queue;
 use crate::batch::rank::LATE_FACTOR;
@@ -204,8 +204,8 @@
                 self.drops.push(job.record.id);
             }
         }
-        // Due rounds and expired waits need a look even when nothing else happened.
-        self.replan = true;
+        self.look = true;
+        self.replan |= self.plan_after.after(PLAN_LIMIT_MS).passed(self.now);
     }
 
     fn is_running(&self, key: JobKey) -> bool {
--- a/marigoldglade/src/batch/engine/links.rs
+++ b/marigoldglade/src/batch/engine/links.rs
@@ -34,8 +34,10 @@
         let (now, term) = (self.now, self.term);
         let lease_ms = LEASE_MS.min(self.bounds.lease_limit_ms);
         for key in self.worker_keys() {
-            let urgent = self.runs_urgent(key);
-            let worker = self.worker_mut(key);
+            let worker = self.worker(key);
+            if worker.holding || !worker.hold_after.passed(now) {
+                continue;
+            }
             let unheard = !worker.answered && (worker.listed || !worker.doubt_end.passed(now));
             let behind = worker.acked > worker.told;
             let busy = !worker.runs.is_empty();
@@ -43,9 +45,11 @@
             let uncommitted = worker.seen > worker.acked;
             let wanted =
                 unheard || behind || (busy && (!uncommitted || worker.renew_at.passed(now)));
-            if worker.holding || !wanted || !worker.hold_after.passed(now) {
+            if !wanted {
                 continue;
             }
+            let urgent = busy && self.runs_urgent(key);
+            let worker = self.worker_mut(key);
             // A silent worker is only looked at: otherwise its leases would never be known to lapse.
             let renews = busy && worker.answered && worker.lost == 0;
             let end = worker
@@ -166,6 +170,7 @@
 
     fn started(&mut self, key: WorkerKey, start: &Start, answer: &Answer) {
         let now = self.now;
+        self.look |= !matches!(answer, Answer::Obeyed(_));
         match answer {
             Answer::Obeyed(clock) => self.read_clock(key, Some(*clock)),
             Answer::Refused(_, clock) => self.read_clock(key, *clock),
@@ -376,6 +381,7 @@
                 Stage::Unsure => {
                     run.stage = Stage::Stopping;
                     run.next = now;
+                    self.look = true;
                 }
                 Stage::Running | Stage::Stopping => {}
             }
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::batch::engine::fleet::Stage;
-use crate::batch::engine::job::Job;
+use crate::batch::engine::job::{Job, Task};
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::health::Grade;
 use crate::batch::id::TaskId;
-use crate::batch::pack::{Bin, Need, RackKey, fits_a_rack, in_rack, place_gang, place_one, racks};
+use crate::batch::pack::{Bin, Need, RackKey, fits_a_rack, in_rack, place_gang, place_some, racks};
 use crate::batch::preempt::{Victim, make_room};
 use crate::batch::rank::{Rank, Want, rank};
+use crate::batch::spec::Step;
 use crate::batch::worker::Room;
 use crate::time::UnixMs;
 
@@ -36,14 +37,12 @@
 /// task of the deployments.
 const RESERVE_MS: u64 = 9_000;
 
-/// A gang, or one task, that is ready to start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+/// A step of a round with tasks that are ready to start: a gang, or single tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) struct Unit {
     job: JobKey,
     round: u32,
     step: u16,
-    /// The task; `None` for a whole gang.
-    index: Option<u32>,
 }
 
 /// A rack kept free for a gang.
@@ -68,8 +67,38 @@
     free: Vec<Room>,
     /// Needs that found no place in this pass; work behind them finds none either.
     failed: HashSet<Shape>,
-    guaranteed: HashSet<JobKey>,
     claims: Vec<Claim>,
+    /// The room of all claims, by worker.
+    claimed: Vec<Room>,
+}
+
+impl Pass {
+    fn claim(&mut self, claim: Claim) {
+        for place in &claim.places {
+            let claimed = &mut self.claimed[usize::from(place.0)];
+            *claimed = claimed.plus(&claim.room);
+        }
+        self.claims.push(claim);
+    }
+
+    fn unclaim(&mut self, unit: Unit) -> Option<Claim> {
+        let i = self.claims.iter().position(|c| c.unit == unit)?;
+        let claim = self.claims.remove(i);
+        for place in &claim.places {
+            let claimed = &mut self.claimed[usize::from(place.0)];
+            *claimed = claimed.minus(&claim.room);
+        }
+        Some(claim)
+    }
+}
+
+/// What is asked for a gang or for single tasks.
+struct Ask {
+    need: Need,
+    shape: Shape,
+    avoid: Vec<WorkerKey>,
+    /// How long the job has waited, in milliseconds.
+    waited: u64,
 }
 
 /// What decides whether a place can be found.
@@ -84,39 +113,37 @@
     /// Whether places of others may be taken.
     priority: u32,
     guaranteed: bool,
+    /// Whether only workers that nothing is known against will do.
     strict: bool,
+    /// Whether only workers near the data will do.
+    wait_near: bool,
 }
 
 impl Engine {
     /// Starts what can start, and makes room for what must.
     pub(super) fn plan(&mut self, out: &mut Vec<Action>) {
         let mut units = self.ready_units();
-        if units.is_empty() {
-            self.claims.clear();
-            self.reserved = None;
-            return;
-        }
-        units.sort_by_key(|(rank, unit)| (*rank, unit.job, unit.round, unit.step, unit.index));
+        units.sort_unstable();
         let now = self.now;
-        let mut claims = std::mem::take(&mut self.claims);
         let ready: HashSet<Unit> = units.iter().map(|(_, u)| *u).collect();
-        claims.retain(|c| !c.end.passed(now) && ready.contains(&c.unit));
         if self
             .reserved
             .is_some_and(|r| r.end.passed(now) || !ready.contains(&r.unit))
         {
             self.reserved = None;
         }
+        let free = self.workers.iter().map(super::fleet::Worker::free);
         let mut pass = Pass {
-            free: self
-                .workers
-                .iter()
-                .map(super::fleet::Worker::free)
-                .collect(),
+            free: free.collect(),
             failed: HashSet::new(),
-            guaranteed: self.guaranteed_jobs(),
-            claims,
+            claims: Vec::new(),
+            claimed: vec![Room::default(); self.workers.len()],
         };
+        for claim in std::mem::take(&mut self.claims) {
+            if !claim.end.passed(now) && ready.contains(&claim.unit) {
+                pass.claim(claim);
+            }
+        }
         for (_, unit) in units {
             self.place_unit(unit, &mut pass, out);
         }
@@ -149,10 +176,7 @@
     }
 
     fn want(&self, key: JobKey, job: &Job, round: usize) -> Want {
-        let queue = self
-            .policy
-            .queue(&job.record.queue.name)
-            .unwrap_or(&job.record.queue);
+        let queue = &job.record.queue;
         let since = match job.rounds[round].due {
             Some(due) => UnixMs(self.now.0.saturating_sub(self.wall.saturating_sub(due))),
             None => job.since,
@@ -187,127 +211,175 @@
                     if run.done == step.count || !job.is_ready(round, s) {
                         continue;
                     }
-                    let idle = |t: &super::job::Task| {
-                        !t.done && t.on.is_none() && t.retry_at.passed(self.now)
+                    let mut tasks = run.tasks.iter();
+                    let ready = if step.gang {
+                        tasks.all(|t| self.is_idle(t))
+                    } else {
+                        tasks.any(|t| self.is_idle(t))
                     };
-                    let unit = |index| Unit {
+                    if !ready {
+                        continue;
+                    }
+                    let unit = Unit {
                         job: *key,
                         round: u32::try_from(r).unwrap_or(u32::MAX),
                         step: u16::try_from(s).unwrap_or(u16::MAX),
-                        index,
                     };
                     let rank =
                         *rank_of.get_or_insert_with(|| rank(&self.want(*key, job, r), self.now));
-                    if step.gang {
-                        if run.tasks.iter().all(idle) {
-                            units.push((rank, unit(None)));
-                        }
-                    } else {
-                        let tasks = (0u32..).zip(&run.tasks).filter(|(_, t)| idle(t));
-                        units.extend(tasks.map(|(i, _)| (rank, unit(Some(i)))));
-                    }
+                    units.push((rank, unit));
                 }
             }
         }
         units
     }
 
+    fn is_idle(&self, task: &Task) -> bool {
+        !task.done && task.on.is_none() && task.retry_at.passed(self.now)
+    }
+
+    /// Starts a gang, or as many of a step's single tasks as there is room for.
     fn place_unit(&mut self, unit: Unit, pass: &mut Pass, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&unit.job) else {
             return;
         };
         let step = job.record.spec.steps[usize::from(unit.step)].clone();
-        let tasks = &job.rounds[usize::try_from(unit.round).unwrap_or(0)].steps
-            [usize::from(unit.step)]
-        .tasks;
-        let queue = self
-            .policy
-            .queue(&job.record.queue.name)
-            .unwrap_or(&job.record.queue);
-        let count = if step.gang { step.count } else { 1 };
+        let round = &job.rounds[usize::try_from(unit.round).unwrap_or(0)];
+        let tasks = &round.steps[usize::from(unit.step)].tasks;
+        let idle = |(_, t): &(u32, &Task)| self.is_idle(t);
+        let mut sets: Vec<(Vec<u32>, usize, Vec<WorkerKey>)> = Vec::new();
+        if step.gang {
+            let fails = tasks.iter().map(|t| t.failed.len()).max().unwrap_or(0);
+            let avoid = tasks.iter().flat_map(|t| t.avoid.iter().copied()).collect();
+            sets.push(((0..step.count).collect(), fails, avoid));
+        } else {
+            // Tasks that have failed have workers to avoid, so that each is placed by itself.
+            let (failed, fresh): (Vec<_>, Vec<_>) = (0u32..)
+                .zip(tasks)
+                .filter(idle)
+                .partition(|(_, t)| !t.avoid.is_empty());
+            for (index, task) in failed {
+                sets.push((vec![index], task.failed.len(), task.avoid.clone()));
+            }
+            if !fresh.is_empty() {
+                sets.push((fresh.iter().map(|(i, _)| *i).collect(), 0, Vec::new()));
+            }
+        }
+        for (indices, fails, avoid) in sets {
+            let count = u32::try_from(indices.len()).unwrap_or(u32::MAX);
+            let ask = self.ask(unit, &step, count, fails, avoid);
+            if let Some(places) = self.place(unit, &step, &ask, pass) {
+                let places = indices.into_iter().zip(places).collect();
+                self.start_unit(unit, places, &ask.need, pass, out);
+            }
+        }
+    }
+
+    fn ask(&self, unit: Unit, step: &Step, count: u32, fails: usize, avoid: Vec<WorkerKey>) -> Ask {
+        let job = &self.jobs[&unit.job];
+        let queue = &job.record.queue;
         let waited = self.now.since(job.since);
         let patience = queue.objective_ms(job.record.spec.chain_ms()) * NEAR_PERCENT / 100;
-        let near = self
-            .rack_of(&step.near_rack)
-            .filter(|_| !step.near_rack.is_empty());
-        let avoid: Vec<WorkerKey> = match unit.index {
-            Some(i) => tasks[usize::try_from(i).unwrap_or(0)].avoid.clone(),
-            None => tasks.iter().flat_map(|t| t.avoid.iter().copied()).collect(),
+        let near = Some(&step.near_rack).filter(|name| !name.is_empty());
+        let near = near.and_then(|name| self.rack_of(name));
+        let need = Need {
+            room: step.charge(),
+            count,
+            one_rack: step.gang && step.one_rack,
+            near,
         };
-        let fails = tasks.iter().map(|t| t.failed.len()).max().unwrap_or(0);
-        let last_try =
-            fails > 0 && fails + 1 >= usize::try_from(queue.attempts).unwrap_or(usize::MAX);
+        let attempts = usize::try_from(queue.attempts).unwrap_or(usize::MAX);
         let shape = Shape {
             pool: queue.pool.clone(),
-            room: step.charge(),
-            count,
+            room: need.room,
+            count: if step.gang { count } else { 1 },
             label: step.label.clone(),
             near,
-            one_rack: step.gang && step.one_rack,
+            one_rack: need.one_rack,
             priority: queue.priority,
-            guaranteed: pass.guaranteed.contains(&unit.job),
-            strict: last_try,
+            guaranteed: self.covered.contains(&unit.job),
+            strict: fails > 0 && fails + 1 >= attempts,
+            wait_near: near.is_some() && waited < patience,
         };
-        if pass.failed.contains(&shape) && step.per_worker == 0 {
-            return;
-        }
-        let need = Need {
-            room: shape.room,
-            count,
-            one_rack: shape.one_rack,
-            near,
-        };
-        let claimed = pass
-            .claims
-            .iter()
-            .position(|c| c.unit == unit)
-            .map(|i| pass.claims.remove(i));
-        let mut bins = self.bins(&unit, &shape, &avoid, pass);
-        let all = bins.clone();
-        if let Some(reserved) = self
-            .reserved
-            .filter(|r| r.unit != unit && shape.priority > 0)
-        {
-            bins.retain(|b| b.rack != reserved.rack);
+        Ask {
+            need,
+            shape,
+            avoid,
+            waited,
         }
-        let more_urgent = |j: &Job| j.is_active() && j.record.queue.priority < shape.priority;
-        if shape.priority > 1 && !step.gang && self.jobs.values().any(more_urgent) {
-            let kept = racks(&bins).len() / KEPT_RACKS_DIVISOR;
-            let last = racks(&bins)
-                .into_iter()
-                .rev()
-                .take(kept)
-                .collect::<Vec<_>>();
-            bins.retain(|b| !last.contains(&b.rack));
+    }
+
+    /// Returns places for a whole gang, or for the first of some single tasks.
+    fn place(
+        &mut self,
+        unit: Unit,
+        step: &Step,
+        ask: &Ask,
+        pass: &mut Pass,
+    ) -> Option<Vec<WorkerKey>> {
+        let Ask { need, shape, .. } = ask;
+        if pass.failed.contains(shape) && step.per_worker == 0 {
+            return None;
         }
-        let wait_near = need.near.is_some() && waited < patience;
-        let places = self.find(&bins, &need, step.gang, wait_near);
-        if let Some(places) = places {
-            self.start_unit(unit, &places, &need, pass, out);
-            return;
+        let claimed = pass.unclaim(unit);
+        let all = self.bins(&unit, shape, &ask.avoid, pass);
+        let mut bins = self.open_bins(unit, step, shape, &all);
+        let places = if step.gang {
+            place_gang(&bins, need)
+        } else {
+            Some(place_some(&mut bins, need)).filter(|places| !places.is_empty())
+        };
+        if places.is_some() {
+            return places;
         }
         if let Some(claim) = claimed {
             // Its room is on the way.
-            pass.claims.push(claim);
-            return;
+            pass.claim(claim);
+            return None;
         }
-        let work = need.room.cores().max(1) * step.estimate_ms * u64::from(count);
+        let work = need.room.cores().max(1) * step.estimate_ms * u64::from(shape.count);
         let limit = match (shape.guaranteed, shape.priority) {
             (true, _) => Some(u64::MAX),
             (false, 0) => Some(URGENT_COST + work * URGENT_COST_PERCENT / 100),
             (false, _) => None,
         };
-        if let Some(limit) = limit.filter(|_| !wait_near)
-            && self.preempt(unit, &all, &need, limit, pass)
+        if let Some(limit) = limit.filter(|_| !shape.wait_near) {
+            // Single tasks are made room for one by one.
+            let need = Need {
+                count: shape.count,
+                ..*need
+            };
+            if self.preempt(unit, &all, &need, limit, pass) {
+                return None;
+            }
+        }
+        let patient = shape.priority == 0 || ask.waited <= RESERVE_AFTER_MS;
+        if step.gang && !patient && self.reserved.is_none() {
+            self.reserve(unit, &all, need);
+        }
+        pass.failed.insert(shape.clone());
+        None
+    }
+
+    /// Returns the workers that aren't kept for others.
+    fn open_bins(&self, unit: Unit, step: &Step, shape: &Shape, all: &[Bin]) -> Vec<Bin> {
+        let mut bins = all.to_vec();
+        if let Some(reserved) = self
+            .reserved
+            .filter(|r| r.unit != unit && shape.priority > 0)
         {
-            return;
+            bins.retain(|b| b.rack != reserved.rack);
         }
-        if step.gang && shape.priority > 0 && self.reserved.is_none() && waited > RESERVE_AFTER_MS {
-            self.reserve(unit, &all, &need);
+        let more_urgent = |j: &Job| j.is_active() && j.record.queue.priority < shape.priority;
+        if shape.priority > 1 && !step.gang && self.jobs.values().any(more_urgent) {
+            let racks = racks(&bins);
+            let first = &racks[..racks.len() - racks.len() / KEPT_RACKS_DIVISOR];
+            bins.retain(|b| first.contains(&b.rack));
         }
-        if !wait_near {
-            pass.failed.insert(shape);
+        if shape.wait_near {
+            bins.retain(|b| Some(b.rack) == shape.near);
         }
+        bins
     }
 
     fn rack_of(&self, name: &str) -> Option<RackKey> {
@@ -317,28 +389,6 @@
             .map(|(_, key)| *key)
     }
 
-    fn find(
-        &self,
-        bins: &[Bin],
-        need: &Need,
-        gang: bool,
-        wait_near: bool,
-    ) -> Option<Vec<WorkerKey>> {
-        let near_only: Vec<Bin>;
-        let bins = match need.near {
-            Some(near) if wait_near => {
-                near_only = in_rack(bins, near);
-                &near_only
-            }
-            _ => bins,
-        };
-        if gang {
-            place_gang(bins, need)
-        } else {
-            place_one(bins, need).map(|i| vec![bins[i].worker])
-        }
-    }
-
     /// Returns the workers that may take a unit, with the room that isn't claimed by others.
     fn bins(&self, unit: &Unit, shape: &Shape, avoid: &[WorkerKey], pass: &Pass) -> Vec<Bin> {
         let now = self.now;
@@ -355,13 +405,8 @@
             if grade == Grade::Quarantined || (shape.strict && grade == Grade::Suspect) {
                 continue;
             }
-            let claimed = pass.claims.iter().flat_map(|c| {
-                let here = c.places.iter().filter(|p| **p == key).count();
-                (here > 0).then(|| c.room.times(u64::try_from(here).unwrap_or(u64::MAX)))
-            });
-            let free = claimed.fold(pass.free[usize::from(key.0)], |free, room| {
-                free.minus(&room)
-            });
+            let i = usize::from(key.0);
+            let free = pass.free[i].minus(&pass.claimed[i]);
             bins.push(Bin {
                 worker: key,
                 rack: worker.rack,
@@ -392,43 +437,44 @@
     fn start_unit(
         &mut self,
         unit: Unit,
-        places: &[WorkerKey],
+        places: Vec<(u32, WorkerKey)>,
         need: &Need,
         pass: &mut Pass,
         out: &mut Vec<Action>,
     ) {
-        let Some(job) = self.jobs.get(&unit.job) else {
-            return;
-        };
+        let job = &self.jobs[&unit.job];
+        let gang = job.record.spec.steps[usize::from(unit.step)].gang;
         let id = TaskId {
             job: job.record.id,
             round: unit.round,
             step: unit.step,
-            index: unit.index.unwrap_or(0),
+            index: 0,
         };
         let round = &job.rounds[usize::try_from(unit.round).unwrap_or(0)];
         let tasks = &round.steps[usize::from(unit.step)].tasks;
-        let last = match unit.index {
-            Some(i) => tasks[usize::try_from(i).unwrap_or(0)].run,
-            None => tasks.iter().map(|t| t.run).max().unwrap_or(0),
-        };
-        let run = self.next_run(last);
+        let last = |index: u32| tasks[usize::try_from(index).unwrap_or(0)].run;
+        // Members of a gang share a run number.
+        let highest = places.iter().map(|(i, _)| last(*i)).max().unwrap_or(0);
+        let run_of =
+            |(i, _): &(u32, WorkerKey)| self.next_run(if gang { highest } else { last(*i) });
+        let runs: Vec<u64> = places.iter().map(run_of).collect();
         log::info!(
-            job = id.job.as_str(), round = unit.round, step = unit.step, run,
+            job = id.job.as_str(), round = unit.round, step = unit.step,
+            run = runs.first().copied().unwrap_or(0), first = places.first().map_or(0, |(i, _)| *i),
             tasks = places.len(), waited_ms = self.now.since(job.since), policy = self.policy.version,
-            priority = job.record.queue.priority, guaranteed = pass.guaranteed.contains(&unit.job);
+            priority = job.record.queue.priority, guaranteed = self.covered.contains(&unit.job);
             "work placed"
         );
-        if unit.index.is_none() {
+        if gang {
             self.equalize_checkpoints(unit);
         }
         if self.reserved.is_some_and(|r| r.unit == unit) {
             self.reserved = None;
         }
-        for (index, key) in (id.index..).zip(places) {
+        for ((index, key), run) in places.into_iter().zip(runs) {
             let free = &mut pass.free[usize::from(key.0)];
             *free = free.minus(&need.room);
-            self.start(*key, TaskId { index, ..id }, run, out);
+            self.start(key, TaskId { index, ..id }, run, out);
         }
     }
 
@@ -455,7 +501,7 @@
         limit: u64,
         pass: &mut Pass,
     ) -> bool {
-        let guaranteed = pass.guaranteed.contains(&unit.job);
+        let guaranteed = self.covered.contains(&unit.job);
         let Some(priority) = self.jobs.get(&unit.job).map(|j| j.record.queue.priority) else {
             return false;
         };
@@ -469,7 +515,7 @@
                 };
                 let theirs = job.record.queue.priority;
                 let yields = theirs > priority
-                    || (theirs == priority && guaranteed && !pass.guaranteed.contains(&run.job));
+                    || (theirs == priority && guaranteed && !self.covered.contains(&run.job));
                 if !yields || run.stage != Stage::Running {
                     continue;
                 }
@@ -518,7 +564,7 @@
                 self.counts.preempted += 1;
             }
         }
-        pass.claims.push(Claim {
+        pass.claim(Claim {
             unit,
             room: need.room,
             places: plan.places,
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -167,6 +167,7 @@
     /// Asks a run to stop.
     pub(super) fn stop(&mut self, key: WorkerKey, id: &TaskId) {
         let now = self.now;
+        self.look = true;
         if let Some(run) = self.worker_mut(key).runs.get_mut(id)
             && matches!(run.stage, Stage::Running | Stage::Starting)
         {
--- a/marigoldglade/src/batch/pack.rs
+++ b/marigoldglade/src/batch/pack.rs
@@ -58,19 +58,30 @@
     candidates.min_by_key(|(_, b)| score(b)).map(|(i, _)| i)
 }
 
-/// Returns the worker of each task, or `None` when they don't all fit.
+/// Returns the worker of each of the first tasks that fit; their room is taken from the bins.
 #[must_use]
-pub fn place_all(bins: &[Bin], need: &Need) -> Option<Vec<WorkerKey>> {
-    let mut bins = bins.to_vec();
-    let mut places = Vec::with_capacity(usize::try_from(need.count).ok()?);
+pub fn place_some(bins: &mut [Bin], need: &Need) -> Vec<WorkerKey> {
+    let mut places = Vec::new();
     for _ in 0..need.count {
-        let i = place_one(&bins, need)?;
+        let Some(i) = place_one(bins, need) else {
+            break;
+        };
         let bin = &mut bins[i];
         bin.free = bin.free.minus(&need.room);
         bin.most -= 1;
         places.push(bin.worker);
     }
-    Some(places)
+    places
+}
+
+/// Returns the worker of each task, or `None` when they don't all fit.
+#[must_use]
+pub fn place_all(bins: &[Bin], need: &Need) -> Option<Vec<WorkerKey>> {
+    if capacity(bins, need, |b| b.free) < need.count {
+        return None;
+    }
+    let places = place_some(&mut bins.to_vec(), need);
+    (places.len() == usize::try_from(need.count).ok()?).then_some(places)
 }
 
 /// Returns how many of the tasks a set of workers could take if all `rooms` were free.
--- a/marigoldglade/src/settings.rs
+++ b/marigoldglade/src/settings.rs
@@ -80,6 +80,8 @@
 pub struct Platform {
     /// Where the platform asks whether the daemon takes calls.
     pub ready: SocketAddr,
+    /// The share of a core that the VM has; larger VMs are preferred as owner.
+    pub cores: f64,
     /// The time from a request to stop until the process is killed, in seconds.
     pub grace_s: f64,
     /// The longest lease that a worker grants, in milliseconds.
--- a/marigoldgladed/src/batch/live.rs
+++ b/marigoldgladed/src/batch/live.rs
@@ -1,5 +1,6 @@
 //! Which daemons live and which one is the owner, as the store's leased keys tell.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,6 +10,8 @@
 use marigoldglade::prelude::*;
 use marigoldglade::store::{Body, Call, Change, Compare, Op, Pair, Revision, Txn};
 
+use serde::{Deserialize, Serialize};
+
 use crate::batch::Node;
 
 /// Under which keys daemons and the owner are found.
@@ -23,6 +26,8 @@
 const SECRET_BYTES: usize = 32;
 /// The lease of a daemon's own key, in seconds.
 const DAEMON_LEASE_S: u32 = 10;
+/// Thousandths in a core.
+const MILLI: f64 = 1_000.0;
 /// The time between its renewals, in milliseconds.
 const DAEMON_RENEW_MS: u64 = 3_000;
 
@@ -34,13 +39,22 @@
     pub changed: Option<Revision>,
 }
 
+/// A daemon as it announces itself.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct Daemon {
+    /// Its mesh address.
+    pub addr: SocketAddr,
+    /// The thousandths of a core that its VM has.
+    pub cores: u32,
+}
+
 /// What is known of the other daemons.
 #[derive(Clone, Debug, Default)]
 pub(super) struct View {
     pub owner: Option<Known>,
     /// Whether the store has shown that nobody is the owner.
     pub vacant: bool,
-    pub daemons: BTreeMap<String, SocketAddr>,
+    pub daemons: BTreeMap<String, Daemon>,
 }
 
 /// Encodes a small value as CBOR (RFC 8949).
@@ -97,10 +111,10 @@
         } else if pair.key == SECRET_KEY {
             self.peers.set_key(pair.value.clone());
         } else if let Some(name) = pair.key.strip_prefix(DAEMON_PREFIX)
-            && let Some(addr) = decode::<SocketAddr>(pair)
+            && let Some(daemon) = decode::<Daemon>(pair)
         {
             self.view.send_modify(|view| {
-                view.daemons.insert(name.to_owned(), addr);
+                view.daemons.insert(name.to_owned(), daemon);
             });
         }
     }
@@ -188,7 +202,10 @@
     async fn announce_once(&self) -> Option<i64> {
         let lease = self.grant(DAEMON_LEASE_S).await?;
         let key = format!("{DAEMON_PREFIX}{}", self.name);
-        let value = encode(&self.settings.borrow().mesh);
+        let value = encode(&Daemon {
+            addr: self.settings.borrow().mesh,
+            cores: self.cores(),
+        });
         let txn = Txn {
             then: vec![Op::Put(key, value, lease)],
             ..Txn::default()
@@ -212,7 +229,9 @@
     /// Returns the mesh addresses of other daemons.
     pub(super) fn peer_addrs(&self) -> Vec<SocketAddr> {
         let own = self.settings.borrow().mesh;
-        let mut addrs: Vec<SocketAddr> = self.view.borrow().daemons.values().copied().collect();
+        let view = self.view.borrow();
+        let mut addrs: Vec<SocketAddr> = view.daemons.values().map(|d| d.addr).collect();
+        drop(view);
         addrs.extend(self.peers.seeds());
         addrs.sort_unstable();
         addrs.dedup();
@@ -232,13 +251,23 @@
         let _ = tokio::time::timeout(limit, self.store.call(&call)).await;
     }
 
-    /// Returns the place of this daemon among the living, from zero.
+    /// Returns the thousandths of a core that this VM has.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float's cast saturates"
+    )]
+    fn cores(&self) -> u32 {
+        (self.platform.cores * MILLI) as u32
+    }
+
+    /// Returns how many living daemons are better owners: on larger VMs, or first by name.
     pub(super) fn place(&self) -> usize {
-        let view = self.view.borrow();
-        view.daemons
-            .keys()
-            .position(|name| *name == self.name)
-            .unwrap_or(0)
+        let (own, view) = (self.cores(), self.view.borrow());
+        let better = |(name, d): &(&String, &Daemon)| {
+            (Reverse(d.cores), name.as_str()) < (Reverse(own), self.name.as_str())
+        };
+        view.daemons.iter().filter(better).count()
     }
 }
 
