Don't make new owners wait for workers that have left

And an owner that follows its own earlier life needn't reckon with leases from owners that have ended.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -143,6 +143,8 @@
     pub workers: Vec<Target>,
     /// Whether there was an earlier term.
     pub inherited: bool,
+    /// Whether all earlier owners have certainly ended, so that none extends leases any more.
+    pub alone: bool,
 }
 
 /// Counts for metrics.
@@ -255,7 +257,7 @@
             wall,
         };
         for target in estate.workers {
-            engine.inherit_worker(target);
+            engine.inherit_worker(target, estate.alone);
         }
         for record in estate.records {
             engine.load(record, estate.inherited);
--- a/marigoldglade/src/batch/engine/fleet.rs
+++ b/marigoldglade/src/batch/engine/fleet.rs
@@ -203,10 +203,11 @@
 
 impl Engine {
     /// Takes a worker on that may run something of an earlier owner.
-    pub(super) fn inherit_worker(&mut self, target: Target) {
+    pub(super) fn inherit_worker(&mut self, target: Target, alone: bool) {
         let limit = self.bounds.lease_limit_ms.min(LEASE_MS);
         let lease = limit + limit * DRIFT_PERCENT / (100 - DRIFT_PERCENT);
-        let doubt_end = self.now.after(BLIND_MS + lease + LAPSE_SLACK_MS);
+        let blind = if alone { 0 } else { BLIND_MS };
+        let doubt_end = self.now.after(blind + lease + LAPSE_SLACK_MS);
         let key = self.add_worker(target);
         let worker = self.worker_mut(key);
         worker.doubt_end = doubt_end;
@@ -238,6 +239,9 @@
             if worker.listed && !listed.contains(&key) {
                 log::info!(worker = worker.target.name.as_str(), runs = worker.runs.len(); "worker left the registry");
                 worker.listed = false;
+                // A new owner needn't wait for a worker on which nothing can run.
+                let idle = worker.runs.is_empty();
+                self.workers_dirty |= idle;
             }
         }
         self.replan = true;
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -217,7 +217,10 @@
 
     /// Takes a run off a worker; its task is idle then.
     pub(super) fn release(&mut self, key: WorkerKey, id: &TaskId) -> Option<Run> {
-        let run = self.worker_mut(key).remove(id)?;
+        let worker = self.worker_mut(key);
+        let run = worker.remove(id)?;
+        let over = !worker.listed && worker.runs.is_empty();
+        self.workers_dirty |= over;
         if let Some((_, job)) = self.job_mut(id.job)
             && let Some(task) = job.task(id)
             && task.on == Some(key)
--- a/marigoldglade/src/batch/talk.rs
+++ b/marigoldglade/src/batch/talk.rs
@@ -90,6 +90,8 @@
     pub addr: std::net::SocketAddr,
     /// The term; a later owner has a larger one.
     pub term: u64,
+    /// When it became the owner, in milliseconds since the Unix epoch.
+    pub since: u64,
 }
 
 /// What daemons say to each other.
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -122,6 +122,32 @@
     assert_eq!(w.starts, 1);
 }
 
+#[rstest]
+#[case::nothing_ran_there(false)]
+#[case::something_lapsed_there(true)]
+fn a_new_owner_does_not_wait_for_a_worker_that_has_left(#[case] busy: bool) {
+    let mut w = World::new(11, 1, 3);
+    w.run_for(300);
+    if busy {
+        w.submit(1, "sweep", "w0", spec(vec![step(3, 8, 1_000)]), 1_000);
+        w.run_for(300);
+    }
+    w.workers.get_mut("worker-0-0").unwrap().leave();
+    w.listed.remove("worker-0-0");
+    let seat = w.owner();
+    w.tell_registry(seat);
+    w.run_for(12_000);
+    // The second job waits for the first, and has not begun when the owner dies.
+    w.submit(8, "sweep", "w0", spec(vec![step(2, 8, 3_000)]), 3_000);
+    w.submit(2, "sweep", "w0", spec(vec![step(1, 8, 1_000)]), 1_000);
+    w.run_for(200);
+    w.kill_owner();
+    w.run_for(2_000);
+    w.elect();
+    w.run_for(3_500);
+    assert_eq!(w.status(2), Some(Shown::Done));
+}
+
 #[test]
 fn a_job_from_the_inbox_goes_on_when_its_owner_dies_before_moving_it() {
     let mut w = World::new(10, 1, 2);
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -56,6 +56,8 @@
     pub faults: Faults,
     /// Whether a new life of a worker can't be told from the earlier one by its id.
     pub same_id: bool,
+    /// Whether new owners know that earlier ones have ended.
+    pub alone: bool,
     pub policy: Arc<Policy>,
     pub workers: BTreeMap<String, SimWorker>,
     /// Workers that the registry lists.
@@ -166,6 +168,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
             same_id: false,
+            alone: false,
             policy: Arc::new(policy()),
             workers: BTreeMap::new(),
             listed: BTreeSet::new(),
@@ -235,6 +238,7 @@
             records: self.records.values().cloned().collect(),
             workers: self.stored_workers.clone(),
             inherited: self.term > 1,
+            alone: self.alone,
         };
         let engine = Engine::new(
             BOUNDS,
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -34,6 +34,9 @@
 /// How long an owner goes on without its ownership confirmed, in milliseconds; source: what new
 /// owners reckon with, less the time of an order.
 const BLIND_MS: u64 = 9_000;
+/// The tenure after which no owner before it acts any more, in milliseconds; source: above the sum of
+/// [`BLIND_MS`], the longest lease and a jump of the time of day.
+const SETTLED_MS: u64 = 20_000;
 /// The pause that each place among the daemons adds before a claim, in milliseconds.
 const PLACE_MS: u64 = 40;
 /// The time before a claim that failed is tried again, in milliseconds.
@@ -73,6 +76,8 @@
     key: Revision,
     /// When ownership was confirmed last, on the clock that counts suspends.
     confirmed: Cell<u64>,
+    /// Whether all earlier owners have certainly ended.
+    alone: bool,
 }
 
 fn compare(key: &str, pair: Option<&Pair>) -> Compare {
@@ -129,6 +134,7 @@
     /// Tries to become the owner.
     async fn claim(&self) -> Option<Tenure> {
         let former = self.store.get(OWNER_KEY).await.ok()?;
+        let mut alone = false;
         if let Some(pair) = &former {
             let owner: Owner = decode(pair)?;
             // Only an earlier life of this daemon is certainly gone.
@@ -136,6 +142,8 @@
                 self.view.send_modify(|v| v.vacant = false);
                 return None;
             }
+            // Owners before it have given up by then.
+            alone = wall_ms().saturating_sub(owner.since) > SETTLED_MS;
         }
         let confirmed = boot_ms();
         let lease = self.grant(OWNER_LEASE_S).await?;
@@ -149,6 +157,7 @@
             life: self.life,
             addr: self.settings.borrow().mesh,
             term,
+            since: wall_ms(),
         };
         let txn = Txn {
             when: vec![
@@ -179,6 +188,7 @@
             seq: Cell::new(revision),
             key: revision,
             confirmed: Cell::new(confirmed),
+            alone,
         })
     }
 
@@ -218,6 +228,7 @@
                 Vec::new()
             }),
             inherited: tenure.term > 1,
+            alone: tenure.alone,
         };
         let Some(policy) = self.policy() else {
             return;
