--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -100,8 +100,16 @@
     }
 
     pub fn start_daemon(&mut self) {
-        let door = self.store.open().expect("a port is free");
         let name = format!("daemon-{}", self.daemons.len());
+        let daemon = self.spawn(&name);
+        until("readiness", || daemon.is_ready());
+        self.daemons.push(daemon);
+        until("an owner", || !self.store.keys("mg/live/owner").is_empty());
+    }
+
+    /// Starts a daemon and waits for its first line only.
+    pub fn spawn(&self, name: &str) -> Daemon {
+        let door = self.store.open().expect("a port is free");
         let store = door.served.addr;
         let text = format!(
             "name: {name}\ndc: dc-a\nlisten: 127.0.0.1:0\nmesh: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
@@ -130,17 +138,14 @@
                 sink.lock().expect("no panic").push(value);
             }
         });
-        let daemon = Daemon {
+        Daemon {
             front: addr("listen"),
             ready: addr("ready"),
             admin: addr("admin"),
             child,
             door,
             log,
-        };
-        until("readiness", || daemon.is_ready());
-        self.daemons.push(daemon);
-        until("an owner", || !self.store.keys("mg/live/owner").is_empty());
+        }
     }
 
     /// Returns which daemon is the owner, by its metrics.
