--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -44,16 +44,8 @@
 pub struct Bounds {
     /// The longest lease that a worker grants, in milliseconds.
     pub lease_limit_ms: u64,
-    /// How long a stop may take, in milliseconds.
-    pub stop_ms: u64,
-    /// How long members of a gang wait for each other, in milliseconds.
-    pub gang_ms: u64,
     /// How long the state of an ended job must stay known, in milliseconds.
     pub status_ms: u64,
-    /// The factor on a task's time away from its data or rack.
-    pub far_factor: u64,
-    /// The time in which guaranteed work must begin, in milliseconds.
-    pub reclaim_ms: u64,
 }
 
 /// A submission or cancel that another daemon stored.
--- a/marigoldglade/src/batch/policy.rs
+++ b/marigoldglade/src/batch/policy.rs
@@ -1,7 +1,5 @@
 //! The operators' configuration of queues and workspaces, as calls are judged by it.
 
-use std::collections::BTreeMap;
-
 use serde::{Deserialize, Serialize};
 
 /// A queue that callers submit jobs to.
@@ -88,8 +86,6 @@
     pub queues: Vec<Queue>,
     /// The workspaces.
     pub workspaces: Vec<Workspace>,
-    /// Pools whose workers reject what doesn't fit, by name.
-    pub guarded: BTreeMap<String, bool>,
     /// Bounds on calls.
     pub limits: Limits,
 }
--- a/marigoldglade/src/settings.rs
+++ b/marigoldglade/src/settings.rs
@@ -86,16 +86,8 @@
     pub grace_s: f64,
     /// The longest lease that a worker grants, in milliseconds.
     pub lease_limit_ms: u64,
-    /// The longest stop of a task, in milliseconds.
-    pub task_stop_ms: u64,
-    /// How long members of a gang wait for each other, in milliseconds.
-    pub gang_wait_ms: u64,
     /// How long ended jobs stay known, in seconds.
     pub status_s: f64,
-    /// The factor on a task's time away from its data.
-    pub far_factor: f64,
-    /// The time in which guaranteed work begins, in milliseconds.
-    pub reclaim_ms: u64,
 }
 
 /// What is logged and how.
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -122,18 +122,13 @@
                 guarantee: 60,
             })
             .collect(),
-        guarded: [(POOL.to_owned(), true)].into(),
         ..Policy::default()
     }
 }
 
 pub const BOUNDS: Bounds = Bounds {
     lease_limit_ms: 10_000,
-    stop_ms: 900,
-    gang_ms: 3_000,
     status_ms: 600_000,
-    far_factor: 3,
-    reclaim_ms: 3_400,
 };
 
 pub fn job_id(n: u64) -> JobId {
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -266,11 +266,7 @@
         };
         Bounds {
             lease_limit_ms: p.lease_limit_ms,
-            stop_ms: p.task_stop_ms,
-            gang_ms: p.gang_wait_ms,
             status_ms: ms(p.status_s) + 30 * SECOND_MS,
-            far_factor: ms(p.far_factor) / SECOND_MS,
-            reclaim_ms: p.reclaim_ms,
         }
     }
 
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -114,8 +114,7 @@
         let text = format!(
             "name: {name}\ndc: dc-a\nlisten: 127.0.0.1:0\nmesh: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
              store: [\"{store}\"]\nvm_list: 127.0.0.1:1\nlog: {{format: json, output: stdout}}\n\
-             platform:\n  ready: 127.0.0.1:0\n  cores: 0.25\n  grace_s: 6\n  lease_limit_ms: 10000\n  task_stop_ms: 900\n  \
-             gang_wait_ms: 3000\n  status_s: 120\n  far_factor: 3\n  reclaim_ms: 3400\n"
+             platform:\n  ready: 127.0.0.1:0\n  cores: 0.25\n  grace_s: 6\n  lease_limit_ms: 10000\n  status_s: 120\n"
         );
         let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
         file.write_all(text.as_bytes()).expect("and written");
