--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -10,8 +10,10 @@
 mod fleet;
 mod job;
 mod links;
+mod orders;
 mod plan;
 mod runs;
+mod space;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -1,79 +1,63 @@
 //! The planning pass: ready work in order, each piece to its place, and what makes way for it.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 
-use crate::batch::engine::fleet::Stage;
 use crate::batch::engine::job::{Job, Task};
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
-use crate::batch::health::Grade;
 use crate::batch::id::TaskId;
-use crate::batch::pack::{Bin, Need, RackKey, fits_a_rack, in_rack, place_gang, place_some, racks};
-use crate::batch::preempt::{Victim, make_room};
+use crate::batch::pack::{Need, RackKey, place_gang, place_some};
 use crate::batch::rank::{Rank, Want, rank};
 use crate::batch::spec::Step;
 use crate::batch::worker::Room;
 use crate::time::UnixMs;
 
-/// How long room that was made is kept for the work it was made for, in milliseconds; source: twice
-/// the longest stop of the platform.
-const CLAIM_MS: u64 = 2_000;
 /// The share of its objective that work waits for a worker near its data before it goes elsewhere,
 /// in percent.
 const NEAR_PERCENT: u64 = 15;
-/// The cost of any stop, for the restart and the delay of its job, in milliseconds of its run time.
-const STOP_COST_MS: u64 = 500;
-/// What a stop of a run with checkpoints throws away at most, in milliseconds.
-const CHECKPOINT_COST_MS: u64 = 600;
 /// The work that an urgent unit beyond its guarantee may throw away, in core-milliseconds, and on top
 /// of that in percent of its own; source: docs/design/preemption.md.
 const URGENT_COST: u64 = 300_000;
 const URGENT_COST_PERCENT: u64 = 150;
-/// One in so many racks takes no single tasks of the least urgent work; source:
-/// docs/design/placement-of-steps.md.
-const KEPT_RACKS_DIVISOR: usize = 3;
 /// How long a wide gang waits before a rack is kept free for it, in milliseconds.
 const RESERVE_AFTER_MS: u64 = 1_500;
-/// How long a rack is kept free for one gang at most, in milliseconds; source: about the longest
-/// task of the deployments.
-const RESERVE_MS: u64 = 9_000;
 
 /// A step of a round with tasks that are ready to start: a gang, or single tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) struct Unit {
-    job: JobKey,
-    round: u32,
-    step: u16,
+    pub job: JobKey,
+    pub round: u32,
+    pub step: u16,
 }
 
 /// A rack kept free for a gang.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Reservation {
-    unit: Unit,
-    rack: RackKey,
-    end: UnixMs,
+    pub unit: Unit,
+    pub rack: RackKey,
+    pub end: UnixMs,
 }
 
 /// Room kept for a unit while runs there stop.
 #[derive(Clone, Debug)]
 pub(super) struct Claim {
-    unit: Unit,
-    room: Room,
-    places: Vec<WorkerKey>,
-    end: UnixMs,
+    pub unit: Unit,
+    pub room: Room,
+    pub places: Vec<WorkerKey>,
+    pub end: UnixMs,
 }
 
 /// What a pass works on.
-struct Pass {
-    free: Vec<Room>,
+pub(super) struct Pass {
+    pub free: Vec<Room>,
     /// Needs that found no place in this pass; work behind them finds none either.
-    failed: HashSet<Shape>,
-    claims: Vec<Claim>,
+    pub failed: HashSet<Shape>,
+    pub claims: Vec<Claim>,
     /// The room of all claims, by worker.
-    claimed: Vec<Room>,
+    pub claimed: Vec<Room>,
 }
 
 impl Pass {
-    fn claim(&mut self, claim: Claim) {
+    pub fn claim(&mut self, claim: Claim) {
         for place in &claim.places {
             let claimed = &mut self.claimed[usize::from(place.0)];
             *claimed = claimed.plus(&claim.room);
@@ -103,20 +87,20 @@
 
 /// What decides whether a place can be found.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Shape {
-    pool: String,
-    room: Room,
-    count: u32,
-    label: String,
-    near: Option<RackKey>,
-    one_rack: bool,
+pub(super) struct Shape {
+    pub pool: String,
+    pub room: Room,
+    pub count: u32,
+    pub label: String,
+    pub near: Option<RackKey>,
+    pub one_rack: bool,
     /// Whether places of others may be taken.
-    priority: u32,
-    guaranteed: bool,
+    pub priority: u32,
+    pub guaranteed: bool,
     /// Whether only workers that nothing is known against will do.
-    strict: bool,
+    pub strict: bool,
     /// Whether only workers near the data will do.
-    wait_near: bool,
+    pub wait_near: bool,
 }
 
 impl Engine {
@@ -361,79 +345,6 @@
         None
     }
 
-    /// Returns the workers that aren't kept for others.
-    fn open_bins(&self, unit: Unit, step: &Step, shape: &Shape, all: &[Bin]) -> Vec<Bin> {
-        let mut bins = all.to_vec();
-        if let Some(reserved) = self
-            .reserved
-            .filter(|r| r.unit != unit && shape.priority > 0)
-        {
-            bins.retain(|b| b.rack != reserved.rack);
-        }
-        let more_urgent = |j: &Job| j.is_active() && j.record.queue.priority < shape.priority;
-        if shape.priority > 1 && !step.gang && self.jobs.values().any(more_urgent) {
-            let racks = racks(&bins);
-            let first = &racks[..racks.len() - racks.len() / KEPT_RACKS_DIVISOR];
-            bins.retain(|b| first.contains(&b.rack));
-        }
-        if shape.wait_near {
-            bins.retain(|b| Some(b.rack) == shape.near);
-        }
-        bins
-    }
-
-    fn rack_of(&self, name: &str) -> Option<RackKey> {
-        self.racks
-            .iter()
-            .find(|((_, rack), _)| rack == name)
-            .map(|(_, key)| *key)
-    }
-
-    /// Returns the workers that may take a unit, with the room that isn't claimed by others.
-    fn bins(&self, unit: &Unit, shape: &Shape, avoid: &[WorkerKey], pass: &Pass) -> Vec<Bin> {
-        let now = self.now;
-        let mut bins = Vec::with_capacity(self.workers.len());
-        for key in self.worker_keys() {
-            let worker = self.worker(key);
-            let target = &worker.target;
-            let fits = target.pool == shape.pool
-                && (shape.label.is_empty() || target.labels.contains(&shape.label));
-            if !fits || !worker.is_usable(now) || avoid.contains(&key) {
-                continue;
-            }
-            let grade = worker.health.grade(now);
-            if grade == Grade::Quarantined || (shape.strict && grade == Grade::Suspect) {
-                continue;
-            }
-            let i = usize::from(key.0);
-            let free = pass.free[i].minus(&pass.claimed[i]);
-            bins.push(Bin {
-                worker: key,
-                rack: worker.rack,
-                free,
-                whole: target.room,
-                grade,
-                most: self.room_for_step(unit, key),
-            });
-        }
-        bins
-    }
-
-    /// Returns how many more tasks of a unit's step a worker may take.
-    fn room_for_step(&self, unit: &Unit, key: WorkerKey) -> u32 {
-        let limit = self.jobs.get(&unit.job).map_or(0, |j| {
-            j.record.spec.steps[usize::from(unit.step)].per_worker
-        });
-        if limit == 0 {
-            return u32::MAX;
-        }
-        let same = |(id, run): &(&TaskId, &super::fleet::Run)| {
-            run.job == unit.job && id.round == unit.round && id.step == unit.step
-        };
-        let here = self.worker(key).runs.iter().filter(same).count();
-        limit.saturating_sub(u32::try_from(here).unwrap_or(u32::MAX))
-    }
-
     fn start_unit(
         &mut self,
         unit: Unit,
@@ -491,104 +402,4 @@
             task.saved.clone_from(&saved);
         }
     }
-
-    /// Stops less urgent runs so that a unit finds room; returns whether room is on the way.
-    fn preempt(
-        &mut self,
-        unit: Unit,
-        bins: &[Bin],
-        need: &Need,
-        limit: u64,
-        pass: &mut Pass,
-    ) -> bool {
-        let guaranteed = self.covered.contains(&unit.job);
-        let Some(priority) = self.jobs.get(&unit.job).map(|j| j.record.queue.priority) else {
-            return false;
-        };
-        let mut groups: BTreeMap<(JobKey, u32, u16, u32), u32> = BTreeMap::new();
-        let mut victims: Vec<Victim> = Vec::new();
-        let mut members: Vec<(u32, WorkerKey, TaskId)> = Vec::new();
-        for key in self.worker_keys() {
-            for (id, run) in &self.worker(key).runs {
-                let Some(job) = self.jobs.get(&run.job) else {
-                    continue;
-                };
-                let theirs = job.record.queue.priority;
-                let yields = theirs > priority
-                    || (theirs == priority && guaranteed && !self.covered.contains(&run.job));
-                if !yields || run.stage != Stage::Running {
-                    continue;
-                }
-                let Some(step) = job.step(id) else {
-                    continue;
-                };
-                let member = if step.gang { u32::MAX } else { id.index };
-                let next = u32::try_from(groups.len()).unwrap_or(u32::MAX);
-                let group = *groups
-                    .entry((run.job, id.round, id.step, member))
-                    .or_insert(next);
-                let elapsed = self.now.since(run.since);
-                let lost = if step.checkpoints {
-                    elapsed.min(CHECKPOINT_COST_MS)
-                } else {
-                    elapsed
-                };
-                victims.push(Victim {
-                    worker: key,
-                    group,
-                    room: run.room,
-                    cost: run.room.cores().max(1) * (lost + STOP_COST_MS),
-                });
-                members.push((group, key, *id));
-            }
-        }
-        let mut totals: HashMap<u32, u64> = HashMap::new();
-        for v in &victims {
-            *totals.entry(v.group).or_default() += v.cost;
-        }
-        for v in &mut victims {
-            v.cost = totals.get(&v.group).copied().unwrap_or(v.cost);
-        }
-        let Some(plan) = make_room(bins, &victims, need).filter(|p| p.cost <= limit) else {
-            return false;
-        };
-        for (group, key, id) in members {
-            if plan.groups.contains(&group) {
-                log::info!(
-                    task:% = id, worker = self.worker(key).target.name.as_str(),
-                    job = self.jobs.get(&unit.job).map_or("", |j| j.record.id.as_str()),
-                    cost = plan.cost, guaranteed;
-                    "run makes way for more urgent work"
-                );
-                self.stop(key, &id);
-                self.counts.preempted += 1;
-            }
-        }
-        pass.claim(Claim {
-            unit,
-            room: need.room,
-            places: plan.places,
-            end: self.now.after(CLAIM_MS),
-        });
-        true
-    }
-
-    /// Keeps the rack free that will soonest hold a gang that found no place.
-    fn reserve(&mut self, unit: Unit, bins: &[Bin], need: &Need) {
-        if !need.one_rack || !fits_a_rack(bins, need) {
-            return;
-        }
-        let whole = |rack| crate::batch::pack::capacity(&in_rack(bins, rack), need, |b| b.whole);
-        let free = |rack| crate::batch::pack::capacity(&in_rack(bins, rack), need, |b| b.free);
-        let able = racks(bins).into_iter().filter(|r| whole(*r) >= need.count);
-        let Some(rack) = able.max_by_key(|r| (need.near == Some(*r), free(*r))) else {
-            return;
-        };
-        log::info!(job = self.jobs.get(&unit.job).map_or("", |j| j.record.id.as_str()), rack = rack.0, tasks = need.count; "rack kept free for a wide gang");
-        self.reserved = Some(Reservation {
-            unit,
-            rack,
-            end: self.now.after(RESERVE_MS),
-        });
-    }
 }
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -1,29 +1,21 @@
 //! Ownership of the jobs: claiming it, and driving the engine while it lasts.
 
+mod driver;
+mod feeds;
+
 use std::cell::Cell;
-use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use marigoldglade::batch::engine::{
-    Action, Batch, Bounds, Engine, Estate, Event, InboxBody, InboxItem, Stored, Ticket, WorkerKey,
-};
-use marigoldglade::batch::id::JobId;
-use marigoldglade::batch::record::Record;
+use marigoldglade::batch::engine::{Bounds, Engine, Estate, Event};
 use marigoldglade::batch::talk::{Call, Owner, Reply};
-use marigoldglade::batch::worker::{Answer, Order, Target};
-use marigoldglade::store::{
-    self, Body, Change, Compare, Done, Fault, Op, Outcome, Pair, Revision, Txn,
-};
+use marigoldglade::store::{self, Body, Compare, Done, Fault, Op, Outcome, Pair, Revision, Txn};
 use marigoldglade::time::SECOND_MS;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, spawn_local};
 
-use crate::batch::calls::{CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, SUBMIT_PREFIX, job_key};
-use crate::batch::client::Failure;
+use crate::batch::calls::{INBOX_PREFIX, JOB_PREFIX};
 use crate::batch::live::{OWNER_KEY, decode, decode_or_default, encode};
-use crate::batch::store::pause;
 use crate::batch::{Node, boot_ms, clock, wall_ms};
 
 /// The lease of the owner's key, in seconds; source: bounds the time without an owner after a crash,
@@ -41,13 +33,6 @@
 const PLACE_MS: u64 = 40;
 /// The time before a claim that failed is tried again, in milliseconds.
 const AGAIN_MS: u64 = 250;
-/// The time that a worker has to answer a start or a stop, in milliseconds; source: many times its
-/// usual answer; three of them are within the time that gangs wait for members.
-const ORDER_MS: u64 = 500;
-/// What a hold may take beyond its wait, in milliseconds.
-const HOLD_MARGIN_MS: u64 = 600;
-/// Orders under way to one worker, besides its hold; source: each takes a connection.
-const ORDERS_AT_ONCE: usize = 2;
 /// The commit number and term, which each commit is conditioned on.
 const SEQ_KEY: &str = "mg/seq";
 /// The workers that may run something.
@@ -222,7 +207,7 @@
         };
         let estate = Estate {
             term: tenure.term,
-            records: records.iter().filter_map(read_record).collect(),
+            records: records.iter().filter_map(feeds::read_record).collect(),
             workers: decode_or_default(workers.as_ref()).unwrap_or_else(|e| {
                 log::error!(error:% = e; "the list of workers can't be read");
                 Vec::new()
@@ -329,126 +314,6 @@
         let given = matches!(outcome.map(|r| r.body), Ok(Body::Txn(d)) if d.held);
         log::info!(term = tenure.term, given; "this daemon is no longer the owner");
     }
-
-    async fn pass_policies(self: Rc<Self>, inputs: mpsc::UnboundedSender<Input>) {
-        let mut policies = self.policy.subscribe();
-        while policies.changed().await.is_ok() {
-            let policy = policies.borrow_and_update().clone();
-            if let Some(policy) = policy {
-                let _ = inputs.send(Input::Event(Event::Policy(policy)));
-            }
-        }
-    }
-
-    async fn follow_registry(
-        self: Rc<Self>,
-        mut pairs: Vec<Pair>,
-        mut since: Revision,
-        inputs: mpsc::UnboundedSender<Input>,
-    ) {
-        let prefix = platform::registry::PREFIX;
-        loop {
-            let mut entries: BTreeMap<String, Target> = BTreeMap::new();
-            for pair in &pairs {
-                take_entry(&mut entries, pair);
-            }
-            let _ = inputs.send(Input::Event(Event::Registry(
-                entries.values().cloned().collect(),
-            )));
-            while let Some(changes) = self.store.watch(prefix, &mut since).await {
-                if changes.is_empty() {
-                    continue;
-                }
-                for change in changes {
-                    match change {
-                        Change::Put(pair) => take_entry(&mut entries, &pair),
-                        Change::Gone(key, _) => {
-                            entries.remove(&key);
-                        }
-                    }
-                }
-                let _ = inputs.send(Input::Event(Event::Registry(
-                    entries.values().cloned().collect(),
-                )));
-            }
-            log::info!("history of the registry was dropped; reading it anew");
-            (pairs, since) = self.store.list(prefix).await;
-        }
-    }
-
-    async fn follow_inbox(
-        self: Rc<Self>,
-        mut pairs: Vec<Pair>,
-        mut since: Revision,
-        inputs: mpsc::UnboundedSender<Input>,
-    ) {
-        loop {
-            let _ = inputs.send(Input::Event(Event::Inbox(
-                pairs.iter().filter_map(inbox_item).collect(),
-            )));
-            while let Some(changes) = self.store.watch(INBOX_PREFIX, &mut since).await {
-                let items = changes.into_iter().filter_map(|c| match c {
-                    Change::Put(pair) => inbox_item(&pair),
-                    Change::Gone(..) => None,
-                });
-                let items: Vec<InboxItem> = items.collect();
-                if !items.is_empty() {
-                    let _ = inputs.send(Input::Event(Event::Inbox(items)));
-                }
-            }
-            log::info!("history of the inbox was dropped; reading it anew");
-            (pairs, since) = self.store.list(INBOX_PREFIX).await;
-        }
-    }
-
-    /// Feeds the engine and carries out its actions until the tenure ends.
-    async fn drive(
-        self: &Rc<Self>,
-        mut engine: Engine,
-        tenure: &Rc<Tenure>,
-        inputs: mpsc::UnboundedSender<Input>,
-        mut queue: mpsc::UnboundedReceiver<Input>,
-    ) {
-        let mut driver = Driver {
-            node: Rc::clone(self),
-            tenure: Rc::clone(tenure),
-            inputs,
-            waiting: HashMap::new(),
-            last: 0,
-            lanes: HashMap::new(),
-        };
-        let mut over = std::pin::pin!(self.ended(tenure));
-        let mut handing_over = false;
-        loop {
-            let input = tokio::select! {
-                input = queue.recv() => input,
-                () = clock::sleep_until(engine.wake()) => Some(Input::Event(Event::Tick)),
-                () = &mut over, if !handing_over => {
-                    handing_over = true;
-                    *self.engine.borrow_mut() = None;
-                    // What waits for a commit is still answered at a planned stop.
-                    if !self.stop.stopping() {
-                        return;
-                    }
-                    continue;
-                }
-            };
-            let mut out = Vec::new();
-            let mut next = input;
-            while let Some(input) = next {
-                let event = driver.event(input);
-                engine.step(clock::now(), wall_ms(), event, &mut out);
-                next = queue.try_recv().ok();
-            }
-            if !driver.perform(out) {
-                return;
-            }
-            self.metrics.engine(engine.counts(), engine.open_jobs());
-            if handing_over && (engine.settled() || driver.waiting.is_empty()) {
-                return;
-            }
-        }
-    }
 }
 
 /// Aborts a task when it is dropped.
@@ -473,192 +338,3 @@
         Outcome::Done | Outcome::Txn(_) => None,
     })
 }
-
-fn read_record(pair: &Pair) -> Option<Record> {
-    let record = Record::decode(&pair.value);
-    record
-        .inspect_err(
-            |e| log::error!(key = pair.key.as_str(), error:% = e; "a record can't be read"),
-        )
-        .ok()
-}
-
-fn take_entry(entries: &mut BTreeMap<String, Target>, pair: &Pair) {
-    match platform::registry::decode(pair) {
-        Ok(target) => {
-            entries.insert(pair.key.clone(), target);
-        }
-        Err(e) => {
-            log::warn!(key = pair.key.as_str(), error:% = e; "a registry entry can't be read; its worker isn't used");
-            entries.remove(&pair.key);
-        }
-    }
-}
-
-fn inbox_item(pair: &Pair) -> Option<InboxItem> {
-    let body = if pair.key.starts_with(SUBMIT_PREFIX) {
-        InboxBody::Submit(Box::new(read_record(pair)?))
-    } else {
-        InboxBody::Cancel(JobId::parse(pair.key.strip_prefix(CANCEL_PREFIX)?)?)
-    };
-    Some(InboxItem {
-        key: pair.key.clone(),
-        body,
-    })
-}
-
-/// Carries out the engine's actions.
-struct Driver {
-    node: Rc<Node>,
-    tenure: Rc<Tenure>,
-    inputs: mpsc::UnboundedSender<Input>,
-    waiting: HashMap<Ticket, oneshot::Sender<Reply>>,
-    last: Ticket,
-    lanes: HashMap<WorkerKey, Rc<Semaphore>>,
-}
-
-impl Driver {
-    fn event(&mut self, input: Input) -> Event {
-        match input {
-            Input::Event(event) => event,
-            Input::Call(call, answer) => {
-                self.last += 1;
-                self.waiting.insert(self.last, answer);
-                Event::Call(self.last, call)
-            }
-        }
-    }
-
-    /// Returns false when the tenure is over.
-    fn perform(&mut self, actions: Vec<Action>) -> bool {
-        for action in actions {
-            match action {
-                Action::Order(worker, target, order) => self.order(worker, target, order),
-                Action::Commit(batch) => self.commit(batch),
-                Action::Reply(ticket, reply) => {
-                    if let Some(answer) = self.waiting.remove(&ticket) {
-                        let _ = answer.send(reply);
-                    }
-                }
-                Action::StepDown => return false,
-            }
-        }
-        true
-    }
-
-    fn order(&mut self, worker: WorkerKey, target: Arc<Target>, order: Order) {
-        let lane = self
-            .lanes
-            .entry(worker)
-            .or_insert_with(|| Rc::new(Semaphore::new(ORDERS_AT_ONCE)));
-        let lane = Rc::clone(lane);
-        let (node, inputs) = (Rc::clone(&self.node), self.inputs.clone());
-        spawn_local(async move {
-            let _turn = match order {
-                Order::Hold(_) => None,
-                Order::Start(_) | Order::Stop(_) => lane.acquire().await.ok(),
-            };
-            let answer = send_order(&node, &target, &order).await;
-            let _ = inputs.send(Input::Event(Event::Answer(worker, order, answer)));
-        });
-    }
-
-    fn commit(&mut self, batch: Batch) {
-        let (node, tenure, inputs) = (
-            Rc::clone(&self.node),
-            Rc::clone(&self.tenure),
-            self.inputs.clone(),
-        );
-        spawn_local(async move {
-            let number = batch.number;
-            let began = clock::now();
-            let stored = write(&node, &tenure, batch).await;
-            node.metrics.commit(clock::now().since(began));
-            let _ = inputs.send(Input::Event(Event::Stored(number, stored)));
-        });
-    }
-}
-
-async fn send_order(node: &Node, target: &Target, order: &Order) -> Answer {
-    let limit = match order {
-        Order::Hold(hold) => hold.wait_ms + HOLD_MARGIN_MS,
-        Order::Start(_) | Order::Stop(_) => ORDER_MS,
-    };
-    let request = match platform::worker::encode(order, &target.name, &target.addr.to_string()) {
-        Ok(request) => request,
-        Err(e) => {
-            log::error!(worker = target.name.as_str(), error:% = e; "an order can't be encoded");
-            return Answer::Lost;
-        }
-    };
-    let began = clock::now();
-    let sent = node
-        .client
-        .send(target.addr, request, began.after(limit))
-        .await;
-    match sent {
-        Ok(response) => {
-            node.metrics.order(order, clock::now().since(began));
-            platform::worker::decode(order, &response)
-        }
-        Err(Failure::NotSent | Failure::Lost) => Answer::Lost,
-    }
-}
-
-/// Writes one commit; returns only once its outcome is certain.
-async fn write(node: &Node, tenure: &Tenure, batch: Batch) -> Stored {
-    let seq = Seq {
-        term: tenure.term,
-        number: batch.number,
-    };
-    let mut then = vec![Op::Put(SEQ_KEY.to_owned(), encode(&seq), 0)];
-    for record in &batch.puts {
-        match record.encode() {
-            Ok(value) => then.push(Op::Put(job_key(record.id), value, 0)),
-            Err(e) => {
-                log::error!(job = record.id.as_str(), error:% = e; "a record can't be encoded");
-            }
-        }
-    }
-    then.extend(batch.drops.iter().map(|id| Op::Delete(job_key(*id))));
-    then.extend(batch.handled.iter().map(|key| Op::Delete(key.clone())));
-    if let Some(workers) = &batch.workers {
-        then.push(Op::Put(WORKERS_KEY.to_owned(), encode(workers), 0));
-    }
-    let txn = Txn {
-        when: vec![Compare::Changed(SEQ_KEY.to_owned(), tenure.seq.get())],
-        then,
-        other: Vec::new(),
-    };
-    let call = store::Call::Txn(txn);
-    let mut unsure = false;
-    loop {
-        match node.store.call(&call).await {
-            Ok(reply) => match reply.body {
-                Body::Txn(Done { held: true, .. }) => {
-                    tenure.seq.set(reply.revision);
-                    return Stored::Done;
-                }
-                Body::Txn(done) => return read_back(tenure, seq, first_pair(done)),
-                _ => unsure = true,
-            },
-            // An earlier copy may still take effect as long as its condition holds.
-            Err(Fault::Refused | Fault::NotSent) if !unsure => return Stored::Nothing,
-            Err(Fault::Refused | Fault::NotSent) => {}
-            Err(Fault::Unknown) => unsure = true,
-        }
-        pause().await;
-    }
-}
-
-/// The condition of a commit doesn't hold: an earlier copy of it, or a newer owner, was first.
-fn read_back(tenure: &Tenure, seq: Seq, pair: Option<Pair>) -> Stored {
-    let Some(pair) = pair else {
-        return Stored::Fenced;
-    };
-    if decode::<Seq>(&pair) == Some(seq) {
-        tenure.seq.set(pair.changed);
-        return Stored::Done;
-    }
-    Stored::Fenced
-}
