Keep runs that began in a worker's next life

Now the new life's own report decides which runs are its own; the registry only asks for a report, and gives the new address. Before: test a_run_that_began_in_the_next_life_.. failed both ways. After: both pass.

--- a/marigoldglade/src/batch/engine/fleet.rs
+++ b/marigoldglade/src/batch/engine/fleet.rs
@@ -185,8 +185,10 @@
 
     /// Forgets all that belonged to an earlier life.
     pub fn forget_life(&mut self) {
-        self.runs.clear();
-        self.used = Room::default();
+        for run in self.runs.values_mut() {
+            // Both were on the earlier life's clock.
+            (run.confirmed, run.end) = (0, 0);
+        }
         self.reading = None;
         self.answered = false;
         self.recorded = false;
@@ -248,10 +250,21 @@
     }
 
     fn update_worker(&mut self, key: WorkerKey, target: Target) {
-        let worker = self.worker(key);
-        let reborn = target.born > worker.target.born && worker.target.born > 0;
-        if reborn {
-            self.reborn(key, target.born, "the registry shows a new process");
+        let now = self.now;
+        let worker = self.worker_mut(key);
+        if target.born > worker.target.born && worker.target.born > 0 {
+            // Only its own report tells which runs belong to the new life.
+            let lives = (worker.target.born, target.born);
+            log::warn!(worker = target.name.as_str(), runs = worker.runs.len(), old = lives.0, new = lives.1; "the registry shows a restarted worker");
+            worker.target = Arc::new(Target {
+                born: lives.0,
+                ..target
+            });
+            worker.answered = false;
+            worker.recorded = false;
+            worker.holding = false;
+            worker.hold_after = now;
+            return;
         }
         let worker = self.worker_mut(key);
         // An entry of an earlier life says nothing about this one.
@@ -277,16 +290,19 @@
         }
     }
 
-    /// A new life of a worker: nothing of the earlier one runs any more.
-    pub(super) fn reborn(&mut self, key: WorkerKey, born: u64, why: &str) {
-        let worker = self.worker_mut(key);
-        log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(), why = why; "worker restarted");
-        let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
-        for task in tasks {
-            self.release(key, &task);
-        }
+    /// A new life of a worker: of what was started there only `kept` is left, which the new life lists.
+    pub(super) fn reborn(
+        &mut self,
+        key: WorkerKey,
+        born: u64,
+        kept: &HashSet<(TaskId, u64)>,
+        why: &str,
+    ) {
         let now = self.now;
         let worker = self.worker_mut(key);
+        log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(), why = why; "worker restarted");
+        let gone = |(task, run): &(&TaskId, &Run)| !kept.contains(&(**task, run.run));
+        let tasks: Vec<TaskId> = worker.runs.iter().filter(gone).map(|(t, _)| *t).collect();
         worker.lost_starts.retain(|(_, _, end)| !end.passed(now));
         let mut target = (*worker.target).clone();
         target.born = born;
@@ -294,6 +310,9 @@
         worker.forget_life();
         worker.doubt_end = now;
         worker.hold_after = now;
+        for task in tasks {
+            self.release(key, &task);
+        }
         self.workers_dirty = true;
         self.replan = true;
     }
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -1,5 +1,6 @@
 //! What came of starts and stops.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use crate::batch::engine::fleet::Stage;
@@ -130,7 +131,12 @@
             Refusal::Reborn => {
                 let born = worker.target.born;
                 worker.listed = false;
-                self.reborn(key, born, "another process answers at its address");
+                self.reborn(
+                    key,
+                    born,
+                    &HashSet::new(),
+                    "another process answers at its address",
+                );
             }
             _ => {}
         }
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -178,6 +178,27 @@
     assert_eq!(w.starts, 0);
 }
 
+#[rstest]
+#[case::told_by_the_registry(true)]
+#[case::told_by_a_report(false)]
+fn a_run_that_began_in_the_next_life_of_its_worker_is_kept(#[case] registry: bool) {
+    let mut w = World::new(12, 1, 2);
+    w.same_id = true;
+    w.run_for(500);
+    let now = w.now;
+    w.workers.values_mut().for_each(|x| x.reborn(now));
+    // The owner doesn't know of the restart yet.
+    w.submit(1, "sweep", "w0", spec(vec![step(1, 8, 3_000)]), 3_000);
+    w.run_for(60);
+    if registry {
+        let seat = w.owner();
+        w.tell_registry(seat);
+    }
+    w.run_for(5_000);
+    assert_eq!(w.status(1), Some(Shown::Done));
+    assert_eq!(w.starts, 1);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, rng_seed: RngSeed::Fixed(20_261_204), ..ProptestConfig::default() })]
 
