Keep runs that reached a worker's next life after its first report

Now starts on their way, and runs younger than a second, outlive the first report and are judged by the next; should the worker fall silent then, they count until the longest lease has passed. Before: test a_run_that_began_after_the_report_.. failed (330 moments). After: the batch tests are green.

--- a/marigoldglade/src/batch/engine/fleet.rs
+++ b/marigoldglade/src/batch/engine/fleet.rs
@@ -7,7 +7,7 @@
 use crate::batch::health::Health;
 use crate::batch::id::TaskId;
 use crate::batch::pack::RackKey;
-use crate::batch::worker::{Room, Target};
+use crate::batch::worker::{Report, Room, Target};
 use crate::time::UnixMs;
 
 /// The lease that holds extend to, in milliseconds; source: outlasts a takeover (the owner's lease
@@ -21,6 +21,9 @@
 /// Added to each computed lapse for answers under way, in milliseconds.
 const LAPSE_SLACK_MS: u64 = 300;
 
+/// How long a start may be on its way to a worker, in milliseconds; source: twice an order's timeout.
+const FRESH_MS: u64 = 1_000;
+
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Reading {
@@ -142,15 +145,15 @@
         Some(reading.clock + passed - passed * DRIFT_PERCENT / 100)
     }
 
-    /// Returns when all its leases have lapsed for certain; `None` when none was given.
-    pub fn lapse(&self) -> Option<UnixMs> {
-        let reading = self.reading?;
+    /// Returns when all its leases have lapsed for certain.
+    pub fn lapse(&self) -> UnixMs {
+        let Some(reading) = self.reading else {
+            return self.doubt_end;
+        };
         let left = self.lease.saturating_sub(reading.clock);
-        Some(
-            reading
-                .at
-                .after(left + left * DRIFT_PERCENT / (100 - DRIFT_PERCENT) + LAPSE_SLACK_MS),
-        )
+        reading
+            .at
+            .after(left + left * DRIFT_PERCENT / (100 - DRIFT_PERCENT) + LAPSE_SLACK_MS)
     }
 
     /// Returns the room that no run takes.
@@ -184,10 +187,10 @@
     }
 
     /// Forgets all that belonged to an earlier life.
-    pub fn forget_life(&mut self) {
+    pub fn forget_life(&mut self, clock: u64) {
         for run in self.runs.values_mut() {
             // Both were on the earlier life's clock.
-            (run.confirmed, run.end) = (0, 0);
+            (run.confirmed, run.end) = (clock, 0);
         }
         self.reading = None;
         self.answered = false;
@@ -290,29 +293,38 @@
         }
     }
 
-    /// A new life of a worker: of what was started there only `kept` is left, which the new life lists.
-    pub(super) fn reborn(
-        &mut self,
-        key: WorkerKey,
-        born: u64,
-        kept: &HashSet<(TaskId, u64)>,
-        why: &str,
-    ) {
+    /// A new life of a worker, or none: of what was started there only that is left which the new
+    /// life reports, and what may have reached it after its report.
+    pub(super) fn reborn(&mut self, key: WorkerKey, born: u64, report: Option<&Report>, why: &str) {
         let now = self.now;
+        let lease = self.bounds.lease_limit_ms;
         let worker = self.worker_mut(key);
         log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(), why = why; "worker restarted");
-        let gone = |(task, run): &(&TaskId, &Run)| !kept.contains(&(**task, run.run));
+        let gone = |(task, run): &(&TaskId, &Run)| {
+            let Some(report) = report else {
+                return true;
+            };
+            let fresh = run.stage == Stage::Starting || now.since(run.since) < FRESH_MS;
+            !fresh && !report.lists(task, run.run)
+        };
         let tasks: Vec<TaskId> = worker.runs.iter().filter(gone).map(|(t, _)| *t).collect();
         worker.lost_starts.retain(|(_, _, end)| !end.passed(now));
         let mut target = (*worker.target).clone();
         target.born = born;
         worker.target = Arc::new(target);
-        worker.forget_life();
-        worker.doubt_end = now;
+        worker.forget_life(report.map_or(0, |r| r.clock));
         worker.hold_after = now;
         for task in tasks {
             self.release(key, &task);
         }
+        let worker = self.worker_mut(key);
+        // The deadlines of starts that cross lives are cut to the longest lease.
+        let left = if worker.runs.is_empty() {
+            0
+        } else {
+            lease + lease * DRIFT_PERCENT / 100
+        };
+        worker.doubt_end = now.after(left);
         self.workers_dirty = true;
         self.replan = true;
     }
--- a/marigoldglade/src/batch/engine/links.rs
+++ b/marigoldglade/src/batch/engine/links.rs
@@ -1,6 +1,5 @@
 //! Holds and the answers of workers: leases, acknowledgements, and what a worker says it runs.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use crate::batch::engine::fleet::{LEASE_MS, Reading, Run, Stage};
@@ -134,12 +133,7 @@
                 let born = worker.target.born;
                 worker.hold_after = now.after(LOST_IDLE_MS);
                 worker.listed = false;
-                self.reborn(
-                    key,
-                    born,
-                    &HashSet::new(),
-                    "another process answers at its address",
-                );
+                self.reborn(key, born, None, "another process answers at its address");
             }
             Answer::Refused(why, clock) => {
                 worker.lost += 1;
@@ -174,10 +168,12 @@
             return;
         }
         if report.born > known && known > 0 {
-            let running = report.running.iter().map(|r| (r.task, r.run));
-            let ended = report.ended.iter().map(|e| (e.task, e.run));
-            let kept = running.chain(ended).collect();
-            self.reborn(key, report.born, &kept, "its report shows a new process");
+            self.reborn(
+                key,
+                report.born,
+                Some(&report),
+                "its report shows a new process",
+            );
         }
         let worker = self.worker(key);
         if worker.reading.is_some_and(|r| report.clock < r.clock) && worker.answered {
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -1,6 +1,5 @@
 //! What came of starts and stops.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use crate::batch::engine::fleet::Stage;
@@ -131,12 +130,7 @@
             Refusal::Reborn => {
                 let born = worker.target.born;
                 worker.listed = false;
-                self.reborn(
-                    key,
-                    born,
-                    &HashSet::new(),
-                    "another process answers at its address",
-                );
+                self.reborn(key, born, None, "another process answers at its address");
             }
             _ => {}
         }
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -104,7 +104,7 @@
             if worker.runs.is_empty() {
                 continue;
             }
-            if worker.lost > 0 && worker.lapse().is_some_and(|lapse| lapse.passed(now)) {
+            if worker.lost > 0 && worker.lapse().passed(now) {
                 self.lapsed(key);
                 continue;
             }
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -173,6 +173,15 @@
     pub ended: Vec<Ended>,
 }
 
+impl Report {
+    /// Returns whether a run is listed, as running or ended.
+    #[must_use]
+    pub fn lists(&self, task: &TaskId, run: u64) -> bool {
+        let running = self.running.iter().any(|r| r.task == *task && r.run == run);
+        running || self.ended.iter().any(|e| e.task == *task && e.run == run)
+    }
+}
+
 /// Why a worker refused a start.
 #[derive(Clone, Copy, Debug, Display, IntoStaticStr, PartialEq, Eq)]
 #[strum(serialize_all = "lowercase")]
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -199,6 +199,24 @@
     assert_eq!(w.starts, 1);
 }
 
+#[test]
+fn a_run_that_began_after_the_report_of_a_restart_is_kept() {
+    // The report is on its way while the start arrives, at one of these moments.
+    for moment in 0..330 {
+        let mut w = World::new(13, 1, 2);
+        w.same_id = true;
+        w.run_for(500);
+        w.submit(1, "sweep", "w0", spec(vec![step(1, 4, 9_000)]), 9_000);
+        w.run_for(400);
+        let now = w.now;
+        w.workers.values_mut().for_each(|x| x.reborn(now));
+        w.run_to(now + moment);
+        w.submit(2, "sweep", "w0", spec(vec![step(1, 4, 1_000)]), 1_000);
+        w.run_for(3_000);
+        assert_eq!(w.status(2), Some(Shown::Done));
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, rng_seed: RngSeed::Fixed(20_261_204), ..ProptestConfig::default() })]
 
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -327,9 +327,13 @@
 
     /// Lets time pass.
     pub fn run_for(&mut self, ms: u64) {
-        let end = self.now + ms;
+        self.run_to(self.now + ms);
+    }
+
+    /// Lets time pass until a moment.
+    pub fn run_to(&mut self, end: u64) {
         while self.now < end {
-            let tick = self.now + 10;
+            let tick = (self.now + 10).min(end);
             while let Some(Reverse((time, number))) = self.queue.peek().copied() {
                 if time > tick {
                     break;
