Try suspect and shunned workers when there are no others, and mend wrong clock readings

Cause, found by reading the diff: a task that had failed on every worker, or on the only one, was never tried again (an endless task stopped after three failures); and an answer of an earlier life that came after the restart was known put a reading of the wrong clock in place, after which all reports were dropped as overtaken. Before: three new tests failed (Running; given up after 3 starts; Running).

--- a/marigoldglade/src/batch/engine/ends.rs
+++ b/marigoldglade/src/batch/engine/ends.rs
@@ -134,7 +134,7 @@
             if !task.failed.contains(&end.run) {
                 task.failed.push(end.run);
             }
-            task.avoid.push(key);
+            task.shun(key);
             task.retry_at = retry_at;
         }
         if step.endless {
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -7,6 +7,9 @@
 use crate::batch::talk::Shown;
 use crate::time::UnixMs;
 
+/// The workers that a task keeps away from at most.
+const AVOID_LIMIT: usize = 3;
+
 /// A task of a job.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Task {
@@ -19,7 +22,7 @@
     pub run: u64,
     /// Where a run of it is, or may be.
     pub on: Option<WorkerKey>,
-    /// Workers where it failed.
+    /// The workers where it failed or stalled last.
     pub avoid: Vec<WorkerKey>,
     /// When it may start again.
     pub retry_at: UnixMs,
@@ -63,6 +66,16 @@
     pub cancels: Vec<Ticket>,
 }
 
+impl Task {
+    /// Notes a worker where it didn't do well; only the last few are kept away from.
+    pub fn shun(&mut self, worker: WorkerKey) {
+        if self.avoid.len() >= AVOID_LIMIT {
+            self.avoid.remove(0);
+        }
+        self.avoid.push(worker);
+    }
+}
+
 impl Job {
     /// Makes a job from its record.
     pub fn new(mut record: Record, since: UnixMs, inherited: bool) -> Self {
--- a/marigoldglade/src/batch/engine/links.rs
+++ b/marigoldglade/src/batch/engine/links.rs
@@ -17,6 +17,9 @@
 const LOST_HOLD_MS: u64 = 250;
 /// The time before an idle worker without an answer is asked again, in milliseconds.
 const LOST_IDLE_MS: u64 = 2_000;
+/// How far answers of one life may overtake each other, in milliseconds; source: above the time that
+/// any order is waited for.
+const OVERTAKEN_MS: u64 = 5_000;
 /// How often leases are renewed while ends wait for their commit, in milliseconds.
 const RENEW_MS: u64 = 1_250;
 
@@ -175,8 +178,13 @@
                 "its report shows a new process",
             );
         }
-        let worker = self.worker(key);
-        if worker.reading.is_some_and(|r| report.clock < r.clock) && worker.answered {
+        let worker = self.worker_mut(key);
+        let reading = worker.reading.map_or(0, |r| r.clock);
+        if report.clock + OVERTAKEN_MS < reading {
+            // An answer of an earlier life came after the restart was known.
+            log::warn!(worker = worker.target.name.as_str(), clock = report.clock, reading; "a reading of the worker's clock was wrong");
+            worker.reading = None;
+        } else if report.clock < reading && worker.answered {
             // A newer answer came before this one; ends are listed again.
             return;
         }
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -281,7 +281,7 @@
             if let Some((_, job)) = self.job_mut(id.job)
                 && let Some(task) = job.task(&id)
             {
-                task.avoid.push(key);
+                task.shun(key);
             }
             if gang {
                 self.break_gang(&id, run);
--- a/marigoldglade/src/batch/engine/space.rs
+++ b/marigoldglade/src/batch/engine/space.rs
@@ -35,12 +35,41 @@
     }
 
     /// Returns the workers that may take a unit, with the room that isn't claimed by others.
+    ///
+    /// Workers to avoid, and suspect ones where only good ones are wanted, are taken when there are no
+    /// others.
     pub(super) fn bins(
         &self,
         unit: &Unit,
         shape: &Shape,
         avoid: &[WorkerKey],
         pass: &Pass,
+    ) -> Vec<Bin> {
+        let worst = if shape.strict {
+            Grade::Good
+        } else {
+            Grade::Suspect
+        };
+        for (avoid, worst) in [
+            (avoid, worst),
+            (avoid, Grade::Suspect),
+            (&[], Grade::Suspect),
+        ] {
+            let bins = self.bins_without(unit, shape, avoid, worst, pass);
+            if !bins.is_empty() {
+                return bins;
+            }
+        }
+        Vec::new()
+    }
+
+    fn bins_without(
+        &self,
+        unit: &Unit,
+        shape: &Shape,
+        avoid: &[WorkerKey],
+        worst: Grade,
+        pass: &Pass,
     ) -> Vec<Bin> {
         let now = self.now;
         let mut bins = Vec::with_capacity(self.workers.len());
@@ -53,7 +82,7 @@
                 continue;
             }
             let grade = worker.health.grade(now);
-            if grade == Grade::Quarantined || (shape.strict && grade == Grade::Suspect) {
+            if grade > worst {
                 continue;
             }
             let i = usize::from(key.0);
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -3,7 +3,10 @@
 #[path = "batch/world.rs"]
 mod world;
 
+use marigoldglade::batch::engine::{Event, WorkerKey};
+use marigoldglade::batch::id::TaskId;
 use marigoldglade::batch::talk::{Reply, Shown};
+use marigoldglade::batch::worker::{Answer, Order, Stop};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
@@ -93,6 +96,45 @@
     assert!(w.all_done(0..6));
 }
 
+#[test]
+fn a_task_that_failed_on_the_only_worker_is_tried_there_again() {
+    let mut w = World::new(14, 1, 1);
+    w.work.insert(job_id(1), (300, 1));
+    w.submit(1, "sweep", "w0", spec(vec![step(1, 1, 300)]), 300);
+    w.run_for(3_000);
+    assert_eq!(w.status(1), Some(Shown::Done));
+}
+
+#[test]
+fn an_endless_task_is_restarted_however_often_it_fails() {
+    let mut w = World::new(15, 1, 3);
+    w.work.insert(job_id(1), (300, 99));
+    let mut endless = step(1, 1, 300);
+    endless.endless = true;
+    w.submit(1, "sweep", "w0", spec(vec![endless]), 300);
+    w.run_for(30_000);
+    let starts = w.starts;
+    w.run_for(20_000);
+    assert!(w.starts > starts, "it was given up after {starts} starts");
+}
+
+#[test]
+fn a_stale_clock_of_an_earlier_life_does_not_hide_reports() {
+    let mut w = World::new(16, 1, 1);
+    w.run_for(300);
+    let stop = Stop {
+        task: TaskId::parse("00000000000000ff.0.0.0").unwrap(),
+        run: 1,
+        term: 1,
+    };
+    let seat = w.owner();
+    let stale = Answer::Obeyed(90_000_000);
+    w.feed(seat, Event::Answer(WorkerKey(0), Order::Stop(stop), stale));
+    w.submit(1, "sweep", "w0", spec(vec![step(1, 1, 300)]), 300);
+    w.run_for(6_000);
+    assert_eq!(w.status(1), Some(Shown::Done));
+}
+
 #[test]
 fn a_run_that_stands_still_is_tried_elsewhere() {
     let mut w = World::new(7, 1, 2);
