--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -27,6 +27,7 @@
 use crate::time::UnixMs;
 
 use commit::Flight;
+pub use fleet::BLIND_MS;
 use fleet::Worker;
 use job::Job;
 
@@ -307,12 +308,6 @@
         &self.counts
     }
 
-    /// Returns the term.
-    #[must_use]
-    pub const fn term(&self) -> u64 {
-        self.term
-    }
-
     /// Returns whether nothing waits for a commit.
     #[must_use]
     pub fn settled(&self) -> bool {
--- a/marigoldglade/src/batch/spec.rs
+++ b/marigoldglade/src/batch/spec.rs
@@ -100,18 +100,6 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns the estimated accelerator and processor time of one round, in core-milliseconds.
-    #[must_use]
-    pub fn work(&self) -> u64 {
-        let step = |s: &Step| {
-            let cores = s.room.cores().max(1);
-            cores
-                .saturating_mul(s.estimate_ms)
-                .saturating_mul(u64::from(s.count))
-        };
-        self.steps.iter().map(step).fold(0, u64::saturating_add)
-    }
-
     /// Checks what the caller wrote.
     ///
     /// # Errors
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -59,16 +59,6 @@
         }
     }
 
-    /// Returns the room of `count` such tasks.
-    #[must_use]
-    pub const fn times(&self, count: u64) -> Self {
-        Self {
-            cpu: self.cpu.saturating_mul(count),
-            mem: self.mem.saturating_mul(count),
-            accels: self.accels.saturating_mul(count),
-        }
-    }
-
     /// Returns the cores that this room is worth, accelerators included.
     #[must_use]
     pub const fn cores(&self) -> u64 {
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marigoldglade::batch::engine::{Bounds, Engine, Estate, Event};
+use marigoldglade::batch::engine::{BLIND_MS, Bounds, Engine, Estate, Event};
 use marigoldglade::batch::talk::{Call, Owner, Reply};
 use marigoldglade::store::{self, Body, Compare, Done, Fault, Op, Outcome, Pair, Revision, Txn};
 use marigoldglade::time::SECOND_MS;
@@ -25,7 +25,9 @@
 const OWNER_RENEW_MS: u64 = 600;
 /// How long an owner goes on without its ownership confirmed, in milliseconds; source: what new
 /// owners reckon with, less the time of an order.
-const BLIND_MS: u64 = 9_000;
+const UNCONFIRMED_MS: u64 = BLIND_MS - ORDER_MARGIN_MS;
+/// The time of an order under way, in milliseconds; source: twice its timeout.
+const ORDER_MARGIN_MS: u64 = 1_000;
 /// The tenure after which no owner before it acts any more, in milliseconds; source: above the sum of
 /// [`BLIND_MS`], the longest lease and a jump of the time of day.
 const SETTLED_MS: u64 = 20_000;
@@ -262,7 +264,7 @@
                 return;
             }
             let blind = boot_ms().saturating_sub(tenure.confirmed.get());
-            if blind > BLIND_MS {
+            if blind > UNCONFIRMED_MS {
                 log::warn!(term = tenure.term, blind_ms = blind; "ownership couldn't be confirmed for too long");
                 return;
             }
