Wait only for leases once earlier owners have certainly ended

Cause: a new owner starts no inherited work while some worker may run it. For a worker that left while the store was away it waited 15.4 s: 10 s during which the old owner might extend leases, and the lease.

Change: the line of owners lies in the store; the new owner asks each over the mesh which process it is, and the engine ends its doubts when all have restarted or given up.

Ruled out: a starved owner (0.06 of a core at most), a leaked run (the task runs again after the doubts), workers that fell silent (they answered).

The engine's test was seen failing without the change.

--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -3,7 +3,7 @@
 //! Calls of callers, reports of workers and outcomes of commits flow into the [`engine`]; orders to
 //! workers, commits and answers flow out. The other modules are its parts: what a job asks for
 //! ([`spec`]), what is kept of it ([`record`]), who may ask ([`policy`]), what workers say
-//! ([`worker`]), and the decisions ([`rank`], [`pack`], [`preempt`], [`health`], [`admission`]).
+//! ([`worker`]), which earlier owners to reckon with ([`succession`]), and the decisions ([`rank`], [`pack`], [`preempt`], [`health`], [`admission`]).
 
 pub mod admission;
 pub mod engine;
@@ -15,5 +15,6 @@
 pub mod rank;
 pub mod record;
 pub mod spec;
+pub mod succession;
 pub mod talk;
 pub mod worker;
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -95,6 +95,8 @@
     Answer(WorkerKey, Order, Answer),
     /// What came of the commit of this number.
     Stored(u64, Stored),
+    /// All earlier owners have certainly ended.
+    Alone,
     /// Time passed.
     Tick,
 }
@@ -271,6 +273,7 @@
             Event::Inbox(items) => self.inbox(items),
             Event::Answer(worker, order, answer) => self.answer(worker, &order, answer, out),
             Event::Stored(number, stored) => self.stored(number, stored, out),
+            Event::Alone => self.settle_doubts(),
             Event::Tick => self.expire(),
         }
         if self.replan && self.plan_after.passed(self.now) {
--- a/marigoldglade/src/batch/engine/fleet.rs
+++ b/marigoldglade/src/batch/engine/fleet.rs
@@ -80,6 +80,8 @@
     pub recorded: bool,
     /// Whether this life of it has answered this owner.
     pub answered: bool,
+    /// Whether only an earlier owner has used this life of it.
+    pub inherited: bool,
     /// Until when runs of an earlier owner may be there; it ends early with an answer.
     pub doubt_end: UnixMs,
     pub reading: Option<Reading>,
@@ -118,6 +120,7 @@
             listed: false,
             recorded: false,
             answered: false,
+            inherited: false,
             doubt_end: now,
             reading: None,
             lease: 0,
@@ -194,6 +197,7 @@
         }
         self.reading = None;
         self.answered = false;
+        self.inherited = false;
         self.recorded = false;
         (self.lease, self.seen, self.acked, self.told) = (0, 0, 0, 0);
         self.lost = 0;
@@ -209,15 +213,33 @@
 impl Engine {
     /// Takes a worker on that may run something of an earlier owner.
     pub(super) fn inherit_worker(&mut self, target: Target, alone: bool) {
-        let limit = self.bounds.lease_limit_ms.min(LEASE_MS);
-        let lease = limit + limit * DRIFT_PERCENT / (100 - DRIFT_PERCENT);
         let blind = if alone { 0 } else { BLIND_MS };
-        let doubt_end = self.now.after(blind + lease + LAPSE_SLACK_MS);
+        let doubt_end = self.now.after(blind + self.inherited_lease_ms());
         let key = self.add_worker(target);
         let worker = self.worker_mut(key);
+        worker.inherited = true;
         worker.doubt_end = doubt_end;
     }
 
+    /// How long leases last at most that an earlier owner sent just now, by this process's clock.
+    fn inherited_lease_ms(&self) -> u64 {
+        let limit = self.bounds.lease_limit_ms.min(LEASE_MS);
+        limit + limit * DRIFT_PERCENT / (100 - DRIFT_PERCENT) + LAPSE_SLACK_MS
+    }
+
+    /// No earlier owner extends leases any more.
+    pub(super) fn settle_doubts(&mut self) {
+        let end = self.now.after(self.inherited_lease_ms());
+        let mut silent = 0;
+        for worker in &mut self.workers {
+            if worker.inherited && !worker.answered {
+                worker.doubt_end = worker.doubt_end.min(end);
+                silent += 1;
+            }
+        }
+        log::info!(term = self.term, silent; "earlier owners have ended; their leases lapse");
+    }
+
     fn add_worker(&mut self, target: Target) -> WorkerKey {
         let next = u16::try_from(self.racks.len()).unwrap_or(u16::MAX);
         let place = (target.dc.clone(), target.rack().to_owned());
--- a/marigoldglade/src/batch/talk.rs
+++ b/marigoldglade/src/batch/talk.rs
@@ -110,7 +110,16 @@
         /// The term.
         term: u64,
     },
-    /// The answer to it, with what is newer.
+    /// "Which process are you, and which term do you own?"
+    Who,
+    /// The answer to it.
+    Life {
+        /// The life of the daemon's process.
+        life: u64,
+        /// The term in which it is the owner.
+        term: Option<u64>,
+    },
+    /// The answer to [`Message::Newer`], with what is newer.
     Newest {
         /// The configuration when it is newer.
         policy: Option<Box<Policy>>,
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -5,7 +5,8 @@
 
 use marigoldglade::batch::engine::{Event, WorkerKey};
 use marigoldglade::batch::id::TaskId;
-use marigoldglade::batch::talk::{Reply, Shown};
+use marigoldglade::batch::succession::may_act;
+use marigoldglade::batch::talk::{Owner, Reply, Shown};
 use marigoldglade::batch::worker::{Answer, Order, Stop};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -190,6 +191,53 @@
     assert_eq!(w.status(2), Some(Shown::Done));
 }
 
+#[test]
+fn a_task_of_a_worker_that_left_unseen_waits_only_for_its_lease_once_earlier_owners_have_ended() {
+    let mut w = World::new(16, 1, 2);
+    w.submit(1, "sweep", "w0", spec(vec![step(2, 8, 1_500)]), 1_500);
+    w.run_for(400);
+    w.kill_owner();
+    // The registry shows it to no owner: the list in the store still has it.
+    w.workers.get_mut("worker-0-0").unwrap().leave();
+    w.listed.remove("worker-0-0");
+    w.run_for(2_000);
+    let seat = w.elect();
+    w.run_for(300);
+    assert_eq!(w.status(1), Some(Shown::Running));
+    w.feed(seat, Event::Alone);
+    // A lease of 5 s at most, and the task's run time.
+    w.run_for(5_600 + 1_500 + 200);
+    assert_eq!(w.status(1), Some(Shown::Done));
+}
+
+#[test]
+fn only_owners_that_may_still_act_are_reckoned_with() {
+    let owner = |name: &str, term: u64, since: u64| Owner {
+        name: name.to_owned(),
+        life: term,
+        addr: ([127, 0, 0, 1], 1).into(),
+        term,
+        since,
+    };
+    let line = [
+        owner("a", 1, 0),
+        owner("b", 2, 50_000),
+        owner("c", 3, 90_000),
+    ];
+    let names = |name: &str, wall: u64| {
+        let kept = may_act(&line, name, wall);
+        kept.into_iter().map(|o| o.name).collect::<String>()
+    };
+    // Only the last owner's end isn't known, however long ago it began.
+    assert_eq!(names("d", 900_000), "c");
+    // Those that it followed lately may not know of it yet.
+    assert_eq!(names("d", 95_000), "bc");
+    assert_eq!(names("d", 60_000), "abc");
+    // An earlier process of the same daemon has ended.
+    assert_eq!(names("c", 95_000), "b");
+    assert_eq!(may_act(&[], "a", 0), []);
+}
+
 #[test]
 fn a_job_from_the_inbox_goes_on_when_its_owner_dies_before_moving_it() {
     let mut w = World::new(10, 1, 2);
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -1,6 +1,7 @@
 //! Ownership of the jobs: claiming it, and driving the engine while it lasts.
 
 mod driver;
+mod elders;
 mod feeds;
 
 use std::cell::Cell;
@@ -8,6 +9,7 @@
 use std::time::Duration;
 
 use marigoldglade::batch::engine::{BLIND_MS, Bounds, Engine, Estate, Event};
+use marigoldglade::batch::succession::may_act;
 use marigoldglade::batch::talk::{Call, Owner, Reply};
 use marigoldglade::store::{self, Body, Compare, Done, Fault, Op, Outcome, Pair, Revision, Txn};
 use marigoldglade::time::SECOND_MS;
@@ -28,15 +30,14 @@
 const UNCONFIRMED_MS: u64 = BLIND_MS - ORDER_MARGIN_MS;
 /// The time of an order under way, in milliseconds; source: twice its timeout.
 const ORDER_MARGIN_MS: u64 = 1_000;
-/// The tenure after which no owner before it acts any more, in milliseconds; source: above the sum of
-/// [`BLIND_MS`], the longest lease and a jump of the time of day.
-const SETTLED_MS: u64 = 20_000;
 /// The pause that each place among the daemons adds before a claim, in milliseconds.
 const PLACE_MS: u64 = 40;
 /// The time before a claim that failed is tried again, in milliseconds.
 const AGAIN_MS: u64 = 250;
 /// The commit number and term, which each commit is conditioned on.
 const SEQ_KEY: &str = "mg/seq";
+/// The owners, the newest last, of which only the newest and those lately before it are kept.
+const OWNERS_KEY: &str = "mg/owners";
 /// The workers that may run something.
 const WORKERS_KEY: &str = "mg/workers";
 
@@ -63,8 +64,8 @@
     key: Revision,
     /// When ownership was confirmed last, on the clock that counts suspends.
     confirmed: Cell<u64>,
-    /// Whether all earlier owners have certainly ended.
-    alone: bool,
+    /// Earlier owners that may still act.
+    elders: Vec<Owner>,
 }
 
 fn compare(key: &str, pair: Option<&Pair>) -> Compare {
@@ -120,8 +121,12 @@
 
     /// Tries to become the owner.
     async fn claim(&self) -> Option<Tenure> {
-        let former = self.store.get(OWNER_KEY).await.ok()?;
-        let mut alone = false;
+        let (former, seq, owners) = tokio::join!(
+            self.store.get(OWNER_KEY),
+            self.store.get(SEQ_KEY),
+            self.store.get(OWNERS_KEY),
+        );
+        let (former, seq, owners) = (former.ok()?, seq.ok()?, owners.ok()?);
         if let Some(pair) = &former {
             let owner: Owner = decode(pair)?;
             // Only an earlier life of this daemon is certainly gone.
@@ -129,15 +134,16 @@
                 self.view.send_modify(|v| v.vacant = false);
                 return None;
             }
-            // Owners before it have given up by then.
-            alone = wall_ms().saturating_sub(owner.since) > SETTLED_MS;
         }
         let confirmed = boot_ms();
         let lease = self.grant(OWNER_LEASE_S).await?;
-        let seq = self.store.get(SEQ_KEY).await.ok()?;
         let last: Seq = decode_or_default(seq.as_ref())
             .inspect_err(|e| log::error!(error:% = e; "the last commit's number can't be read"))
             .ok()?;
+        let owners: Vec<Owner> = decode_or_default(owners.as_ref())
+            .inspect_err(|e| log::error!(error:% = e; "the list of owners can't be read"))
+            .ok()?;
+        let elders = may_act(&owners, &self.name, wall_ms());
         let term = last.term + 1;
         let owner = Owner {
             name: self.name.clone(),
@@ -146,6 +152,7 @@
             term,
             since: wall_ms(),
         };
+        let line: Vec<&Owner> = elders.iter().chain([&owner]).collect();
         let txn = Txn {
             when: vec![
                 compare(OWNER_KEY, former.as_ref()),
@@ -154,6 +161,7 @@
             then: vec![
                 Op::Put(OWNER_KEY.to_owned(), encode(&owner), lease),
                 Op::Put(SEQ_KEY.to_owned(), encode(&Seq { term, number: 0 }), 0),
+                Op::Put(OWNERS_KEY.to_owned(), encode(&line), 0),
             ],
             other: Vec::new(),
         };
@@ -175,7 +183,7 @@
             seq: Cell::new(revision),
             key: revision,
             confirmed: Cell::new(confirmed),
-            alone,
+            elders,
         })
     }
 
@@ -215,7 +223,7 @@
                 Vec::new()
             }),
             inherited: tenure.term > 1,
-            alone: tenure.alone,
+            alone: tenure.elders.is_empty(),
         };
         let Some(policy) = self.policy() else {
             return;
@@ -233,6 +241,10 @@
             spawn_local(Rc::clone(self).pass_policies(inputs.clone())),
         ]
         .map(Abort);
+        let asking = (!tenure.elders.is_empty()).then(|| {
+            let elders = tenure.elders.clone();
+            Abort(spawn_local(Rc::clone(self).outlive(elders, inputs.clone())))
+        });
         *self.engine.borrow_mut() = Some(inputs.clone());
         self.term.set(Some(tenure.term));
         self.metrics
@@ -242,7 +254,7 @@
         self.term.set(None);
         self.metrics.term.set(0);
         *self.engine.borrow_mut() = None;
-        drop((watches, renewal));
+        drop((watches, renewal, asking));
         self.hand_over(&tenure).await;
     }
 
--- /dev/null
+++ b/marigoldgladed/src/batch/owner/elders.rs
@@ -0,0 +1,65 @@
+//! Owners before this one: whether they may still act, as they themselves tell.
+
+use std::rc::Rc;
+
+use marigoldglade::batch::engine::{BLIND_MS, Event};
+use marigoldglade::batch::talk::{Message, Owner};
+use marigoldglade::time::UnixMs;
+use tokio::sync::mpsc;
+
+use crate::batch::owner::{Input, ORDER_MARGIN_MS};
+use crate::batch::{Node, clock};
+
+/// The time that an earlier owner has to answer, in milliseconds; source: many times a round trip.
+const ASK_MS: u64 = 400;
+/// The pause before it is asked again, in milliseconds.
+const AGAIN_MS: u64 = 300;
+
+/// What an earlier owner's answer says about it.
+enum Fate {
+    /// Another process runs in its place.
+    Gone,
+    /// Its process has given the ownership up.
+    Retired,
+    /// It may still act.
+    Unknown,
+}
+
+impl Node {
+    /// Asks earlier owners until all have certainly ended, and tells the engine.
+    pub(super) async fn outlive(
+        self: Rc<Self>,
+        elders: Vec<Owner>,
+        inputs: mpsc::UnboundedSender<Input>,
+    ) {
+        let end = clock::now().after(BLIND_MS);
+        for elder in elders {
+            loop {
+                if end.passed(clock::now()) {
+                    return;
+                }
+                match self.fate(&elder).await {
+                    Fate::Gone => break,
+                    Fate::Retired => {
+                        // Its last orders may be under way.
+                        clock::sleep_until(clock::now().after(ORDER_MARGIN_MS)).await;
+                        break;
+                    }
+                    Fate::Unknown => clock::sleep_until(clock::now().after(AGAIN_MS)).await,
+                }
+            }
+            log::info!(owner = elder.name.as_str(), term = elder.term; "an earlier owner has certainly ended");
+        }
+        // A closed queue means that the tenure is over.
+        let _ = inputs.send(Input::Event(Event::Alone));
+    }
+
+    async fn fate(&self, elder: &Owner) -> Fate {
+        let limit: UnixMs = clock::now().after(ASK_MS);
+        match self.peers.ask(elder.addr, Message::Who, limit).await {
+            Ok(Message::Life { life, .. }) if life != elder.life => Fate::Gone,
+            Ok(Message::Life { term, .. }) if term != Some(elder.term) => Fate::Retired,
+            Ok(_) | Err(_) => Fate::Unknown,
+        }
+    }
+}
--- a/marigoldgladed/src/batch/peers.rs
+++ b/marigoldgladed/src/batch/peers.rs
@@ -241,7 +241,13 @@
                     owner: owner.filter(|o| o.term > term),
                 }
             }
-            Message::Reply(_) | Message::Newest { .. } => Message::Reply(Reply::NotOwner),
+            Message::Who => Message::Life {
+                life: self.life,
+                term: self.term.get(),
+            },
+            Message::Reply(_) | Message::Newest { .. } | Message::Life { .. } => {
+                Message::Reply(Reply::NotOwner)
+            }
         }
     }
 }
