Pace fillers beside tasks that serve users, and keep disruption budgets

Cause: filler tasks ran unpaced beside endless tasks with a bound on their tails, and preemption stopped endless tasks without counting how many of their step were away. Both are in the platform's contracts; no deployment at hand has such tasks.

Change: batch::pace decides one pace for a worker's fillers from the tails it reports; engine::paces sends it and takes the answers; a step's budget bounds what preemption may stop of it. The stand-ins of workers learn both.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -11,6 +11,7 @@
 mod job;
 mod links;
 mod orders;
+mod paces;
 mod plan;
 mod runs;
 mod space;
--- a/marigoldglade/src/batch/engine/fleet.rs
+++ b/marigoldglade/src/batch/engine/fleet.rs
@@ -6,6 +6,7 @@
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::health::Health;
 use crate::batch::id::TaskId;
+use crate::batch::pace::Pace;
 use crate::batch::pack::RackKey;
 use crate::batch::worker::{Report, Room, Target};
 use crate::time::UnixMs;
@@ -68,6 +69,8 @@
     pub moved: UnixMs,
     /// Whether its stop was obeyed, so that it can't begin any more.
     pub barred: bool,
+    /// The pace that it was told, in percent; `None` when an earlier owner may have told it one.
+    pub pace: Option<u32>,
 }
 
 /// A worker.
@@ -103,6 +106,8 @@
     /// When it may get work again after it was found full or unhealthy.
     pub full_until: UnixMs,
     pub health: Health,
+    /// The pace of its fillers.
+    pub pace: Pace,
     /// Starts without an answer, and until when they may still be carried out.
     pub lost_starts: Vec<(TaskId, u64, UnixMs)>,
     /// Runs that this life must not begin: their starts were meant for an earlier one, whose clock
@@ -135,6 +140,7 @@
             lost: 0,
             full_until: now,
             health: Health::default(),
+            pace: Pace::default(),
             lost_starts: Vec::new(),
             bars: Vec::new(),
             bar_after: now,
@@ -202,6 +208,7 @@
         (self.lease, self.seen, self.acked, self.told) = (0, 0, 0, 0);
         self.lost = 0;
         self.health = Health::default();
+        self.pace = Pace::default();
         self.bars = self
             .lost_starts
             .drain(..)
--- a/marigoldglade/src/batch/engine/links.rs
+++ b/marigoldglade/src/batch/engine/links.rs
@@ -13,6 +13,9 @@
 pub const HOLD_WAIT_MS: u64 = 1_250;
 /// The same for a worker with urgent runs, whose stalls must show sooner, in milliseconds.
 const URGENT_WAIT_MS: u64 = 600;
+/// The same where tails must be watched, in milliseconds; source: workers' readings cover half a
+/// second.
+const TAIL_WAIT_MS: u64 = 400;
 /// The time before a hold without an answer is sent again, in milliseconds.
 const LOST_HOLD_MS: u64 = 250;
 /// The time before an idle worker without an answer is asked again, in milliseconds.
@@ -44,6 +47,7 @@
                 continue;
             }
             let urgent = busy && self.runs_urgent(key);
+            let disturbed = busy && self.has_disturbed(key);
             let worker = self.worker_mut(key);
             // A silent worker is only looked at: otherwise its leases would never be known to lapse.
             let renews = busy && worker.answered && worker.lost == 0;
@@ -54,10 +58,14 @@
             worker.lease = worker.lease.max(end);
             worker.holding = true;
             worker.renew_at = now.after(RENEW_MS);
-            let wait_ms = match (renews && !uncommitted, urgent) {
-                (true, true) => URGENT_WAIT_MS,
-                (true, false) => HOLD_WAIT_MS,
-                (false, _) => 0,
+            let wait_ms = if !renews || uncommitted {
+                0
+            } else if disturbed {
+                TAIL_WAIT_MS
+            } else if urgent {
+                URGENT_WAIT_MS
+            } else {
+                HOLD_WAIT_MS
             };
             let hold = Hold {
                 end,
@@ -104,6 +112,7 @@
             Order::Hold(hold) => self.held(key, hold, answer, out),
             Order::Start(start) => self.started(key, start, &answer),
             Order::Stop(stop) => self.stop_answered(key, stop, &answer),
+            Order::Pace(pace) => self.paced(key, pace, &answer),
         }
     }
 
@@ -200,6 +209,7 @@
         }
         self.missing(key, &report);
         self.check_stalls(key);
+        self.read_tails(key, &report, out);
         let worker = self.worker_mut(key);
         if !worker.answered {
             worker.answered = true;
@@ -288,6 +298,7 @@
             percent: row.percent,
             moved: now,
             barred: false,
+            pace: None,
         };
         self.worker_mut(key).insert(row.task, run);
         log::info!(task:% = row.task, run = row.run, worker = self.worker(key).target.name.as_str(); "run taken on from an earlier owner");
--- /dev/null
+++ b/marigoldglade/src/batch/engine/paces.rs
@@ -0,0 +1,95 @@
+//! Fillers beside tasks that serve users: their pace follows the tails that workers report.
+
+use std::sync::Arc;
+
+use crate::batch::engine::fleet::{Run, Stage};
+use crate::batch::engine::{Action, Engine, WorkerKey};
+use crate::batch::id::TaskId;
+use crate::batch::pace::FULL_PERCENT;
+use crate::batch::spec::Step;
+use crate::batch::worker::{Answer, Order, Pace, Report};
+
+impl Engine {
+    fn step_of(&self, id: &TaskId, run: &Run) -> Option<&Step> {
+        self.jobs.get(&run.job)?.step(id)
+    }
+
+    fn runs_any(&self, key: WorkerKey, wanted: impl Fn(&Step) -> bool) -> bool {
+        let mut runs = self.worker(key).runs.iter();
+        runs.any(|(id, run)| self.step_of(id, run).is_some_and(&wanted))
+    }
+
+    /// Returns whether fillers run beside tasks with a bound on their tails, or are held back.
+    pub(super) fn has_disturbed(&self, key: WorkerKey) -> bool {
+        let slowed = self.worker(key).pace.percent < FULL_PERCENT;
+        self.runs_any(key, |s| s.filler) && (slowed || self.runs_any(key, |s| s.tail_ms > 0))
+    }
+
+    /// Reads the tails of a report, and paces the worker's fillers.
+    pub(super) fn read_tails(&mut self, key: WorkerKey, report: &Report, out: &mut Vec<Action>) {
+        if !self.runs_any(key, |s| s.filler) {
+            return;
+        }
+        let worker = self.worker(key);
+        let tails = report.running.iter().filter_map(|row| {
+            let run = worker.runs.get(&row.task).filter(|r| r.run == row.run)?;
+            let bound = self.step_of(&row.task, run)?.tail_ms;
+            (row.load? * 100).checked_div(bound)
+        });
+        let worst = match tails.max() {
+            Some(worst) => worst,
+            None if self.runs_any(key, |s| s.tail_ms > 0) => return,
+            // Nothing is disturbed any more.
+            None => 0,
+        };
+        let now = self.now;
+        let worker = self.worker_mut(key);
+        if worker.pace.read(worst, now) {
+            log::info!(
+                worker = worker.target.name.as_str(), tail_percent = worst,
+                pace = worker.pace.percent;
+                "pace of fillers changed"
+            );
+        }
+        self.pace_fillers(key, out);
+    }
+
+    /// Tells each filler the pace that it doesn't have.
+    fn pace_fillers(&mut self, key: WorkerKey, out: &mut Vec<Action>) {
+        let percent = self.worker(key).pace.percent;
+        let off = |(id, run): &(&TaskId, &Run)| {
+            run.stage == Stage::Running
+                && run.pace != Some(percent)
+                && self.step_of(id, run).is_some_and(|s| s.filler)
+        };
+        let worker = self.worker(key);
+        let fillers = worker.runs.iter().filter(off);
+        let orders: Vec<Pace> = fillers
+            .map(|(id, run)| Pace {
+                task: *id,
+                run: run.run,
+                percent,
+                term: self.term,
+            })
+            .collect();
+        for order in orders {
+            let target = Arc::clone(&self.worker(key).target);
+            out.push(Action::Order(key, target, Order::Pace(order)));
+        }
+    }
+
+    /// Takes the answer to a change of pace; one without effect is sent again after the next report.
+    pub(super) fn paced(&mut self, key: WorkerKey, order: &Pace, answer: &Answer) {
+        match answer {
+            Answer::Obeyed(clock) => {
+                self.read_clock(key, Some(*clock));
+                let run = self.worker_mut(key).runs.get_mut(&order.task);
+                if let Some(run) = run.filter(|r| r.run == order.run) {
+                    run.pace = Some(order.percent);
+                }
+            }
+            Answer::Refused(_, clock) => self.read_clock(key, *clock),
+            Answer::Report(_) | Answer::Lost => {}
+        }
+    }
+}
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -5,6 +5,7 @@
 use crate::batch::engine::fleet::{Run, Stage};
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
+use crate::batch::pace::FULL_PERCENT;
 use crate::batch::worker::{Order, Start, Stop};
 
 /// How long a start is valid, in milliseconds; source: below the shortest delay with which a lost
@@ -49,6 +50,7 @@
             percent: 0,
             moved: now,
             barred: false,
+            pace: Some(FULL_PERCENT),
         };
         self.worker_mut(key).insert(id, run);
         self.send_start(key, &id, out);
--- a/marigoldglade/src/batch/engine/space.rs
+++ b/marigoldglade/src/batch/engine/space.rs
@@ -19,6 +19,8 @@
 const STOP_COST_MS: u64 = 500;
 /// What a stop of a run with checkpoints throws away at most, in milliseconds.
 const CHECKPOINT_COST_MS: u64 = 600;
+/// The progress at which an endless task has started up, in percent; source: the platform's reports.
+const AT_WORK_PERCENT: u32 = 100;
 /// How long a rack is kept free for one gang at most, in milliseconds; source: about the longest
 /// task of the deployments.
 const RESERVE_MS: u64 = 9_000;
@@ -155,6 +157,7 @@
             return false;
         };
         let mut groups: BTreeMap<(JobKey, u32, u16, u32), u32> = BTreeMap::new();
+        let mut budgets: HashMap<(JobKey, u32, u16), u32> = HashMap::new();
         let mut victims: Vec<Victim> = Vec::new();
         let mut members: Vec<(u32, WorkerKey, TaskId)> = Vec::new();
         for key in self.worker_keys() {
@@ -171,6 +174,15 @@
                 let Some(step) = job.step(id) else {
                     continue;
                 };
+                if step.may_miss > 0 {
+                    let left = budgets
+                        .entry((run.job, id.round, id.step))
+                        .or_insert_with(|| self.budget_left(id, run.job, step));
+                    let Some(rest) = left.checked_sub(1) else {
+                        continue;
+                    };
+                    *left = rest;
+                }
                 let member = if step.gang { u32::MAX } else { id.index };
                 let next = u32::try_from(groups.len()).unwrap_or(u32::MAX);
                 let group = *groups
@@ -222,6 +234,20 @@
         true
     }
 
+    /// Returns how many more tasks of a step may be away by the scheduler's doing.
+    fn budget_left(&self, id: &TaskId, key: JobKey, step: &Step) -> u32 {
+        let at_work = |(other, run): &(&TaskId, &Run)| {
+            run.job == key
+                && (other.round, other.step) == (id.round, id.step)
+                && run.stage == Stage::Running
+                && run.percent >= AT_WORK_PERCENT
+        };
+        let runs = self.workers.iter().flat_map(|w| &w.runs);
+        let here = u32::try_from(runs.filter(at_work).count()).unwrap_or(u32::MAX);
+        step.may_miss
+            .saturating_sub(step.count.saturating_sub(here))
+    }
+
     /// Keeps the rack free that will soonest hold a gang that found no place.
     pub(super) fn reserve(&mut self, unit: Unit, bins: &[Bin], need: &Need) {
         if !need.one_rack || !fits_a_rack(bins, need) {
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -133,6 +133,9 @@
     pub saved: String,
     /// How much of its work is done, in percent.
     pub percent: u32,
+    /// What it did in the last half second: for a task that serves users, the tail of its response
+    /// times in milliseconds; for others, the processor time in thousandths of a core.
+    pub load: Option<u64>,
 }
 
 /// A run that a worker lists as ended.
@@ -235,6 +238,19 @@
     pub term: u64,
 }
 
+/// A change of the speed at which a run works, and disturbs others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: u64,
+    /// The share of its full speed, in percent.
+    pub percent: u32,
+    /// The owner's term.
+    pub term: u64,
+}
+
 /// A renewal of all leases of a worker, which also acknowledges ends and asks for news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hold {
@@ -257,4 +273,6 @@
     Stop(Stop),
     /// Extend leases and report.
     Hold(Hold),
+    /// Change a run's speed.
+    Pace(Pace),
 }
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -314,7 +314,7 @@
         if lost {
             let limit = match &order {
                 Order::Hold(h) => h.wait_ms + 600,
-                Order::Start(_) | Order::Stop(_) => 500,
+                Order::Start(_) | Order::Stop(_) | Order::Pace(_) => 500,
             };
             let event = Event::Answer(worker, order.clone(), Answer::Lost);
             self.at(self.now + limit, Happening::Hear(seat, Box::new(event)));
@@ -381,7 +381,7 @@
                 let wait = match (&order, &answer) {
                     (_, None) => match &order {
                         Order::Hold(h) => h.wait_ms + 600,
-                        Order::Start(_) | Order::Stop(_) => 500,
+                        Order::Start(_) | Order::Stop(_) | Order::Pace(_) => 500,
                     },
                     // A long poll that finds no end waits.
                     (Order::Hold(h), Some(Answer::Report(r))) if r.ended.is_empty() => {
@@ -680,6 +680,6 @@
 fn hold_of(order: &Order) -> marigoldglade::batch::worker::Hold {
     match order {
         Order::Hold(h) => *h,
-        Order::Start(_) | Order::Stop(_) => unreachable!("only holds wait"),
+        Order::Start(_) | Order::Stop(_) | Order::Pace(_) => unreachable!("only holds wait"),
     }
 }
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -10,10 +10,11 @@
 use marigoldglade::batch::pack::{Bin, Need, RackKey, place_all, place_gang, place_one};
 use marigoldglade::batch::preempt::{Victim, make_room};
 use marigoldglade::batch::rank::{Outlook, Want, outlook, rank};
-use marigoldglade::batch::spec::Step;
+use marigoldglade::batch::spec::{JobSpec, Step};
 use marigoldglade::batch::talk::Shown;
 use marigoldglade::batch::worker::Room;
 use marigoldglade::time::UnixMs;
+use rstest::rstest;
 use world::{World, job_id, spec, step};
 
 const WHOLE: Room = Room {
@@ -243,3 +244,115 @@
     assert_eq!(w.status(1), Some(Shown::Failed));
     assert!(w.failed.values().all(|n| *n <= 2));
 }
+
+/// A job whose tasks serve users: their tail alone, and what each filler beside them adds.
+fn serving(count: u32, accels: u64, tail: &str, bound_ms: u64, may_miss: u32) -> JobSpec {
+    let step = Step {
+        endless: true,
+        tail_ms: bound_ms,
+        may_miss,
+        ..step(count, accels, 0)
+    };
+    JobSpec {
+        text: format!("tail_ms={tail}"),
+        ..spec(vec![step])
+    }
+}
+
+#[rstest]
+#[case::four_fillers_disturb(15, 50)]
+#[case::each_disturbs_much(100, 60)]
+#[case::none_disturbs(1, 50)]
+fn fillers_slow_down_beside_tasks_that_serve_users(#[case] added: u64, #[case] bound_ms: u64) {
+    let mut w = World::new(24, 1, 1);
+    let tail = format!("20+{added}");
+    w.submit(
+        1,
+        "urgent",
+        "w0",
+        serving(1, 1, &tail, bound_ms, 0),
+        900_000,
+    );
+    let filler = Step {
+        filler: true,
+        ..step(4, 1, 60_000)
+    };
+    w.submit(2, "survey", "w1", spec(vec![filler]), 60_000);
+    let mut over = 0;
+    let mut longest = 0;
+    let mut work = 0;
+    for _ in 0..200 {
+        w.run_for(100);
+        let worker = &w.workers["worker-0-0"];
+        let mut runs = worker.runs.values();
+        let tail = runs.find_map(|r| worker.tail(r)).unwrap_or(0);
+        over = if tail > bound_ms { over + 100 } else { 0 };
+        longest = longest.max(over);
+        let fillers = worker.runs.values().filter(|r| r.tail.is_none());
+        work += fillers.map(|r| u64::from(r.pace)).sum::<u64>();
+    }
+    // The platform's bound is 4 s; a reading and a fall each take half a second.
+    assert!(longest < 4_000, "over the bound for {longest} ms");
+    assert!(work > 0, "fillers don't work at all");
+    if added == 1 {
+        assert!(work > 200 * 4 * 90, "fillers were slowed needlessly");
+    }
+}
+
+#[test]
+fn a_new_owner_takes_fillers_back_to_the_pace_that_it_knows() {
+    let mut w = World::new(25, 1, 1);
+    w.submit(1, "urgent", "w0", serving(1, 1, "20+30", 50, 0), 900_000);
+    let filler = Step {
+        filler: true,
+        ..step(2, 1, 60_000)
+    };
+    w.submit(2, "survey", "w1", spec(vec![filler]), 60_000);
+    w.run_for(4_000);
+    w.submit(3, "survey", "w1", spec(vec![step(1, 1, 500)]), 500);
+    w.kill_owner();
+    w.run_for(1_000);
+    w.elect();
+    // The serving task is cancelled: nothing holds the fillers back any more.
+    w.cancel(1);
+    w.run_for(4_000);
+    let fillers = w.workers["worker-0-0"].runs.values();
+    let paces: Vec<u32> = fillers
+        .filter(|r| r.tail.is_none())
+        .map(|r| r.pace)
+        .collect();
+    assert!(paces.iter().all(|p| *p == 100), "{paces:?}");
+}
+
+#[rstest]
+#[case::one_may_be_away(1, 1)]
+#[case::two_may_be_away(2, 2)]
+fn urgent_work_takes_no_more_of_a_serving_step_than_its_budget(
+    #[case] may_miss: u32,
+    #[case] most: usize,
+) {
+    let mut w = World::new(26, 1, 4);
+    w.submit(
+        1,
+        "survey",
+        "w1",
+        serving(4, 8, "20+0", 0, may_miss),
+        900_000,
+    );
+    w.run_for(2_000);
+    w.submit(
+        2,
+        "urgent",
+        "w0",
+        spec(vec![gang(step(3, 8, 9_000))]),
+        9_000,
+    );
+    w.submit(3, "urgent", "w0", spec(vec![step(4, 8, 9_000)]), 9_000);
+    for _ in 0..60 {
+        w.run_for(50);
+        let runs = w.workers.values().flat_map(|worker| worker.runs.values());
+        let serving = runs.filter(|r| r.tail.is_some()).count();
+        assert!(serving >= 4 - most, "only {serving} tasks serve");
+    }
+    assert!(w.stops > 0, "the budget isn't used");
+}
--- a/marigoldgladed/src/batch/metrics.rs
+++ b/marigoldgladed/src/batch/metrics.rs
@@ -120,6 +120,7 @@
             Order::Start(_) => "start",
             Order::Stop(_) => "stop",
             Order::Hold(_) => "hold",
+            Order::Pace(_) => "pace",
         };
         self.order_times
             .get_or_create(&vec![("order", kind.to_owned())])
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -126,7 +126,7 @@
         spawn_local(async move {
             let _turn = match order {
                 Order::Hold(_) => None,
-                Order::Start(_) | Order::Stop(_) => lane.acquire().await.ok(),
+                Order::Start(_) | Order::Stop(_) | Order::Pace(_) => lane.acquire().await.ok(),
             };
             let answer = send_order(&node, &target, &order).await;
             let _ = inputs.send(Input::Event(Event::Answer(worker, order, answer)));
@@ -152,7 +152,7 @@
 async fn send_order(node: &Node, target: &Target, order: &Order) -> Answer {
     let limit = match order {
         Order::Hold(hold) => hold.wait_ms + HOLD_MARGIN_MS,
-        Order::Start(_) | Order::Stop(_) => ORDER_MS,
+        Order::Start(_) | Order::Stop(_) | Order::Pace(_) => ORDER_MS,
     };
     let request = match platform::worker::encode(order, &target.name, &target.addr.to_string()) {
         Ok(request) => request,
--- a/marigoldgladed/tests/platform.rs
+++ b/marigoldgladed/tests/platform.rs
@@ -10,6 +10,7 @@
 use cluster::{Cluster, job, until};
 use platform_standin::store::Mood;
 use rstest::rstest;
+use serde_json::json;
 
 #[test]
 fn a_job_is_submitted_run_and_shown_as_completed_by_every_daemon() {
@@ -218,6 +219,20 @@
     assert_eq!(c.began(), 4);
 }
 
+#[test]
+fn a_filler_beside_a_task_that_serves_users_is_slowed_down() {
+    let c = Cluster::new(1, 1);
+    let serving = json!({"spec": "run_ms=60000 tail_ms=20+100", "steps": [
+        {"count": 1, "cpu": 500, "mem_mb": 256, "long_running": true, "target_ms": 50, "image": "web"}]});
+    let filler = json!({"spec": "run_ms=60000", "steps": [
+        {"count": 1, "cpu": 500, "mem_mb": 256, "estimate_ms": 60000, "fills": true}]});
+    assert_eq!(c.daemons[0].submit(13, &serving), 200);
+    assert_eq!(c.daemons[0].submit(14, &filler), 200);
+    until("the slower filler", || {
+        c.workers[0].paces().iter().any(|pace| *pace < 100)
+    });
+}
+
 #[test]
 fn a_broken_registry_entry_hides_its_worker_and_no_other() {
     let c = Cluster::new(1, 1);
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -6,7 +6,7 @@
 
 use marigoldglade::batch::id::TaskId;
 use marigoldglade::batch::worker::{
-    Answer, Ended, Hold, How, Order, Refusal, Report, Room, Running, Start, Stop, Target,
+    Answer, Ended, Hold, How, Order, Pace, Refusal, Report, Room, Running, Start, Stop, Target,
 };
 
 /// A run on a worker.
@@ -24,6 +24,11 @@
     pub fails: bool,
     /// When a stop takes effect, on the world's clock.
     pub stop_at: Option<u64>,
+    /// Its speed in percent.
+    pub pace: u32,
+    /// The response times of a run that serves users: alone, and added by each filler at full speed,
+    /// in milliseconds.
+    pub tail: Option<(u64, u64)>,
 }
 
 /// What happened on a worker, for the world's checks.
@@ -67,6 +72,13 @@
     pub notes: Vec<Note>,
 }
 
+/// Reads `tail_ms=ALONE+ADDED` from the text of a task that serves users.
+fn read_tail(text: &str) -> Option<(u64, u64)> {
+    let mut words = text.split_whitespace();
+    let (alone, added) = words.find_map(|w| w.strip_prefix("tail_ms=")?.split_once('+'))?;
+    Some((alone.parse().ok()?, added.parse().ok()?))
+}
+
 /// The worker's steady clock is a little slow.
 fn slow(ms: u64) -> u64 {
     ms - ms / 50
@@ -197,6 +209,7 @@
             Order::Start(s) => s.term,
             Order::Stop(s) => s.term,
             Order::Hold(h) => h.term,
+            Order::Pace(p) => p.term,
         };
         if term < self.term {
             return Answer::Refused(Refusal::Fenced, Some(clock));
@@ -206,6 +219,7 @@
             Order::Start(s) => self.start(now, clock, s, work),
             Order::Stop(s) => self.stop(now, clock, s),
             Order::Hold(h) => self.hold(now, clock, h),
+            Order::Pace(p) => self.pace(clock, p),
         }
     }
 
@@ -239,6 +253,8 @@
             work_ms,
             fails,
             stop_at: None,
+            pace: 100,
+            tail: read_tail(&s.text),
         };
         self.runs.insert(s.task, run);
         self.notes.push(Note::Began(s.task, s.run));
@@ -258,6 +274,25 @@
         Answer::Obeyed(clock)
     }
 
+    fn pace(&mut self, clock: u64, p: &Pace) -> Answer {
+        match self.runs.get_mut(&p.task).filter(|r| r.run == p.run) {
+            Some(run) => {
+                run.pace = p.percent;
+                Answer::Obeyed(clock)
+            }
+            None => Answer::Refused(Refusal::Superseded, Some(clock)),
+        }
+    }
+
+    /// Returns the tail of a run that serves users, in milliseconds.
+    #[must_use]
+    pub fn tail(&self, run: &StandinRun) -> Option<u64> {
+        let (alone, added) = run.tail?;
+        let fillers = self.runs.values().filter(|r| r.tail.is_none());
+        let speed: u64 = fillers.map(|r| u64::from(r.pace)).sum();
+        Some(alone + added * speed / 100)
+    }
+
     fn hold(&mut self, now: u64, clock: u64, h: &Hold) -> Answer {
         self.lease = self.lease.max(h.end);
         let before = self.ended.len();
@@ -269,6 +304,10 @@
             if self.hung {
                 return 0;
             }
+            // What serves users is at work at once.
+            if r.tail.is_some() {
+                return 100;
+            }
             u32::try_from((now - r.began) * 100 / r.work_ms.max(1))
                 .unwrap_or(100)
                 .min(99)
@@ -278,6 +317,7 @@
             run: r.run,
             saved: String::new(),
             percent: percent(r),
+            load: self.tail(r),
         });
         Answer::Report(Report {
             clock,
