Serve queues whose workers a placement adviser chooses

Cause: such queues were answered 503.

Change: batch::advice keeps what the adviser said of each step, engine::advise asks one question at a time for the most urgent step that its allowed workers don't hold; starts carry the ticket. platform/advice.rs has the formats, the settings the adviser's address.

Before: 503 (read in the front; no test).

--- /dev/null
+++ b/marigoldglade/src/batch/advice.rs
@@ -0,0 +1,86 @@
+//! Which workers may run a step, where a placement adviser decides that.
+//!
+//! Lists of allowed workers with their tickets flow in; the worker's ticket, and which workers to ask
+//! about next, flow out.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::batch::engine::WorkerKey;
+use crate::time::UnixMs;
+
+/// The workers of one question; source: the platform counts a question about 30 workers as part of
+/// each job's objective.
+pub const ASK_LIMIT: usize = 30;
+/// The workers of one question for a wide step; source: the adviser takes a hundred.
+pub const WIDE_ASK_LIMIT: usize = 100;
+/// What a ticket must still be valid for when it is used, in milliseconds; source: above the time
+/// that a start takes, with its answer lost once.
+const TICKET_MARGIN_MS: u64 = 1_200;
+
+/// A worker's permission to run a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Grant {
+    ticket: String,
+    /// The worker's life for which it holds.
+    life: u64,
+    end: UnixMs,
+}
+
+/// What is known of one step.
+#[derive(Clone, Debug, Default)]
+pub struct Advice {
+    grants: BTreeMap<WorkerKey, Grant>,
+    /// Lives of workers that may not run the step, which never changes.
+    barred: BTreeSet<(WorkerKey, u64)>,
+}
+
+impl Advice {
+    /// Returns the ticket of a worker's life for the step.
+    #[must_use]
+    pub fn ticket(&self, worker: WorkerKey, life: u64, now: UnixMs) -> Option<&str> {
+        let grant = self.grants.get(&worker)?;
+        let holds = grant.life == life && !grant.end.passed(now.after(TICKET_MARGIN_MS));
+        holds.then_some(grant.ticket.as_str())
+    }
+
+    /// Takes the answer to a question about lives of workers: the allowed among them, with tickets
+    /// that hold until `end`.
+    pub fn answered(
+        &mut self,
+        asked: &[(WorkerKey, u64)],
+        allowed: &[(WorkerKey, String)],
+        end: UnixMs,
+    ) {
+        for (worker, life) in asked {
+            match allowed.iter().find(|(w, _)| w == worker) {
+                Some((_, ticket)) => {
+                    let (ticket, life) = (ticket.clone(), *life);
+                    self.grants.insert(*worker, Grant { ticket, life, end });
+                }
+                None => {
+                    self.barred.insert((*worker, *life));
+                }
+            }
+        }
+    }
+
+    /// Forgets a ticket that a worker refused.
+    pub fn refused(&mut self, worker: WorkerKey) {
+        self.grants.remove(&worker);
+    }
+
+    /// Returns which of the candidates, the best first, to ask about for `count` tasks.
+    #[must_use]
+    pub fn question(
+        &self,
+        candidates: &[(WorkerKey, u64)],
+        count: usize,
+        now: UnixMs,
+    ) -> Vec<(WorkerKey, u64)> {
+        let open = |(worker, life): &&(WorkerKey, u64)| {
+            !self.barred.contains(&(*worker, *life)) && self.ticket(*worker, *life, now).is_none()
+        };
+        let most = (2 * count).clamp(ASK_LIMIT, WIDE_ASK_LIMIT);
+        candidates.iter().filter(open).take(most).copied().collect()
+    }
+}
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -4,6 +4,7 @@
 //! answers flow out as [`Action`]s. What callers are told and what workers forget is on record
 //! before: answers and acknowledgements wait for the commit that covers them.
 
+mod advise;
 mod calls;
 mod commit;
 mod ends;
@@ -19,7 +20,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::batch::id::JobId;
+use crate::batch::advice::Advice;
+use crate::batch::id::{JobId, TaskId};
 use crate::batch::pack::RackKey;
 use crate::batch::policy::{Policy, Queue};
 use crate::batch::record::Record;
@@ -27,6 +29,7 @@
 use crate::batch::worker::{Answer, Order, Target};
 use crate::time::UnixMs;
 
+use advise::{Question, StepKey};
 use commit::Flight;
 pub use fleet::BLIND_MS;
 use fleet::Worker;
@@ -98,6 +101,9 @@
     Stored(u64, Stored),
     /// All earlier owners have certainly ended.
     Alone,
+    /// The placement adviser's answer: allowed workers with tickets, and how long these hold in
+    /// milliseconds; `None` when there was no answer.
+    Advised(Option<(Vec<(String, String)>, u64)>),
     /// Time passed.
     Tick,
 }
@@ -126,6 +132,16 @@
     Commit(Batch),
     /// Answer a call.
     Reply(Ticket, Reply),
+    /// Ask the placement adviser which workers may run the step of a task; the answer comes back as
+    /// [`Event::Advised`], at the latest at `end`.
+    Advise {
+        /// A task of the step.
+        step: TaskId,
+        /// The workers' names.
+        workers: Vec<String>,
+        /// When the answer is given up.
+        end: UnixMs,
+    },
     /// A newer owner exists: do nothing more.
     StepDown,
 }
@@ -198,6 +214,11 @@
     reserved: Option<plan::Reservation>,
     /// Room kept for work while runs there stop.
     claims: Vec<plan::Claim>,
+    /// What the placement adviser said of steps.
+    advice: HashMap<StepKey, Advice>,
+    /// The question to it that is under way, and when the next may be sent.
+    question: Option<Question>,
+    ask_after: UnixMs,
     /// Jobs that their workspaces' guarantees cover, as of the last plan.
     covered: HashSet<JobKey>,
     counts: Counts,
@@ -249,6 +270,9 @@
             look: true,
             reserved: None,
             claims: Vec::new(),
+            advice: HashMap::new(),
+            question: None,
+            ask_after: now,
             covered: HashSet::new(),
             counts: Counts::default(),
             now,
@@ -275,6 +299,7 @@
             Event::Answer(worker, order, answer) => self.answer(worker, &order, answer, out),
             Event::Stored(number, stored) => self.stored(number, stored, out),
             Event::Alone => self.settle_doubts(),
+            Event::Advised(answer) => self.advised(answer),
             Event::Tick => self.expire(),
         }
         if self.replan && self.plan_after.passed(self.now) {
--- /dev/null
+++ b/marigoldglade/src/batch/engine/advise.rs
@@ -0,0 +1,121 @@
+//! Questions to the placement adviser: one at a time, the most urgent step first.
+
+use std::cmp::Reverse;
+
+use crate::batch::advice::Advice;
+use crate::batch::engine::plan::Unit;
+use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
+use crate::batch::id::TaskId;
+use crate::batch::pack::{Bin, Need};
+use crate::time::UnixMs;
+
+/// The pause after a question without an answer, in milliseconds.
+const AGAIN_MS: u64 = 200;
+
+/// A step of a round, which the adviser judges.
+pub(super) type StepKey = (JobKey, u32, u16);
+
+/// A question under way.
+pub(super) struct Question {
+    step: StepKey,
+    asked: Vec<(WorkerKey, u64)>,
+    sent: UnixMs,
+}
+
+impl Engine {
+    /// Returns the worker's ticket for a step of a queue with advice; `None` bars it for now.
+    pub(super) fn ticket(&self, step: StepKey, key: WorkerKey) -> Option<&str> {
+        let advice = self.advice.get(&step)?;
+        advice.ticket(key, self.worker(key).target.born, self.now)
+    }
+
+    /// Asks which of the workers that could take a unit are allowed to.
+    ///
+    /// `bins` are those that fit; the ones with room now are asked about first.
+    pub(super) fn ask_adviser(
+        &mut self,
+        unit: Unit,
+        bins: &[Bin],
+        need: &Need,
+        out: &mut Vec<Action>,
+    ) {
+        if self.question.is_some() || !self.ask_after.passed(self.now) {
+            return;
+        }
+        let Some(job) = self.jobs.get(&unit.job) else {
+            return;
+        };
+        let Some(cost) = job.record.queue.advice else {
+            return;
+        };
+        let id = job.record.id;
+        let mut bins = bins.to_vec();
+        bins.sort_by_key(|b| {
+            let far = need.near.is_some_and(|rack| rack != b.rack);
+            (
+                !b.free.fits(&need.room),
+                far,
+                b.grade,
+                Reverse(b.free.accels),
+            )
+        });
+        let life = |b: &Bin| (b.worker, self.worker(b.worker).target.born);
+        let candidates: Vec<(WorkerKey, u64)> = bins.iter().map(life).collect();
+        let step = (unit.job, unit.round, unit.step);
+        let count = usize::try_from(need.count).unwrap_or(usize::MAX);
+        let advice = self.advice.entry(step).or_default();
+        let asked = advice.question(&candidates, count, self.now);
+        if asked.is_empty() {
+            return;
+        }
+        let names = asked
+            .iter()
+            .map(|(key, _)| self.worker(*key).target.name.clone());
+        let workers: Vec<String> = names.collect();
+        log::info!(job = id.as_str(), round = unit.round, step = unit.step, workers = workers.len(); "asking the placement adviser");
+        let limit_ms = cost.limit_ms(workers.len());
+        self.question = Some(Question {
+            step,
+            asked,
+            sent: self.now,
+        });
+        out.push(Action::Advise {
+            step: TaskId {
+                job: id,
+                round: unit.round,
+                step: unit.step,
+                index: 0,
+            },
+            workers,
+            end: self.now.after(limit_ms),
+        });
+    }
+
+    /// Takes the adviser's answer: the allowed workers with their tickets, and for how long those hold
+    /// in milliseconds; `None` when there was no answer.
+    pub(super) fn advised(&mut self, answer: Option<(Vec<(String, String)>, u64)>) {
+        let Some(question) = self.question.take() else {
+            return;
+        };
+        self.replan = true;
+        let Some((allowed, valid_ms)) = answer else {
+            log::warn!("the placement adviser didn't answer");
+            self.ask_after = self.now.after(AGAIN_MS);
+            return;
+        };
+        let allowed = allowed
+            .into_iter()
+            .filter_map(|(name, ticket)| Some((*self.names.get(&name)?, ticket)));
+        let allowed: Vec<(WorkerKey, String)> = allowed.collect();
+        let job = self.jobs.get(&question.step.0);
+        log::info!(
+            job = job.map_or("", |j| j.record.id.as_str()), step = question.step.2,
+            asked = question.asked.len(), allowed = allowed.len(), valid_ms,
+            took_ms = self.now.since(question.sent);
+            "the placement adviser answered"
+        );
+        let advice: &mut Advice = self.advice.entry(question.step).or_default();
+        // Tickets hold from when they were made, which the question's sending bounds from below.
+        advice.answered(&question.asked, &allowed, question.sent.after(valid_ms));
+    }
+}
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -134,6 +134,12 @@
             }
             _ => {}
         }
+        if why == Refusal::Ticket
+            && let Some(job) = self.ids.get(&task.job)
+            && let Some(advice) = self.advice.get_mut(&(*job, task.round, task.step))
+        {
+            advice.refused(key);
+        }
         if matches!(why, Refusal::Invalid | Refusal::Ticket)
             && let Some((_, job)) = self.job_mut(task.job)
             && let Some(task) = job.task(task)
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -5,7 +5,7 @@
 use crate::batch::engine::job::{Job, Task};
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
-use crate::batch::pack::{Need, RackKey, place_gang, place_some};
+use crate::batch::pack::{Need, RackKey, capacity, place_gang, place_some};
 use crate::batch::rank::{Rank, Want, rank};
 use crate::batch::spec::Step;
 use crate::batch::worker::Room;
@@ -99,6 +99,8 @@
     pub guaranteed: bool,
     /// Whether only workers that nothing is known against will do.
     pub strict: bool,
+    /// The step, where a placement adviser decides for each.
+    pub advised: Option<Unit>,
     /// Whether only workers near the data will do.
     pub wait_near: bool,
 }
@@ -252,7 +254,7 @@
         for (indices, fails, avoid) in sets {
             let count = u32::try_from(indices.len()).unwrap_or(u32::MAX);
             let ask = self.ask(unit, &step, count, fails, avoid);
-            if let Some(places) = self.place(unit, &step, &ask, pass) {
+            if let Some(places) = self.place(unit, &step, &ask, pass, out) {
                 let places = indices.into_iter().zip(places).collect();
                 self.start_unit(unit, places, &ask.need, pass, out);
             }
@@ -284,6 +286,7 @@
             guaranteed: self.covered.contains(&unit.job),
             strict: fails > 0 && fails + 1 >= attempts,
             wait_near: near.is_some() && waited < patience,
+            advised: queue.advice.map(|_| unit),
         };
         Ask {
             need,
@@ -300,13 +303,25 @@
         step: &Step,
         ask: &Ask,
         pass: &mut Pass,
+        out: &mut Vec<Action>,
     ) -> Option<Vec<WorkerKey>> {
         let Ask { need, shape, .. } = ask;
         if pass.failed.contains(shape) && step.per_worker == 0 {
             return None;
         }
         let claimed = pass.unclaim(unit);
-        let all = self.bins(&unit, shape, &ask.avoid, pass);
+        let mut all = self.bins(&unit, shape, &ask.avoid, pass);
+        if shape.advised.is_some() {
+            let step = (unit.job, unit.round, unit.step);
+            let (allowed, others): (Vec<_>, Vec<_>) = all
+                .into_iter()
+                .partition(|b| self.ticket(step, b.worker).is_some());
+            // More workers are asked about while the allowed ones don't hold all tasks.
+            if capacity(&allowed, need, |b| b.free) < need.count {
+                self.ask_adviser(unit, &others, need, out);
+            }
+            all = allowed;
+        }
         let mut bins = self.open_bins(unit, step, shape, &all);
         let places = if step.gang {
             place_gang(&bins, need)
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -72,6 +72,12 @@
             .task(id)
             .map(|t| t.saved.clone())
             .filter(|_| checkpoints);
+        let ticket = self
+            .ids
+            .get(&id.job)
+            .and_then(|job| self.ticket((*job, id.round, id.step), key))
+            .unwrap_or_default()
+            .to_owned();
         let worker = self.worker_mut(key);
         let Some(clock) = worker.clock(now) else {
             return;
@@ -91,6 +97,7 @@
             run: run.run,
             text,
             saved: saved.unwrap_or_default(),
+            ticket,
             end,
             term,
         };
--- a/marigoldglade/src/batch/policy.rs
+++ b/marigoldglade/src/batch/policy.rs
@@ -23,8 +23,34 @@
     pub target_ms: u64,
     /// Whether callers need no key.
     pub open: bool,
-    /// Whether its tasks need tickets from the placement adviser.
-    pub advised: bool,
+    /// What an answer of the placement adviser takes, when its tasks need tickets.
+    #[serde(default)]
+    pub advice: Option<AdviceTime>,
+}
+
+/// How long the placement adviser takes for a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdviceTime {
+    /// For any question, in milliseconds.
+    pub base_ms: u64,
+    /// For each worker in it, in milliseconds.
+    pub worker_ms: u64,
+}
+
+/// What a question may take beyond the adviser's own time, in milliseconds; source: many times a round
+/// trip.
+const ADVICE_MARGIN_MS: u64 = 500;
+
+impl AdviceTime {
+    /// Returns how long to wait for the answer about some workers, in milliseconds.
+    #[must_use]
+    pub fn limit_ms(&self, workers: usize) -> u64 {
+        let workers = u64::try_from(workers).unwrap_or(u64::MAX);
+        let takes = self.worker_ms.saturating_mul(workers);
+        self.base_ms
+            .saturating_add(takes)
+            .saturating_add(ADVICE_MARGIN_MS)
+    }
 }
 
 impl Queue {
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -221,6 +221,8 @@
     pub text: String,
     /// The checkpoint to resume from; empty for none.
     pub saved: String,
+    /// The placement adviser's ticket; empty for none.
+    pub ticket: String,
     /// When the start lapses, on the worker's clock.
     pub end: u64,
     /// The owner's term.
--- a/marigoldglade/src/settings.rs
+++ b/marigoldglade/src/settings.rs
@@ -88,6 +88,9 @@
     pub lease_limit_ms: u64,
     /// How long ended jobs stay known, in seconds.
     pub status_s: f64,
+    /// The placement adviser, if there is one.
+    #[serde(default)]
+    pub adviser: Option<SocketAddr>,
 }
 
 /// What is logged and how.
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -9,11 +9,11 @@
     Action, Batch, Bounds, Engine, Estate, Event, InboxBody, InboxItem, Stored, Ticket, WorkerKey,
 };
 use marigoldglade::batch::id::{JobId, TaskId};
-use marigoldglade::batch::policy::{Policy, Queue, Workspace};
+use marigoldglade::batch::policy::{AdviceTime, Policy, Queue, Workspace};
 use marigoldglade::batch::record::{Record, State};
 use marigoldglade::batch::spec::{JobSpec, Step};
 use marigoldglade::batch::talk::{Call, Reply, Shown, Submission};
-use marigoldglade::batch::worker::{Answer, How, Order, Refusal, Room, Target};
+use marigoldglade::batch::worker::{Answer, How, Order, Refusal, Room, Start, Target};
 use marigoldglade::time::UnixMs;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -70,6 +70,13 @@
     stored_workers: Vec<Target>,
     pub inbox: Vec<InboxItem>,
     pub store_down: bool,
+    /// The workers that the adviser allows, how long its tickets hold, and what it gave out: the
+    /// worker, its life, the step and the end of each ticket.
+    pub allowed: BTreeSet<String>,
+    pub valid_ms: u64,
+    grants: HashMap<String, (String, u64, TaskId, u64)>,
+    pub questions: u32,
+    pub bad_tickets: u32,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     happenings: HashMap<u64, Happening>,
     next: u64,
@@ -103,7 +110,7 @@
         slack,
         target_ms,
         open: false,
-        advised: false,
+        advice: None,
     }
 }
 
@@ -114,6 +121,13 @@
             queue("urgent", 0, 1.5, 250),
             queue("sweep", 1, 3.0, 1_000),
             queue("survey", 2, 3.0, 3_000),
+            Queue {
+                advice: Some(AdviceTime {
+                    base_ms: 20,
+                    worker_ms: 1,
+                }),
+                ..queue("judged", 1, 3.0, 1_000)
+            },
         ],
         workspaces: (0..4)
             .map(|i| Workspace {
@@ -174,6 +188,11 @@
             stored_workers: Vec::new(),
             inbox: Vec::new(),
             store_down: false,
+            allowed: BTreeSet::new(),
+            valid_ms: 3_000,
+            grants: HashMap::new(),
+            questions: 0,
+            bad_tickets: 0,
             queue: BinaryHeap::new(),
             happenings: HashMap::new(),
             next: 0,
@@ -297,10 +316,45 @@
             Action::Reply(ticket, reply) => {
                 self.replies.insert(ticket, reply);
             }
+            Action::Advise { step, workers, .. } => self.advise(seat, step, &workers),
             Action::StepDown => self.seats[seat].alive = false,
         }
     }
 
+    fn advise(&mut self, seat: usize, step: TaskId, workers: &[String]) {
+        self.questions += 1;
+        let mut rows = Vec::new();
+        for name in workers.iter().filter(|w| self.allowed.contains(*w)) {
+            let ticket = format!("ticket-{}", self.grants.len());
+            let born = self.workers[name].target.born;
+            let end = self.now + self.valid_ms;
+            self.grants
+                .insert(ticket.clone(), (name.clone(), born, step, end));
+            rows.push((name.clone(), ticket));
+        }
+        let takes = 20 + u64::try_from(workers.len()).expect("few workers");
+        let event = Event::Advised(Some((rows, self.valid_ms)));
+        self.at(self.now + takes, Happening::Hear(seat, Box::new(event)));
+    }
+
+    /// Returns whether a start has the ticket that its queue demands.
+    fn admits(&self, name: &str, start: &Start) -> bool {
+        let judged = self.records.get(&start.task.job);
+        if judged.is_none_or(|r| r.queue.advice.is_none()) {
+            return true;
+        }
+        let step = TaskId {
+            index: 0,
+            ..start.task
+        };
+        let born = self.workers[name].target.born;
+        self.grants
+            .get(&start.ticket)
+            .is_some_and(|(w, b, s, end)| {
+                (w.as_str(), *b, *s) == (name, born, step) && self.now <= *end
+            })
+    }
+
     fn send(&mut self, seat: usize, worker: WorkerKey, target: &Target, order: Order) {
         let roll = self.rng.random_range(0..100);
         let delay = self.rng.random_range(1..4);
@@ -422,6 +476,10 @@
         let name = target.name.as_str();
         let works = &self.work;
         let specs = self.specs();
+        let admitted = match order {
+            Order::Start(start) => self.admits(name, start),
+            _ => true,
+        };
         let worker = self.workers.get_mut(name).expect("known worker");
         if worker.cut || worker.gone {
             return None;
@@ -432,6 +490,10 @@
         if matches!(order, Order::Stop(_)) {
             self.stops += 1;
         }
+        if !admitted {
+            self.bad_tickets += 1;
+            return Some(Answer::Refused(Refusal::Ticket, Some(worker.clock(now))));
+        }
         let failed = &self.failed;
         let answer = worker.obey(now, order, |start| {
             let (ms, fails) = works.get(&start.task.job).copied().unwrap_or((1_000, 0));
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -356,3 +356,55 @@
     }
     assert!(w.stops > 0, "the budget isn't used");
 }
+
+#[test]
+fn a_judged_gang_goes_to_allowed_workers_and_nobody_is_asked_about_twice() {
+    let mut w = World::new(27, 3, 4);
+    w.allowed = ["worker-1-0", "worker-1-2", "worker-2-3"]
+        .map(str::to_owned)
+        .into();
+    w.submit(1, "judged", "w0", spec(vec![gang(step(3, 8, 900))]), 900);
+    w.run_for(2_000);
+    assert_eq!(w.status(1), Some(Shown::Done));
+    assert_eq!((w.questions, w.bad_tickets), (1, 0));
+}
+
+#[test]
+fn judged_work_that_waits_longer_than_its_tickets_hold_gets_new_ones() {
+    let mut w = World::new(28, 1, 2);
+    w.allowed = ["worker-0-0".to_owned()].into();
+    w.submit(9, "urgent", "w0", spec(vec![step(2, 8, 6_000)]), 6_000);
+    w.run_for(200);
+    w.submit(1, "judged", "w0", spec(vec![step(2, 4, 900)]), 900);
+    w.run_for(9_000);
+    assert_eq!(w.status(1), Some(Shown::Done));
+    assert!(w.questions > 1);
+    assert_eq!(w.bad_tickets, 0);
+}
+
+#[test]
+fn a_restarted_worker_is_asked_about_anew() {
+    let mut w = World::new(29, 1, 1);
+    w.same_id = true;
+    w.allowed = ["worker-0-0".to_owned()].into();
+    w.submit(1, "judged", "w0", spec(vec![step(1, 8, 1_500)]), 1_500);
+    w.run_for(500);
+    let now = w.now;
+    w.workers.get_mut("worker-0-0").unwrap().reborn(now);
+    let seat = w.owner();
+    w.tell_registry(seat);
+    w.run_for(14_000);
+    assert_eq!(w.status(1), Some(Shown::Done));
+    assert_eq!((w.questions, w.bad_tickets), (2, 0));
+}
+
+#[test]
+fn judged_work_that_no_worker_may_run_does_not_keep_others_waiting() {
+    let mut w = World::new(30, 1, 2);
+    w.submit(1, "judged", "w0", spec(vec![step(4, 8, 900)]), 900);
+    w.submit(2, "survey", "w0", spec(vec![step(4, 8, 900)]), 900);
+    w.run_for(4_000);
+    assert_eq!(w.status(1), Some(Shown::Queued));
+    assert_eq!(w.status(2), Some(Shown::Done));
+    assert_eq!(w.questions, 1);
+}
--- a/marigoldgladed/src/batch/front.rs
+++ b/marigoldgladed/src/batch/front.rs
@@ -195,11 +195,8 @@
         Ask::Submit(id) => {
             let body = read(body, policy.limits.body_bytes, policy.limits.idle_ms).await?;
             let spec = front::job(&body)?;
-            if queue.advised {
-                return Err(Error::new(
-                    Kind::Shed,
-                    "queues with placement advice aren't served",
-                ));
+            if queue.advice.is_some() && node.platform.adviser.is_none() {
+                return Err(Error::new(Kind::Shed, "there is no placement adviser"));
             }
             let call = Call::Submit(Box::new(Submission {
                 id,
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 
 use marigoldglade::batch::engine::{Action, Batch, Engine, Event, Stored, Ticket, WorkerKey};
+use marigoldglade::batch::id::TaskId;
 use marigoldglade::batch::talk::Reply;
 use marigoldglade::batch::worker::{Answer, Order, Target};
+use marigoldglade::prelude::*;
 use marigoldglade::store::{self, Body, Compare, Done, Fault, Op, Pair, Txn};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -110,6 +112,7 @@
                         let _ = answer.send(reply);
                     }
                 }
+                Action::Advise { step, workers, end } => self.advise(step, workers, end),
                 Action::StepDown => return false,
             }
         }
@@ -133,6 +136,17 @@
         });
     }
 
+    fn advise(&mut self, step: TaskId, workers: Vec<String>, end: UnixMs) {
+        let (node, inputs) = (Rc::clone(&self.node), self.inputs.clone());
+        spawn_local(async move {
+            let answer = ask_adviser(&node, &step, &workers, end).await;
+            let answer = answer.inspect_err(
+                |e| log::warn!(job = step.job.as_str(), error:% = e; "no advice on a step's workers"),
+            );
+            let _ = inputs.send(Input::Event(Event::Advised(answer.ok())));
+        });
+    }
+
     fn commit(&mut self, batch: Batch) {
         let (node, tenure, inputs) = (
             Rc::clone(&self.node),
@@ -175,6 +189,21 @@
     }
 }
 
+async fn ask_adviser(
+    node: &Node,
+    step: &TaskId,
+    workers: &[String],
+    end: UnixMs,
+) -> Result<(Vec<(String, String)>, u64)> {
+    let adviser = node.platform.adviser;
+    let addr =
+        adviser.ok_or_else(|| Error::new(Kind::NoTarget, "there is no placement adviser"))?;
+    let request = platform::advice::encode(step, workers, &addr.to_string())?;
+    let sent = node.client.send(addr, request, end).await;
+    let response = sent.map_err(|_| Error::new(Kind::NoTarget, "the adviser can't be reached"))?;
+    platform::advice::decode(&response)
+}
+
 /// Writes one commit; returns only once its outcome is certain.
 async fn write(node: &Node, tenure: &Tenure, batch: Batch) -> Stored {
     let seq = Seq {
--- a/marigoldgladed/tests/platform.rs
+++ b/marigoldgladed/tests/platform.rs
@@ -233,6 +233,32 @@
     });
 }
 
+#[test]
+fn a_judged_step_runs_only_on_workers_that_the_adviser_allows() {
+    let c = Cluster::new(4, 1);
+    let text = "run_ms=300 advised";
+    let (status, _) = c.daemons[0].call(
+        "POST",
+        "/judged/000000000000000f",
+        "secret",
+        Some(job(text, 3).to_string().as_bytes()),
+    );
+    assert_eq!(status, 200);
+    until("a question", || c.adviser.asked() > 0);
+    assert_eq!(c.began(), 0, "nobody is allowed yet");
+    // The answer for a worker never changes, so that the next job asks anew.
+    c.adviser.allow("i-2");
+    let path = "/judged/0000000000000010";
+    let body = job(text, 3).to_string();
+    let (status, _) = c.daemons[0].call("POST", path, "secret", Some(body.as_bytes()));
+    assert_eq!(status, 200);
+    until("completion", || {
+        c.daemons[0].call("GET", path, "secret", None).1["state"] == "completed"
+    });
+    assert_eq!(c.workers[2].began().len(), 3);
+    assert_eq!(c.began(), 3);
+}
+
 #[test]
 fn a_broken_registry_entry_hides_its_worker_and_no_other() {
     let c = Cluster::new(1, 1);
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use platform_standin::adviser::Adviser;
 use platform_standin::store::{Door, Store};
 use platform_standin::worker::Worker;
 use serde_json::{Value, json};
@@ -35,6 +36,7 @@
     pub store: Store,
     pub workers: Vec<Worker>,
     pub daemons: Vec<Daemon>,
+    pub adviser: Adviser,
     pub version: u64,
 }
 
@@ -63,9 +65,11 @@
             "max_attempts": 2, "slack_factor": 3.0, "public": false,
         })
     };
+    let mut advised = route("judged", 1);
+    advised["advice"] = json!({"decision_ms": 20, "period_ms": 1, "valid_ms": 3000});
     json!({
         "version": version,
-        "routes": [route("urgent", 0), route("sweep", 1)],
+        "routes": [route("urgent", 0), route("sweep", 1), advised],
         "services": [{"name": POOL, "health_path": "/health", "max_conns": 64, "protocol": "h1",
             "tls": false, "enforces_capacity": true, "standby": false}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 262_144,
@@ -82,6 +86,7 @@
         let mut cluster = Self {
             workers: (0..workers).map(worker).collect(),
             daemons: Vec::new(),
+            adviser: Adviser::start().expect("a port is free"),
             version: 0,
             store,
         };
@@ -114,7 +119,8 @@
         let text = format!(
             "name: {name}\ndc: dc-a\nlisten: 127.0.0.1:0\nmesh: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
              store: [\"{store}\"]\nvm_list: 127.0.0.1:1\nlog: {{format: json, output: stdout}}\n\
-             platform:\n  ready: 127.0.0.1:0\n  cores: 0.25\n  grace_s: 6\n  lease_limit_ms: 10000\n  status_s: 120\n"
+             platform:\n  ready: 127.0.0.1:0\n  cores: 0.25\n  grace_s: 6\n  lease_limit_ms: 10000\n  status_s: 120\n  adviser: \"{}\"\n",
+            self.adviser.served.addr
         );
         let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
         file.write_all(text.as_bytes()).expect("and written");
