Keep half of the racks free for gangs that wait

Change: half of the racks may be kept free, for any gang that a rack could hold.

The test of the load was seen failing: 2 of 5 gangs began in time where 3 do now.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -210,8 +210,8 @@
     plan_after: UnixMs,
     /// Whether some run may need an order.
     look: bool,
-    /// A rack kept free for a wide gang.
-    reserved: Option<plan::Reservation>,
+    /// Racks kept free for gangs that wait.
+    reserved: Vec<plan::Reservation>,
     /// Room kept for work while runs there stop.
     claims: Vec<plan::Claim>,
     /// What the placement adviser said of steps.
@@ -268,7 +268,7 @@
             replan: true,
             plan_after: now,
             look: true,
-            reserved: None,
+            reserved: Vec::new(),
             claims: Vec::new(),
             advice: HashMap::new(),
             question: None,
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -18,7 +18,7 @@
 /// of that in percent of its own; source: docs/design/preemption.md.
 const URGENT_COST: u64 = 300_000;
 const URGENT_COST_PERCENT: u64 = 150;
-/// How long a wide gang waits before a rack is kept free for it, in milliseconds.
+/// How long a gang waits before a rack is kept free for it, in milliseconds.
 const RESERVE_AFTER_MS: u64 = 1_500;
 
 /// A step of a round with tasks that are ready to start: a gang, or single tasks.
@@ -112,12 +112,8 @@
         units.sort_unstable();
         let now = self.now;
         let ready: HashSet<Unit> = units.iter().map(|(_, u)| *u).collect();
-        if self
-            .reserved
-            .is_some_and(|r| r.end.passed(now) || !ready.contains(&r.unit))
-        {
-            self.reserved = None;
-        }
+        self.reserved
+            .retain(|r| !r.end.passed(now) && ready.contains(&r.unit));
         let free = self.workers.iter().map(super::fleet::Worker::free);
         let mut pass = Pass {
             free: free.collect(),
@@ -306,7 +302,13 @@
         out: &mut Vec<Action>,
     ) -> Option<Vec<WorkerKey>> {
         let Ask { need, shape, .. } = ask;
+        let patient = shape.priority == 0 || ask.waited <= RESERVE_AFTER_MS;
+        let reserves = step.gang && !patient && self.may_reserve(unit);
         if pass.failed.contains(shape) && step.per_worker == 0 {
+            if reserves {
+                let bins = self.bins(&unit, shape, &ask.avoid, pass);
+                self.reserve(unit, &bins, need);
+            }
             return None;
         }
         let claimed = pass.unclaim(unit);
@@ -352,8 +354,7 @@
                 return None;
             }
         }
-        let patient = shape.priority == 0 || ask.waited <= RESERVE_AFTER_MS;
-        if step.gang && !patient && self.reserved.is_none() {
+        if reserves {
             self.reserve(unit, &all, need);
         }
         pass.failed.insert(shape.clone());
@@ -394,9 +395,7 @@
         if gang {
             self.equalize_checkpoints(unit);
         }
-        if self.reserved.is_some_and(|r| r.unit == unit) {
-            self.reserved = None;
-        }
+        self.reserved.retain(|r| r.unit != unit);
         for ((index, key), run) in places.into_iter().zip(runs) {
             let free = &mut pass.free[usize::from(key.0)];
             *free = free.minus(&need.room);
--- a/marigoldglade/src/batch/engine/space.rs
+++ b/marigoldglade/src/batch/engine/space.rs
@@ -8,7 +8,7 @@
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::health::Grade;
 use crate::batch::id::TaskId;
-use crate::batch::pack::{Bin, Need, RackKey, capacity, fits_a_rack, in_rack, racks};
+use crate::batch::pack::{Bin, Need, RackKey, capacity, in_rack, racks};
 use crate::batch::preempt::{Victim, make_room};
 use crate::batch::spec::Step;
 
@@ -24,6 +24,9 @@
 /// How long a rack is kept free for one gang at most, in milliseconds; source: about the longest
 /// task of the deployments.
 const RESERVE_MS: u64 = 9_000;
+/// One in so many racks at most is kept free for gangs that wait; source:
+/// docs/design/placement-of-steps.md.
+const RESERVED_RACKS_DIVISOR: usize = 2;
 /// One in so many racks takes no single tasks of the least urgent work; source:
 /// docs/design/placement-of-steps.md.
 const KEPT_RACKS_DIVISOR: usize = 3;
@@ -125,11 +128,13 @@
         all: &[Bin],
     ) -> Vec<Bin> {
         let mut bins = all.to_vec();
-        if let Some(reserved) = self
-            .reserved
-            .filter(|r| r.unit != unit && shape.priority > 0)
-        {
-            bins.retain(|b| b.rack != reserved.rack);
+        if shape.priority > 0 {
+            let kept = |rack| {
+                self.reserved
+                    .iter()
+                    .any(|r| r.rack == rack && r.unit != unit)
+            };
+            bins.retain(|b| !kept(b.rack));
         }
         let more_urgent = |j: &Job| j.is_active() && j.record.queue.priority < shape.priority;
         if shape.priority > 1 && !step.gang && self.jobs.values().any(more_urgent) {
@@ -248,22 +253,25 @@
             .saturating_sub(step.count.saturating_sub(here))
     }
 
+    /// Returns whether one more rack may be kept free, and the unit has none yet.
+    pub(super) fn may_reserve(&self, unit: Unit) -> bool {
+        let limit = self.racks.len() / RESERVED_RACKS_DIVISOR;
+        self.reserved.len() < limit.max(1) && self.reserved.iter().all(|r| r.unit != unit)
+    }
+
     /// Keeps the rack free that will soonest hold a gang that found no place.
     pub(super) fn reserve(&mut self, unit: Unit, bins: &[Bin], need: &Need) {
-        if !need.one_rack || !fits_a_rack(bins, need) {
-            return;
-        }
         let whole = |rack| capacity(&in_rack(bins, rack), need, |b| b.whole);
         let free = |rack| capacity(&in_rack(bins, rack), need, |b| b.free);
-        let able = racks(bins).into_iter().filter(|r| whole(*r) >= need.count);
+        let kept = |rack| self.reserved.iter().any(|r| r.rack == rack);
+        let able = racks(bins)
+            .into_iter()
+            .filter(|r| whole(*r) >= need.count && !kept(*r));
         let Some(rack) = able.max_by_key(|r| (need.near == Some(*r), free(*r))) else {
             return;
         };
-        log::info!(job = self.jobs.get(&unit.job).map_or("", |j| j.record.id.as_str()), rack = rack.0, tasks = need.count; "rack kept free for a wide gang");
-        self.reserved = Some(Reservation {
-            unit,
-            rack,
-            end: self.now.after(RESERVE_MS),
-        });
+        log::info!(job = self.jobs.get(&unit.job).map_or("", |j| j.record.id.as_str()), rack = rack.0, tasks = need.count; "rack kept free for a gang");
+        let end = self.now.after(RESERVE_MS);
+        self.reserved.push(Reservation { unit, rack, end });
     }
 }
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -408,3 +408,31 @@
     assert_eq!(w.status(2), Some(Shown::Done));
     assert_eq!(w.questions, 1);
 }
+
+#[test]
+fn several_gangs_get_racks_while_small_work_floods_the_fleet() {
+    let mut w = World::new(31, 6, 4);
+    for n in 100..300 {
+        // Their ends are spread, so that no rack empties by itself.
+        let ms = 3_000 + n % 7 * 500;
+        w.submit(n, "survey", "w0", spec(vec![step(8, 1, ms)]), ms);
+    }
+    w.run_for(3_000);
+    let came = w.now;
+    for n in 0..5 {
+        // A gang without a wish for one rack waits for whole workers all the same.
+        let gang = Step {
+            one_rack: n > 0,
+            ..gang(step(4, 8, 8_000))
+        };
+        w.submit(n, "sweep", "w1", spec(vec![gang]), 8_000);
+    }
+    w.run_for(9_000);
+    let began = |n: &u64| {
+        w.begun_at
+            .get(&job_id(*n))
+            .is_some_and(|at| at - came < 8_000)
+    };
+    // Half of the racks are emptied for them; the rest goes on with the small work.
+    assert_eq!((0..5).filter(began).count(), 3);
+}
