Let alike work start while other work waits for its spread

Cause: the planner notes what found no place in a pass and skips all that asks for as much. A step that waits because of its limit of tasks a worker, or because its task keeps away from a worker, was noted too, so alike work without such a wish waited until it was done, in a fleet with free room.

Ruled out: nothing else holds such work back; the same test without the limit passes.

The test of the avoided worker passed before, too, and stays as a guard.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -5,7 +5,7 @@
 use crate::batch::engine::job::{Job, Task};
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
-use crate::batch::pack::{Need, RackKey, capacity, place_gang, place_some};
+use crate::batch::pack::{Bin, Need, RackKey, capacity, place_gang, place_some};
 use crate::batch::rank::{Rank, Want, rank};
 use crate::batch::spec::Step;
 use crate::batch::worker::Room;
@@ -76,6 +76,16 @@
     }
 }
 
+/// Returns the work that a unit may throw away to find room, in core-milliseconds; `None` when it may
+/// stop nothing.
+fn cost_limit(shape: &Shape, work: u64) -> Option<u64> {
+    match (shape.guaranteed, shape.priority) {
+        (true, _) => Some(u64::MAX),
+        (false, 0) => Some(URGENT_COST + work * URGENT_COST_PERCENT / 100),
+        (false, _) => None,
+    }
+}
+
 /// What is asked for a gang or for single tasks.
 struct Ask {
     need: Need,
@@ -304,7 +314,7 @@
         let Ask { need, shape, .. } = ask;
         let patient = shape.priority == 0 || ask.waited <= RESERVE_AFTER_MS;
         let reserves = step.gang && !patient && self.may_reserve(unit);
-        if pass.failed.contains(shape) && step.per_worker == 0 {
+        if pass.failed.contains(shape) {
             if reserves {
                 let bins = self.bins(&unit, shape, &ask.avoid, pass);
                 self.reserve(unit, &bins, need);
@@ -314,15 +324,7 @@
         let claimed = pass.unclaim(unit);
         let mut all = self.bins(&unit, shape, &ask.avoid, pass);
         if shape.advised.is_some() {
-            let step = (unit.job, unit.round, unit.step);
-            let (allowed, others): (Vec<_>, Vec<_>) = all
-                .into_iter()
-                .partition(|b| self.ticket(step, b.worker).is_some());
-            // More workers are asked about while the allowed ones don't hold all tasks.
-            if capacity(&allowed, need, |b| b.free) < need.count {
-                self.ask_adviser(unit, &others, need, out);
-            }
-            all = allowed;
+            all = self.allowed_bins(unit, all, need, out);
         }
         let mut bins = self.open_bins(unit, step, shape, &all);
         let places = if step.gang {
@@ -339,11 +341,7 @@
             return None;
         }
         let work = need.room.cores().max(1) * step.estimate_ms * u64::from(shape.count);
-        let limit = match (shape.guaranteed, shape.priority) {
-            (true, _) => Some(u64::MAX),
-            (false, 0) => Some(URGENT_COST + work * URGENT_COST_PERCENT / 100),
-            (false, _) => None,
-        };
+        let limit = cost_limit(shape, work);
         if let Some(limit) = limit.filter(|_| !shape.wait_near) {
             // Single tasks are made room for one by one.
             let need = Need {
@@ -357,10 +355,32 @@
         if reserves {
             self.reserve(unit, &all, need);
         }
-        pass.failed.insert(shape.clone());
+        // What is asked for without a wish of its own fails for all that ask for as much.
+        if step.per_worker == 0 && ask.avoid.is_empty() {
+            pass.failed.insert(shape.clone());
+        }
         None
     }
 
+    /// Returns those of some workers that the placement adviser allows, and asks about others while
+    /// the allowed ones don't hold all tasks.
+    fn allowed_bins(
+        &mut self,
+        unit: Unit,
+        bins: Vec<Bin>,
+        need: &Need,
+        out: &mut Vec<Action>,
+    ) -> Vec<Bin> {
+        let step = (unit.job, unit.round, unit.step);
+        let (allowed, others): (Vec<_>, Vec<_>) = bins
+            .into_iter()
+            .partition(|b| self.ticket(step, b.worker).is_some());
+        if capacity(&allowed, need, |b| b.free) < need.count {
+            self.ask_adviser(unit, &others, need, out);
+        }
+        allowed
+    }
+
     fn start_unit(
         &mut self,
         unit: Unit,
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -436,3 +436,29 @@
     // Half of the racks are emptied for them; the rest goes on with the small work.
     assert_eq!((0..5).filter(began).count(), 3);
 }
+
+#[test]
+fn work_that_waits_for_its_spread_does_not_keep_alike_work_waiting() {
+    let mut w = World::new(32, 1, 2);
+    let spread = Step {
+        per_worker: 1,
+        ..step(4, 1, 9_000)
+    };
+    w.submit(1, "survey", "w0", spec(vec![spread]), 9_000);
+    w.run_for(200);
+    w.submit(2, "survey", "w0", spec(vec![step(2, 1, 9_000)]), 900);
+    w.run_for(2_000);
+    assert_eq!(w.status(2), Some(Shown::Done));
+}
+
+#[test]
+fn work_that_avoids_a_worker_does_not_keep_alike_work_waiting() {
+    let mut w = World::new(33, 1, 2);
+    w.work.insert(job_id(1), (300, 1));
+    w.submit(9, "survey", "w0", spec(vec![step(1, 8, 9_000)]), 9_000);
+    w.submit(1, "survey", "w0", spec(vec![step(1, 8, 9_000)]), 300);
+    w.run_for(600);
+    w.submit(2, "survey", "w0", spec(vec![step(1, 8, 9_000)]), 300);
+    w.run_for(2_000);
+    assert_eq!(w.status(2), Some(Shown::Done));
+}
