Keep one rack in six for the most urgent work while there is any

Cause: urgent gangs found the fleet full and had to stop other runs; a stop takes 0.3 to 0.9 s and a gang waits for the last of several, which is more than the slack of short urgent work.

Ruled out: sending starts again sooner, stopping late urgent work, other costs of victims: see docs/design/placement-of-steps.md.

The test of the load was seen failing.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -316,13 +316,15 @@
         let reserves = step.gang && !patient && self.may_reserve(unit);
         if pass.failed.contains(shape) {
             if reserves {
-                let bins = self.bins(&unit, shape, &ask.avoid, pass);
+                let mut bins = self.bins(&unit, shape, &ask.avoid, pass);
+                self.keep_for_urgent(shape, &mut bins);
                 self.reserve(unit, &bins, need);
             }
             return None;
         }
         let claimed = pass.unclaim(unit);
         let mut all = self.bins(&unit, shape, &ask.avoid, pass);
+        self.keep_for_urgent(shape, &mut all);
         if shape.advised.is_some() {
             all = self.allowed_bins(unit, all, need, out);
         }
--- a/marigoldglade/src/batch/engine/space.rs
+++ b/marigoldglade/src/batch/engine/space.rs
@@ -27,6 +27,9 @@
 /// One in so many racks at most is kept free for gangs that wait; source:
 /// docs/design/placement-of-steps.md.
 const RESERVED_RACKS_DIVISOR: usize = 2;
+/// One in so many racks takes only the most urgent work while there is any; source:
+/// docs/design/placement-of-steps.md.
+const URGENT_RACKS_DIVISOR: usize = 6;
 /// One in so many racks takes no single tasks of the least urgent work; source:
 /// docs/design/placement-of-steps.md.
 const KEPT_RACKS_DIVISOR: usize = 3;
@@ -68,6 +71,15 @@
         Vec::new()
     }
 
+    /// Keeps other work off the last racks while there is urgent work, whose gangs find whole workers there
+    /// without waiting for stops.
+    pub(super) fn keep_for_urgent(&self, shape: &Shape, bins: &mut Vec<Bin>) {
+        let urgent = |j: &Job| j.is_active() && j.record.queue.priority == 0;
+        if shape.priority > 0 && self.jobs.values().any(urgent) {
+            keep_last_racks(bins, URGENT_RACKS_DIVISOR);
+        }
+    }
+
     fn bins_without(
         &self,
         unit: &Unit,
@@ -138,9 +150,7 @@
         }
         let more_urgent = |j: &Job| j.is_active() && j.record.queue.priority < shape.priority;
         if shape.priority > 1 && !step.gang && self.jobs.values().any(more_urgent) {
-            let racks = racks(&bins);
-            let first = &racks[..racks.len() - racks.len() / KEPT_RACKS_DIVISOR];
-            bins.retain(|b| first.contains(&b.rack));
+            keep_last_racks(&mut bins, KEPT_RACKS_DIVISOR);
         }
         if shape.wait_near {
             bins.retain(|b| Some(b.rack) == shape.near);
@@ -275,3 +285,10 @@
         self.reserved.push(Reservation { unit, rack, end });
     }
 }
+
+/// Takes the workers of the last racks out, one in `divisor` of those that the bins are on.
+fn keep_last_racks(bins: &mut Vec<Bin>, divisor: usize) {
+    let racks = racks(bins);
+    let first = &racks[..racks.len() - racks.len() / divisor];
+    bins.retain(|b| first.contains(&b.rack));
+}
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -462,3 +462,37 @@
     w.run_for(2_000);
     assert_eq!(w.status(2), Some(Shown::Done));
 }
+
+#[test]
+fn urgent_gangs_find_a_rack_at_once_while_sweeps_flood_the_fleet() {
+    let mut w = World::new(34, 6, 4);
+    // Urgent work all the time, so that sweeps leave it room.
+    w.submit(1, "urgent", "w1", spec(vec![step(1, 1, 60_000)]), 60_000);
+    w.run_for(100);
+    for n in 100..160 {
+        w.submit(n, "sweep", "w0", spec(vec![gang(step(2, 8, 9_000))]), 9_000);
+    }
+    w.run_for(3_000);
+    let came = w.now;
+    w.submit(2, "urgent", "w1", spec(vec![gang(step(3, 8, 900))]), 900);
+    w.run_for(1_400);
+    assert_eq!(w.stops, 0, "nothing had to be stopped for it");
+    assert_eq!(w.status(2), Some(Shown::Done));
+    assert!(w.begun_at[&job_id(2)] < came + 100);
+}
+
+#[test]
+fn work_bound_to_the_rack_that_urgent_work_keeps_runs_there() {
+    let mut w = World::new(35, 6, 1);
+    w.submit(1, "urgent", "w1", spec(vec![step(1, 1, 60_000)]), 60_000);
+    w.run_for(100);
+    for (n, rack) in (2..).zip(["r0", "r1", "r2", "r3", "r4", "r5"]) {
+        let bound = Step {
+            label: rack.to_owned(),
+            ..step(1, 1, 900)
+        };
+        w.submit(n, "sweep", "w0", spec(vec![bound]), 900);
+    }
+    w.run_for(3_000);
+    assert!(w.all_done(2..8));
+}
