--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -3,7 +3,8 @@
 //! Calls of callers, reports of workers and outcomes of commits flow into the [`engine`]; orders to
 //! workers, commits and answers flow out. The other modules are its parts: what a job asks for
 //! ([`spec`]), what is kept of it ([`record`]), who may ask ([`policy`]), what workers say
-//! ([`worker`]), which earlier owners to reckon with ([`succession`]), and the decisions ([`rank`], [`pack`], [`preempt`], [`pace`], [`advice`], [`health`], [`admission`]).
+//! ([`worker`]), which earlier owners to reckon with ([`succession`]),
+//! and the decisions ([`rank`], [`pack`], [`preempt`], [`pace`], [`advice`], [`health`], [`admission`]).
 
 pub mod admission;
 pub mod advice;
--- a/marigoldglade/src/batch/advice.rs
+++ b/marigoldglade/src/batch/advice.rs
@@ -17,6 +17,24 @@
 /// that a start takes, with its answer lost once.
 const TICKET_MARGIN_MS: u64 = 1_200;
 
+/// A ticket for a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// The worker's name.
+    pub worker: String,
+    /// What its starts carry.
+    pub ticket: String,
+}
+
+/// The adviser's answer to a question.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// The allowed workers.
+    pub allowed: Vec<Ticket>,
+    /// How long the tickets hold, in milliseconds.
+    pub valid_ms: u64,
+}
+
 /// A worker's permission to run a step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Grant {
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -20,7 +20,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::batch::advice::Advice;
+use crate::batch::advice::{Advice, Verdict};
 use crate::batch::id::{JobId, TaskId};
 use crate::batch::pack::RackKey;
 use crate::batch::policy::{Policy, Queue};
@@ -101,9 +101,8 @@
     Stored(u64, Stored),
     /// All earlier owners have certainly ended.
     Alone,
-    /// The placement adviser's answer: allowed workers with tickets, and how long these hold in
-    /// milliseconds; `None` when there was no answer.
-    Advised(Option<(Vec<(String, String)>, u64)>),
+    /// The placement adviser's answer; `None` when there was none.
+    Advised(Option<Verdict>),
     /// Time passed.
     Tick,
 }
--- a/marigoldglade/src/batch/engine/advise.rs
+++ b/marigoldglade/src/batch/engine/advise.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use crate::batch::advice::Advice;
+use crate::batch::advice::{Advice, Verdict};
 use crate::batch::engine::plan::Unit;
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
@@ -91,21 +91,22 @@
         });
     }
 
-    /// Takes the adviser's answer: the allowed workers with their tickets, and for how long those hold
-    /// in milliseconds; `None` when there was no answer.
-    pub(super) fn advised(&mut self, answer: Option<(Vec<(String, String)>, u64)>) {
+    /// Takes the adviser's answer; `None` when there was none.
+    pub(super) fn advised(&mut self, verdict: Option<Verdict>) {
         let Some(question) = self.question.take() else {
             return;
         };
         self.replan = true;
-        let Some((allowed, valid_ms)) = answer else {
+        let Some(verdict) = verdict else {
             log::warn!("the placement adviser didn't answer");
             self.ask_after = self.now.after(AGAIN_MS);
             return;
         };
-        let allowed = allowed
+        let valid_ms = verdict.valid_ms;
+        let allowed = verdict
+            .allowed
             .into_iter()
-            .filter_map(|(name, ticket)| Some((*self.names.get(&name)?, ticket)));
+            .filter_map(|t| Some((*self.names.get(&t.worker)?, t.ticket)));
         let allowed: Vec<(WorkerKey, String)> = allowed.collect();
         let job = self.jobs.get(&question.step.0);
         log::info!(
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
 
+use marigoldglade::batch::advice::{self, Verdict};
 use marigoldglade::batch::engine::{
     Action, Batch, Bounds, Engine, Estate, Event, InboxBody, InboxItem, Stored, Ticket, WorkerKey,
 };
@@ -330,10 +331,14 @@
             let end = self.now + self.valid_ms;
             self.grants
                 .insert(ticket.clone(), (name.clone(), born, step, end));
-            rows.push((name.clone(), ticket));
+            let worker = name.clone();
+            rows.push(advice::Ticket { worker, ticket });
         }
         let takes = 20 + u64::try_from(workers.len()).expect("few workers");
-        let event = Event::Advised(Some((rows, self.valid_ms)));
+        let event = Event::Advised(Some(Verdict {
+            allowed: rows,
+            valid_ms: self.valid_ms,
+        }));
         self.at(self.now + takes, Happening::Hear(seat, Box::new(event)));
     }
 
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -1,8 +1,8 @@
 //! Ownership of the jobs: claiming it, and driving the engine while it lasts.
 
 mod driver;
-mod elders;
 mod feeds;
+mod predecessors;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -66,7 +66,7 @@
     /// gone.
     confirmed: Cell<Option<u64>>,
     /// Earlier owners that may still act.
-    elders: Vec<Owner>,
+    predecessors: Vec<Owner>,
 }
 
 fn compare(key: &str, pair: Option<&Pair>) -> Compare {
@@ -144,7 +144,7 @@
         let owners: Vec<Owner> = decode_or_default(owners.as_ref())
             .inspect_err(|e| log::error!(error:% = e; "the list of owners can't be read"))
             .ok()?;
-        let elders = may_act(&owners, &self.name, wall_ms());
+        let predecessors = may_act(&owners, &self.name, wall_ms());
         let term = last.term + 1;
         let owner = Owner {
             name: self.name.clone(),
@@ -153,7 +153,7 @@
             term,
             since: wall_ms(),
         };
-        let line: Vec<&Owner> = elders.iter().chain([&owner]).collect();
+        let line: Vec<&Owner> = predecessors.iter().chain([&owner]).collect();
         let txn = Txn {
             when: vec![
                 compare(OWNER_KEY, former.as_ref()),
@@ -184,7 +184,7 @@
             seq: Cell::new(revision),
             key: revision,
             confirmed: Cell::new(Some(confirmed)),
-            elders,
+            predecessors,
         })
     }
 
@@ -196,9 +196,16 @@
 
     /// Owns the jobs until the tenure ends.
     async fn own(self: &Rc<Self>, tenure: Tenure) {
-        let tenure = Rc::new(tenure);
+        // Successors are told of the term from its claim to the last order.
+        self.term.set(Some(tenure.term));
+        self.serve_tenure(&Rc::new(tenure)).await;
+        self.term.set(None);
+        self.metrics.term.set(0);
+    }
+
+    async fn serve_tenure(self: &Rc<Self>, tenure: &Rc<Tenure>) {
         let began = clock::now();
-        let renewal = spawn_local(Rc::clone(self).renew(Rc::clone(&tenure)));
+        let renewal = spawn_local(Rc::clone(self).renew(Rc::clone(tenure)));
         let renewal = Abort(renewal);
         let load = async {
             let (records, _) = self.store.list(JOB_PREFIX).await;
@@ -209,7 +216,7 @@
         };
         let loaded = tokio::select! {
             loaded = load => loaded,
-            () = self.ended(&tenure) => return,
+            () = self.ended(tenure) => return,
         };
         let (records, workers, inbox, inbox_since, entries, entries_since) = loaded;
         let workers = match workers.body {
@@ -224,7 +231,7 @@
                 Vec::new()
             }),
             inherited: tenure.term > 1,
-            alone: tenure.elders.is_empty(),
+            alone: tenure.predecessors.is_empty(),
         };
         let Some(policy) = self.policy() else {
             return;
@@ -242,21 +249,20 @@
             spawn_local(Rc::clone(self).pass_policies(inputs.clone())),
         ]
         .map(Abort);
-        let asking = (!tenure.elders.is_empty()).then(|| {
-            let elders = tenure.elders.clone();
-            Abort(spawn_local(Rc::clone(self).outlive(elders, inputs.clone())))
+        let asking = (!tenure.predecessors.is_empty()).then(|| {
+            let owners = tenure.predecessors.clone();
+            Abort(spawn_local(
+                Rc::clone(self).await_predecessors(owners, inputs.clone()),
+            ))
         });
         *self.engine.borrow_mut() = Some(inputs.clone());
-        self.term.set(Some(tenure.term));
         self.metrics
             .term
             .set(i64::try_from(tenure.term).unwrap_or(i64::MAX));
-        self.drive(engine, &tenure, inputs, queue).await;
-        self.term.set(None);
-        self.metrics.term.set(0);
+        self.drive(engine, tenure, inputs, queue).await;
         *self.engine.borrow_mut() = None;
         drop((watches, renewal, asking));
-        self.hand_over(&tenure).await;
+        self.hand_over(tenure).await;
     }
 
     fn bounds(&self) -> Bounds {
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use marigoldglade::batch::advice::Verdict;
 use marigoldglade::batch::engine::{Action, Batch, Engine, Event, Stored, Ticket, WorkerKey};
 use marigoldglade::batch::id::TaskId;
 use marigoldglade::batch::talk::Reply;
@@ -194,7 +195,7 @@
     step: &TaskId,
     workers: &[String],
     end: UnixMs,
-) -> Result<(Vec<(String, String)>, u64)> {
+) -> Result<Verdict> {
     let adviser = node.platform.adviser;
     let addr =
         adviser.ok_or_else(|| Error::new(Kind::NoTarget, "there is no placement adviser"))?;
--- a/marigoldgladed/src/batch/owner/elders.rs
+++ b/marigoldgladed/src/batch/owner/predecessors.rs
@@ -15,8 +15,8 @@
 /// The pause before it is asked again, in milliseconds.
 const AGAIN_MS: u64 = 300;
 
-/// What an earlier owner's answer says about it.
-enum Fate {
+/// Whether an earlier owner may still act.
+enum Activity {
     /// Another process runs in its place.
     Gone,
     /// Its process has given the ownership up.
@@ -27,39 +27,39 @@
 
 impl Node {
     /// Asks earlier owners until all have certainly ended, and tells the engine.
-    pub(super) async fn outlive(
+    pub(super) async fn await_predecessors(
         self: Rc<Self>,
-        elders: Vec<Owner>,
+        owners: Vec<Owner>,
         inputs: mpsc::UnboundedSender<Input>,
     ) {
         let end = clock::now().after(BLIND_MS);
-        for elder in elders {
+        for owner in owners {
             loop {
                 if end.passed(clock::now()) {
                     return;
                 }
-                match self.fate(&elder).await {
-                    Fate::Gone => break,
-                    Fate::Retired => {
+                match self.activity(&owner).await {
+                    Activity::Gone => break,
+                    Activity::Retired => {
                         // Its last orders may be under way.
                         clock::sleep_until(clock::now().after(ORDER_MARGIN_MS)).await;
                         break;
                     }
-                    Fate::Unknown => clock::sleep_until(clock::now().after(AGAIN_MS)).await,
+                    Activity::Unknown => clock::sleep_until(clock::now().after(AGAIN_MS)).await,
                 }
             }
-            log::info!(owner = elder.name.as_str(), term = elder.term; "an earlier owner has certainly ended");
+            log::info!(owner = owner.name.as_str(), term = owner.term; "an earlier owner has certainly ended");
         }
         // A closed queue means that the tenure is over.
         let _ = inputs.send(Input::Event(Event::Alone));
     }
 
-    async fn fate(&self, elder: &Owner) -> Fate {
+    async fn activity(&self, owner: &Owner) -> Activity {
         let limit: UnixMs = clock::now().after(ASK_MS);
-        match self.peers.ask(elder.addr, Message::Who, limit).await {
-            Ok(Message::Life { life, .. }) if life != elder.life => Fate::Gone,
-            Ok(Message::Life { term, .. }) if term != Some(elder.term) => Fate::Retired,
-            Ok(_) | Err(_) => Fate::Unknown,
+        match self.peers.ask(owner.addr, Message::Who, limit).await {
+            Ok(Message::Life { life, .. }) if life != owner.life => Activity::Gone,
+            Ok(Message::Life { term, .. }) if term != Some(owner.term) => Activity::Retired,
+            Ok(_) | Err(_) => Activity::Unknown,
         }
     }
 }
