--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -29,7 +29,7 @@
 use crate::batch::worker::{Answer, Order, Target};
 use crate::time::UnixMs;
 
-use advise::{Question, StepKey};
+use advise::Question;
 use commit::Flight;
 pub use fleet::BLIND_MS;
 use fleet::Worker;
@@ -214,7 +214,7 @@
     /// Room kept for work while runs there stop.
     claims: Vec<plan::Claim>,
     /// What the placement adviser said of steps.
-    advice: HashMap<StepKey, Advice>,
+    advice: HashMap<plan::Unit, Advice>,
     /// The question to it that is under way, and when the next may be sent.
     question: Option<Question>,
     ask_after: UnixMs,
--- a/marigoldglade/src/batch/engine/advise.rs
+++ b/marigoldglade/src/batch/engine/advise.rs
@@ -4,7 +4,7 @@
 
 use crate::batch::advice::{Advice, Verdict};
 use crate::batch::engine::plan::Unit;
-use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
+use crate::batch::engine::{Action, Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::pack::{Bin, Need};
 use crate::time::UnixMs;
@@ -12,20 +12,17 @@
 /// The pause after a question without an answer, in milliseconds.
 const AGAIN_MS: u64 = 200;
 
-/// A step of a round, which the adviser judges.
-pub(super) type StepKey = (JobKey, u32, u16);
-
 /// A question under way.
 pub(super) struct Question {
-    step: StepKey,
+    unit: Unit,
     asked: Vec<(WorkerKey, u64)>,
     sent: UnixMs,
 }
 
 impl Engine {
     /// Returns the worker's ticket for a step of a queue with advice; `None` bars it for now.
-    pub(super) fn ticket(&self, step: StepKey, key: WorkerKey) -> Option<&str> {
-        let advice = self.advice.get(&step)?;
+    pub(super) fn ticket(&self, unit: Unit, key: WorkerKey) -> Option<&str> {
+        let advice = self.advice.get(&unit)?;
         advice.ticket(key, self.worker(key).target.born, self.now)
     }
 
@@ -61,9 +58,8 @@
         });
         let life = |b: &Bin| (b.worker, self.worker(b.worker).target.born);
         let candidates: Vec<(WorkerKey, u64)> = bins.iter().map(life).collect();
-        let step = (unit.job, unit.round, unit.step);
         let count = usize::try_from(need.count).unwrap_or(usize::MAX);
-        let advice = self.advice.entry(step).or_default();
+        let advice = self.advice.entry(unit).or_default();
         let asked = advice.question(&candidates, count, self.now);
         if asked.is_empty() {
             return;
@@ -75,7 +71,7 @@
         log::info!(job = id.as_str(), round = unit.round, step = unit.step, workers = workers.len(); "asking the placement adviser");
         let limit_ms = cost.limit_ms(workers.len());
         self.question = Some(Question {
-            step,
+            unit,
             asked,
             sent: self.now,
         });
@@ -108,14 +104,14 @@
             .into_iter()
             .filter_map(|t| Some((*self.names.get(&t.worker)?, t.ticket)));
         let allowed: Vec<(WorkerKey, String)> = allowed.collect();
-        let job = self.jobs.get(&question.step.0);
+        let job = self.jobs.get(&question.unit.job);
         log::info!(
-            job = job.map_or("", |j| j.record.id.as_str()), step = question.step.2,
+            job = job.map_or("", |j| j.record.id.as_str()), step = question.unit.step,
             asked = question.asked.len(), allowed = allowed.len(), valid_ms,
             took_ms = self.now.since(question.sent);
             "the placement adviser answered"
         );
-        let advice: &mut Advice = self.advice.entry(question.step).or_default();
+        let advice: &mut Advice = self.advice.entry(question.unit).or_default();
         // Tickets hold from when they were made, which the question's sending bounds from below.
         advice.answered(&question.asked, &allowed, question.sent.after(valid_ms));
     }
--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -199,7 +199,7 @@
             if self.is_running(key) {
                 continue;
             }
-            self.advice.retain(|(job, ..), _| *job != key);
+            self.advice.retain(|unit, _| unit.job != key);
             if let Some(job) = self.jobs.remove(&key) {
                 self.ids.remove(&job.record.id);
                 self.drops.push(job.record.id);
--- a/marigoldglade/src/batch/engine/fleet.rs
+++ b/marigoldglade/src/batch/engine/fleet.rs
@@ -358,6 +358,14 @@
         self.replan = true;
     }
 
+    /// Gives a worker up at whose address another process answers.
+    pub(super) fn address_reused(&mut self, key: WorkerKey) {
+        let worker = self.worker_mut(key);
+        let born = worker.target.born;
+        worker.listed = false;
+        self.reborn(key, born, None, "another process answers at its address");
+    }
+
     /// Returns whether a run of an earlier owner may be on a worker that hasn't answered.
     pub(super) fn has_doubts(&self) -> bool {
         let doubtful = |w: &Worker| !w.answered && !w.doubt_end.passed(self.now);
--- a/marigoldglade/src/batch/engine/links.rs
+++ b/marigoldglade/src/batch/engine/links.rs
@@ -142,10 +142,7 @@
                 self.report(key, report, out);
             }
             Answer::Refused(Refusal::Reborn, _) => {
-                let born = worker.target.born;
-                worker.hold_after = now.after(LOST_IDLE_MS);
-                worker.listed = false;
-                self.reborn(key, born, None, "another process answers at its address");
+                self.address_reused(key);
             }
             Answer::Refused(why, clock) => {
                 worker.lost += 1;
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -127,16 +127,12 @@
                 worker.renew_at = now;
                 self.counts.full += 1;
             }
-            Refusal::Reborn => {
-                let born = worker.target.born;
-                worker.listed = false;
-                self.reborn(key, born, None, "another process answers at its address");
-            }
+            Refusal::Reborn => self.address_reused(key),
             _ => {}
         }
         if why == Refusal::Ticket
-            && let Some(job) = self.ids.get(&task.job)
-            && let Some(advice) = self.advice.get_mut(&(*job, task.round, task.step))
+            && let Some(unit) = self.unit_of(task)
+            && let Some(advice) = self.advice.get_mut(&unit)
         {
             advice.refused(key);
         }
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -49,6 +49,8 @@
 /// What a pass works on.
 pub(super) struct Pass {
     pub free: Vec<Room>,
+    /// The most urgent priority of all active jobs.
+    pub top: u32,
     /// Needs that found no place in this pass; work behind them finds none either.
     pub failed: HashSet<Shape>,
     pub claims: Vec<Claim>,
@@ -116,6 +118,15 @@
 }
 
 impl Engine {
+    /// Returns the step of a round that a task belongs to.
+    pub(super) fn unit_of(&self, id: &TaskId) -> Option<Unit> {
+        Some(Unit {
+            job: *self.ids.get(&id.job)?,
+            round: id.round,
+            step: id.step,
+        })
+    }
+
     /// Starts what can start, and makes room for what must.
     pub(super) fn plan(&mut self, out: &mut Vec<Action>) {
         let mut units = self.ready_units();
@@ -125,8 +136,13 @@
         self.reserved
             .retain(|r| !r.end.passed(now) && ready.contains(&r.unit));
         let free = self.workers.iter().map(super::fleet::Worker::free);
+        let active = self.jobs.values().filter(|j| j.is_active());
         let mut pass = Pass {
             free: free.collect(),
+            top: active
+                .map(|j| j.record.queue.priority)
+                .min()
+                .unwrap_or(u32::MAX),
             failed: HashSet::new(),
             claims: Vec::new(),
             claimed: vec![Room::default(); self.workers.len()],
@@ -316,19 +332,17 @@
         let reserves = step.gang && !patient && self.may_reserve(unit);
         if pass.failed.contains(shape) {
             if reserves {
-                let mut bins = self.bins(&unit, shape, &ask.avoid, pass);
-                self.keep_for_urgent(shape, &mut bins);
+                let bins = self.bins(&unit, shape, &ask.avoid, pass);
                 self.reserve(unit, &bins, need);
             }
             return None;
         }
         let claimed = pass.unclaim(unit);
         let mut all = self.bins(&unit, shape, &ask.avoid, pass);
-        self.keep_for_urgent(shape, &mut all);
         if shape.advised.is_some() {
             all = self.allowed_bins(unit, all, need, out);
         }
-        let mut bins = self.open_bins(unit, step, shape, &all);
+        let mut bins = self.open_bins(unit, step, shape, &all, pass);
         let places = if step.gang {
             place_gang(&bins, need)
         } else {
@@ -373,10 +387,9 @@
         need: &Need,
         out: &mut Vec<Action>,
     ) -> Vec<Bin> {
-        let step = (unit.job, unit.round, unit.step);
         let (allowed, others): (Vec<_>, Vec<_>) = bins
             .into_iter()
-            .partition(|b| self.ticket(step, b.worker).is_some());
+            .partition(|b| self.ticket(unit, b.worker).is_some());
         if capacity(&allowed, need, |b| b.free) < need.count {
             self.ask_adviser(unit, &others, need, out);
         }
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -73,9 +73,8 @@
             .map(|t| t.saved.clone())
             .filter(|_| checkpoints);
         let ticket = self
-            .ids
-            .get(&id.job)
-            .and_then(|job| self.ticket((*job, id.round, id.step), key))
+            .unit_of(id)
+            .and_then(|unit| self.ticket(unit, key))
             .unwrap_or_default()
             .to_owned();
         let worker = self.worker_mut(key);
--- a/marigoldglade/src/batch/engine/space.rs
+++ b/marigoldglade/src/batch/engine/space.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::batch::engine::fleet::{Run, Stage};
-use crate::batch::engine::job::Job;
 use crate::batch::engine::plan::{Claim, Pass, Reservation, Shape, Unit};
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::health::Grade;
@@ -63,23 +62,18 @@
             (avoid, Grade::Suspect),
             (&[], Grade::Suspect),
         ] {
-            let bins = self.bins_without(unit, shape, avoid, worst, pass);
+            let mut bins = self.bins_without(unit, shape, avoid, worst, pass);
             if !bins.is_empty() {
+                // Urgent gangs find whole workers there without waiting for stops.
+                if shape.priority > 0 && pass.top == 0 {
+                    keep_last_racks(&mut bins, URGENT_RACKS_DIVISOR);
+                }
                 return bins;
             }
         }
         Vec::new()
     }
 
-    /// Keeps other work off the last racks while there is urgent work, whose gangs find whole workers there
-    /// without waiting for stops.
-    pub(super) fn keep_for_urgent(&self, shape: &Shape, bins: &mut Vec<Bin>) {
-        let urgent = |j: &Job| j.is_active() && j.record.queue.priority == 0;
-        if shape.priority > 0 && self.jobs.values().any(urgent) {
-            keep_last_racks(bins, URGENT_RACKS_DIVISOR);
-        }
-    }
-
     fn bins_without(
         &self,
         unit: &Unit,
@@ -138,6 +132,7 @@
         step: &Step,
         shape: &Shape,
         all: &[Bin],
+        pass: &Pass,
     ) -> Vec<Bin> {
         let mut bins = all.to_vec();
         if shape.priority > 0 {
@@ -148,8 +143,7 @@
             };
             bins.retain(|b| !kept(b.rack));
         }
-        let more_urgent = |j: &Job| j.is_active() && j.record.queue.priority < shape.priority;
-        if shape.priority > 1 && !step.gang && self.jobs.values().any(more_urgent) {
+        if shape.priority > 1 && !step.gang && pass.top < shape.priority {
             keep_last_racks(&mut bins, KEPT_RACKS_DIVISOR);
         }
         if shape.wait_near {
@@ -172,7 +166,7 @@
             return false;
         };
         let mut groups: BTreeMap<(JobKey, u32, u16, u32), u32> = BTreeMap::new();
-        let mut budgets: HashMap<(JobKey, u32, u16), u32> = HashMap::new();
+        let mut budgets: HashMap<Unit, u32> = HashMap::new();
         let mut victims: Vec<Victim> = Vec::new();
         let mut members: Vec<(u32, WorkerKey, TaskId)> = Vec::new();
         for key in self.worker_keys() {
@@ -190,9 +184,14 @@
                     continue;
                 };
                 if step.may_miss > 0 {
+                    let theirs = Unit {
+                        job: run.job,
+                        round: id.round,
+                        step: id.step,
+                    };
                     let left = budgets
-                        .entry((run.job, id.round, id.step))
-                        .or_insert_with(|| self.budget_left(id, run.job, step));
+                        .entry(theirs)
+                        .or_insert_with(|| self.budget_left(theirs, step));
                     let Some(rest) = left.checked_sub(1) else {
                         continue;
                     };
@@ -250,10 +249,10 @@
     }
 
     /// Returns how many more tasks of a step may be away by the scheduler's doing.
-    fn budget_left(&self, id: &TaskId, key: JobKey, step: &Step) -> u32 {
-        let at_work = |(other, run): &(&TaskId, &Run)| {
-            run.job == key
-                && (other.round, other.step) == (id.round, id.step)
+    fn budget_left(&self, unit: Unit, step: &Step) -> u32 {
+        let at_work = |(id, run): &(&TaskId, &Run)| {
+            run.job == unit.job
+                && (id.round, id.step) == (unit.round, unit.step)
                 && run.stage == Stage::Running
                 && run.percent >= AT_WORK_PERCENT
         };
--- a/marigoldgladed/src/batch/front.rs
+++ b/marigoldgladed/src/batch/front.rs
@@ -56,39 +56,41 @@
 
 /// Answers the platform's question whether this daemon takes calls.
 pub(super) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let stream = accept(&listener).await;
-        let node = Rc::clone(&node);
-        let service = service_fn(move |_: Request<Incoming>| {
-            let (status, why) = if node.stop.stopping() {
-                (StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
-            } else if node.policy().is_none() {
-                (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n")
-            } else {
-                (StatusCode::OK, "ready\n")
-            };
-            async move { Ok::<_, Infallible>(text(status, why)) }
-        });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        // A peer that breaks off harms nobody.
-        spawn_local(async move { drop(connection.await) });
-    }
+    let page = move |_: &Request<Incoming>| {
+        if node.stop.stopping() {
+            text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
+        } else if node.policy().is_none() {
+            text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n")
+        } else {
+            text(StatusCode::OK, "ready\n")
+        }
+    };
+    serve_pages(listener, page).await;
 }
 
 /// Serves the metrics page.
 pub(super) async fn serve_metrics(node: Rc<Node>, listener: TcpListener) {
+    let page = move |request: &Request<Incoming>| match (request.uri().path(), node.metrics.text())
+    {
+        ("/metrics", Ok(page)) => text(StatusCode::OK, page),
+        ("/metrics", Err(e)) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+        _ => text(StatusCode::NOT_FOUND, "not found\n"),
+    };
+    serve_pages(listener, page).await;
+}
+
+/// Answers requests that need no wait, on any number of connections.
+async fn serve_pages(listener: TcpListener, page: impl Fn(&Request<Incoming>) -> Answer + 'static) {
+    let page = Rc::new(page);
     loop {
         let stream = accept(&listener).await;
-        let node = Rc::clone(&node);
-        let service = service_fn(move |request: Request<Incoming>| {
-            let answer = match (request.uri().path(), node.metrics.text()) {
-                ("/metrics", Ok(page)) => text(StatusCode::OK, page),
-                ("/metrics", Err(e)) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
-                _ => text(StatusCode::NOT_FOUND, "not found\n"),
-            };
+        let page = Rc::clone(&page);
+        let service = service_fn(move |request| {
+            let answer = page(&request);
             async move { Ok::<_, Infallible>(answer) }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        // A peer that breaks off harms nobody.
         spawn_local(async move { drop(connection.await) });
     }
 }
--- a/marigoldgladed/src/batch/live.rs
+++ b/marigoldgladed/src/batch/live.rs
@@ -130,13 +130,14 @@
         }
     }
 
+    /// Returns the newest term that this daemon knows of; zero for none.
+    pub(super) fn known_term(&self) -> u64 {
+        let view = self.view.borrow();
+        view.owner.as_ref().map_or(0, |k| k.owner.term)
+    }
+
     fn set_owner(&self, known: Known) {
-        let old = self
-            .view
-            .borrow()
-            .owner
-            .as_ref()
-            .map_or(0, |k| k.owner.term);
+        let old = self.known_term();
         if known.owner.term < old {
             return;
         }
@@ -151,12 +152,7 @@
 
     /// Takes an owner that a peer told of, when its term is newer.
     pub(super) fn heard_owner(&self, owner: Owner) {
-        let old = self
-            .view
-            .borrow()
-            .owner
-            .as_ref()
-            .map_or(0, |k| k.owner.term);
+        let old = self.known_term();
         if owner.term > old {
             let changed = None;
             self.set_owner(Known { owner, changed });
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -290,13 +290,7 @@
                 log::warn!(term = tenure.term, blind_ms = blind; "ownership couldn't be confirmed for too long");
                 return;
             }
-            let newer = self
-                .view
-                .borrow()
-                .owner
-                .as_ref()
-                .is_some_and(|k| k.owner.term > tenure.term);
-            if newer {
+            if self.known_term() > tenure.term {
                 log::warn!(term = tenure.term; "another daemon has become the owner");
                 return;
             }
--- a/marigoldgladed/src/batch/policy.rs
+++ b/marigoldgladed/src/batch/policy.rs
@@ -76,12 +76,7 @@
             let addr = addrs[turn % addrs.len()];
             let question = Message::Newer {
                 version: self.policy().map_or(0, |p| p.version),
-                term: self
-                    .view
-                    .borrow()
-                    .owner
-                    .as_ref()
-                    .map_or(0, |o| o.owner.term),
+                term: self.known_term(),
             };
             let end = clock::now().after(ANSWER_MS);
             if let Ok(Message::Newest { policy, owner }) = self.peers.ask(addr, question, end).await
