Keep idle workers with completions that aren't durable on the stored list

Cause: the owner drops a worker from the stored list once the registry no longer lists it and nothing runs there. After an outage that removed registry entries, the first commit holds 28 of the changed records, but already the shorter list. When the owner then ends, its successor knows nothing of the dropped workers, whose completions of the other jobs it never asks for, and starts their tasks again. Ruled out: a wait that ends too early (no silent worker was on the list), lost reports (the workers kept their completions). Change: a worker stays on the list until its completions are durable. An empty list that the store refused is written again. The simulation of the tests checks that no task starts again while a completion of it, acknowledged later, waits on a live worker.

--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -29,8 +29,9 @@
     completions: Vec<(WorkerKey, u64, u64)>,
     handled: Vec<String>,
     deletes: Vec<crate::batch::id::JobId>,
-    /// The workers on the list that it writes, with the start times of their processes.
-    workers: Vec<(WorkerKey, u64)>,
+    /// The workers on the list that it writes, with the start times of their processes; `None` if it
+    /// writes no list.
+    workers: Option<Vec<(WorkerKey, u64)>>,
 }
 
 impl Engine {
@@ -60,7 +61,7 @@
             completions: Vec::new(),
             handled: Vec::new(),
             deletes: Vec::new(),
-            workers: Vec::new(),
+            workers: None,
         };
         let mut bytes = 0;
         let mut covers_all = true;
@@ -101,18 +102,14 @@
         pending.deletes.clone_from(&batch.deletes);
         if self.workers_dirty {
             self.workers_dirty = false;
-            let keep = |w: &super::Worker| {
-                w.listed || !w.runs.is_empty() || !w.uncertain_until.passed(self.now)
-            };
-            let kept = self.worker_keys().filter(|k| keep(self.worker(*k)));
-            pending.workers = kept
+            let kept: Vec<(WorkerKey, u64)> = self
+                .worker_keys()
+                .filter(|k| self.worker(*k).concerns_successor(self.now))
                 .map(|k| (k, self.worker(k).target.started_at))
                 .collect();
-            let targets = pending
-                .workers
-                .iter()
-                .map(|(k, _)| (*self.worker(*k).target).clone());
+            let targets = kept.iter().map(|(k, _)| (*self.worker(*k).target).clone());
             batch.workers = Some(targets.collect());
+            pending.workers = Some(kept);
         }
         let nothing_to_write = batch.puts.is_empty()
             && batch.handled.is_empty()
@@ -198,12 +195,14 @@
                 worker.last_durable = worker.last_durable.max(*applied);
                 worker.renewal_after = worker.renewal_after.min(now);
             }
+            let leaves = !worker.concerns_successor(now);
+            self.workers_dirty |= leaves;
         }
         for key in &pending.handled {
             self.handled.remove(key);
         }
         self.deletes.retain(|id| !pending.deletes.contains(id));
-        for (key, started_at) in &pending.workers {
+        for (key, started_at) in pending.workers.iter().flatten() {
             let worker = self.worker_mut(*key);
             worker.recorded = worker.target.started_at == *started_at;
         }
@@ -215,7 +214,7 @@
         log::warn!(commit = pending.number, term = self.term; "the store refused a commit");
         self.closed_until = self.now.after(CLOSED_MS);
         self.commit_after = self.now.after(CLOSED_MS / 4);
-        self.workers_dirty |= !pending.workers.is_empty();
+        self.workers_dirty |= pending.workers.is_some();
         for (key, ..) in &pending.jobs {
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -192,6 +192,15 @@
             && self.paused_until.passed(now)
     }
 
+    /// Returns whether a new owner must hear from the worker before it may start tasks again: the
+    /// worker may run something, or holds completions that aren't durable.
+    pub fn concerns_successor(&self, now: UnixMs) -> bool {
+        self.listed
+            || !self.runs.is_empty()
+            || self.last_applied > self.last_durable
+            || !self.uncertain_until.passed(now)
+    }
+
     /// Adds a run.
     pub fn insert(&mut self, task: TaskId, run: Run) {
         self.used = self.used.plus(&run.resources);
@@ -280,6 +289,7 @@
 
     /// Applies the registry's list of workers.
     pub(super) fn update_registry(&mut self, targets: Vec<Target>) {
+        let now = self.now;
         let mut listed = HashSet::new();
         for target in targets {
             let key = match self.worker_names.get(&target.name) {
@@ -294,10 +304,10 @@
             if worker.listed && !listed.contains(&key) {
                 log::info!(worker = worker.target.name.as_str(), runs = worker.runs.len(); "worker left the registry");
                 worker.listed = false;
-                // Nothing can run on an idle worker: it leaves the stored list, so that a new owner
+                // A worker without runs or completions leaves the stored list, so that a new owner
                 // doesn't wait for it.
-                let idle = worker.runs.is_empty();
-                self.workers_dirty |= idle;
+                let leaves = !worker.concerns_successor(now);
+                self.workers_dirty |= leaves;
             }
         }
         self.replan = true;
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -382,3 +382,55 @@
         }
     }
 }
+
+/// The store is lost together with the registry's entries while more tasks end than one commit
+/// holds. After its return the owner writes one commit and loses its process; the new owner finds
+/// most entries missing.
+#[test]
+fn a_new_owner_asks_idle_workers_whose_completions_are_not_durable() {
+    let mut sim = Simulation::new(31, 4, 10);
+    for n in 0..40 {
+        sim.submit(n, "sweep", "w0", spec(vec![step(1, 8, 1_500)]), 1_500);
+    }
+    sim.run_for(1_000);
+    assert_eq!(sim.starts, 40);
+    sim.store_down = true;
+    sim.run_for(1_500);
+    assert_eq!(sim.done.len(), 40);
+    let listed = sim.listed.clone();
+    sim.listed.retain(|name| name.starts_with("worker-0-"));
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.store_down = false;
+    let before = sim.seq;
+    while sim.seq == before {
+        sim.run_for(1);
+    }
+    sim.kill_newest_owner();
+    sim.predecessors_ended = true;
+    sim.elect();
+    sim.run_for(1_500);
+    sim.listed = listed;
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.run_for(6_000);
+    assert!(sim.all_done(0..40));
+    assert_eq!(sim.starts, 40, "tasks ran again although they were done");
+}
+
+/// The last worker leaves while the store refuses commits: the list without any worker is written
+/// again later.
+#[test]
+fn an_empty_list_of_workers_is_written_again_after_a_refused_commit() {
+    let mut sim = Simulation::new(32, 1, 2);
+    sim.run_for(200);
+    assert_eq!(sim.stored_workers.len(), 2);
+    sim.store_down = true;
+    sim.listed.clear();
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.run_for(500);
+    sim.store_down = false;
+    sim.run_for(1_000);
+    assert!(sim.stored_workers.is_empty());
+}
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -76,7 +76,8 @@
     pub seq: u64,
     pub term: u64,
     pub records: BTreeMap<JobId, Record>,
-    stored_workers: Vec<Target>,
+    /// The workers that a new owner must hear from.
+    pub stored_workers: Vec<Target>,
     pub inbox: Vec<InboxItem>,
     pub store_down: bool,
     /// The workers that the adviser allows.
@@ -103,6 +104,10 @@
     pub done: BTreeMap<TaskId, u32>,
     /// Tasks with a successful run that was acknowledged to the worker.
     acked_tasks: BTreeSet<TaskId>,
+    /// Successful runs that aren't acknowledged and whose workers' leases have lasted since: by the
+    /// worker, its process's start time and the completion's number, the task and whether it was
+    /// started again.
+    held_ends: BTreeMap<(String, u64, u64), (TaskId, bool)>,
     /// How many runs of each task failed.
     pub failed: BTreeMap<TaskId, u32>,
     /// When the first run of each job started.
@@ -224,6 +229,7 @@
             live_runs: HashMap::new(),
             done: BTreeMap::new(),
             acked_tasks: BTreeSet::new(),
+            held_ends: BTreeMap::new(),
             failed: BTreeMap::new(),
             started_at: HashMap::new(),
             last_done: HashMap::new(),
@@ -446,6 +452,9 @@
             if !worker.exited {
                 worker.advance(now);
             }
+            if worker.clock(now) > worker.lease_expires_at {
+                self.held_ends.retain(|(n, ..), _| *n != name);
+            }
             self.process_worker_events(&name);
         }
     }
@@ -560,6 +569,8 @@
                     }
                     if how == Outcome::Done {
                         *self.done.entry(id).or_default() += 1;
+                        self.held_ends
+                            .insert((name.to_owned(), started_at, number), (id, false));
                         self.last_done.insert(id.job, self.now);
                     }
                     if how == Outcome::Failed {
@@ -572,8 +583,14 @@
                         .get(&(name.to_owned(), started_at))
                         .cloned()
                         .unwrap_or_default();
-                    for (_, id, how) in ends.iter().filter(|(n, ..)| *n <= acked) {
+                    for (number, id, how) in ends.iter().filter(|(n, ..)| *n <= acked) {
                         if *how == Outcome::Done {
+                            let end = (name.to_owned(), started_at, *number);
+                            assert_ne!(
+                                self.held_ends.remove(&end),
+                                Some((*id, true)),
+                                "{id} was started again before its completion was acknowledged"
+                            );
                             self.acked_tasks.insert(*id);
                             let record = &self.records[&id.job];
                             let kept = record.tasks.iter().any(|t| {
@@ -595,6 +612,9 @@
     fn check_start(&mut self, name: &str, id: TaskId, run: u64) {
         self.starts += 1;
         self.started_at.entry(id.job).or_insert(self.now);
+        for (_, repeated) in self.held_ends.values_mut().filter(|(task, _)| *task == id) {
+            *repeated = true;
+        }
         let specs = self.specs();
         let spec = specs.get(&id.job).expect("a started job is stored");
         let live = self.live_runs.entry(id).or_default();
