Keep workers in use whose registry entries an outage of the store removed

Cause: entries of live workers expire while the store is away and are back within two seconds of its return. Until then the owner, old or new, took their workers as gone: it gave them nothing and counted the backlog against the rest. A new owner found 202 of 540 entries. Change: batch::roster keeps such workers present until the entries of live ones are back, a new owner also those that its predecessor used; they still have to answer before they get work. A worker that starts to drain is written to the stored list as draining.

--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -3,8 +3,8 @@
 //! The [`engine`] takes calls of clients, reports of workers and outcomes of commits, and emits
 //! orders to workers, commits and replies. The other modules are its parts: the job as submitted
 //! ([`spec`]) and as stored ([`record`]), the operators' configuration ([`policy`]), messages between
-//! daemons ([`messages`]), the protocol with workers ([`worker`]), earlier owners that may still act
-//! ([`succession`]), and the decisions ([`admission`], [`rank`], [`pack`], [`preempt`], [`pace`],
+//! daemons ([`messages`]), the protocol with workers ([`worker`]), the workers that the registry lists ([`roster`]),
+//! earlier owners that may still act ([`succession`]), and the decisions ([`admission`], [`rank`], [`pack`], [`preempt`], [`pace`],
 //! [`advice`], [`health`]).
 
 pub mod admission;
@@ -19,6 +19,7 @@
 pub mod preempt;
 pub mod rank;
 pub mod record;
+pub mod roster;
 pub mod spec;
 pub mod succession;
 pub mod worker;
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -342,6 +342,8 @@
         }
         if target.draining && !worker.target.draining {
             log::info!(worker = target.name.as_str(), runs = worker.runs.len(); "worker is draining");
+            // A new owner that finds no entry of the worker mustn't give it work.
+            worker.recorded = false;
         }
         if *worker.target != target {
             let changed =
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -253,10 +253,16 @@
             entries = entries.len(), took_ms = clock::now().since(began);
             "state loaded"
         );
+        let former = initial.workers.clone();
         let engine = Engine::new(self.bounds(), policy, initial, clock::now(), wall_ms());
         let (inputs, queue) = mpsc::unbounded_channel();
         let watches = [
-            spawn_local(Rc::clone(self).follow_registry(entries, entries_since, inputs.clone())),
+            spawn_local(Rc::clone(self).follow_registry(
+                entries,
+                entries_since,
+                former,
+                inputs.clone(),
+            )),
             spawn_local(Rc::clone(self).follow_inbox(inbox, inbox_since, inputs.clone())),
             spawn_local(Rc::clone(self).forward_policies(inputs.clone())),
         ]
--- a/marigoldgladed/src/batch/owner/inputs.rs
+++ b/marigoldgladed/src/batch/owner/inputs.rs
@@ -1,18 +1,21 @@
 //! Inputs of the engine that come from the store: the registry, the inbox and the configuration.
 
-use std::collections::BTreeMap;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use marigoldglade::batch::engine::{Event, InboxBody, InboxItem};
 use marigoldglade::batch::id::JobId;
 use marigoldglade::batch::record::Record;
+use marigoldglade::batch::roster::Roster;
 use marigoldglade::batch::worker::Target;
 use marigoldglade::store::{Change, Pair, Revision};
+use marigoldglade::time::UnixMs;
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 
-use crate::batch::Node;
 use crate::batch::calls::{CANCEL_PREFIX, INBOX_PREFIX, SUBMIT_PREFIX};
 use crate::batch::owner::Input;
+use crate::batch::{Node, clock};
 
 impl Node {
     /// Passes each new configuration to the engine.
@@ -27,36 +30,41 @@
     }
 
     /// Passes the registry's workers to the engine, at first and after each change.
+    ///
+    /// `former` are the workers that the earlier owner used.
     pub(super) async fn follow_registry(
         self: Rc<Self>,
         mut pairs: Vec<Pair>,
         mut since: Revision,
+        mut former: Vec<Target>,
         inputs: mpsc::UnboundedSender<Input>,
     ) {
         let prefix = platform::registry::PREFIX;
+        let feed = Rc::new(RosterFeed {
+            roster: RefCell::default(),
+            inputs,
+            review_at: Cell::default(),
+        });
         loop {
-            let mut entries: BTreeMap<String, Target> = BTreeMap::new();
-            for pair in &pairs {
-                apply_entry(&mut entries, pair);
+            let entries = pairs.iter().filter_map(read_entry).collect();
+            let settled_at = self.store.settled_at();
+            feed.roster.borrow_mut().replace(entries, settled_at);
+            for target in former.drain(..) {
+                let name = format!("{prefix}{}", target.name);
+                feed.roster
+                    .borrow_mut()
+                    .add_absent(name, target, settled_at);
             }
-            let _ = inputs.send(Input::Event(Event::Registry(
-                entries.values().cloned().collect(),
-            )));
+            feed.send();
             while let Some(changes) = self.store.watch(prefix, &mut since).await {
                 if changes.is_empty() {
                     continue;
                 }
                 for change in changes {
-                    match change {
-                        Change::Put(pair) => apply_entry(&mut entries, &pair),
-                        Change::Deleted(key, _) => {
-                            entries.remove(&key);
-                        }
-                    }
+                    let settled_at = self.store.settled_at();
+                    apply_entry(&mut feed.roster.borrow_mut(), change, settled_at);
                 }
-                let _ = inputs.send(Input::Event(Event::Registry(
-                    entries.values().cloned().collect(),
-                )));
+                feed.send();
             }
             log::info!("the store has dropped the history of the registry; reading it again");
             (pairs, since) = self.store.list(prefix).await;
@@ -90,14 +98,49 @@
     }
 }
 
-fn apply_entry(entries: &mut BTreeMap<String, Target>, pair: &Pair) {
-    match platform::registry::decode(pair) {
-        Ok(target) => {
-            entries.insert(pair.key.clone(), target);
+/// The roster, and where its workers are sent.
+struct RosterFeed {
+    roster: RefCell<Roster>,
+    inputs: mpsc::UnboundedSender<Input>,
+    /// When missing workers are next looked at.
+    review_at: Cell<UnixMs>,
+}
+
+impl RosterFeed {
+    /// Passes the workers on the roster to the engine, and again when missing ones count as gone.
+    fn send(self: &Rc<Self>) {
+        let present = self.roster.borrow_mut().present(clock::now());
+        // A closed queue means that this daemon's ownership has ended.
+        let sent = self.inputs.send(Input::Event(Event::Registry(present)));
+        let gone_at = self.roster.borrow().next_gone();
+        if let Some(at) = gone_at.filter(|at| sent.is_ok() && *at != self.review_at.get()) {
+            self.review_at.set(at);
+            let feed = Rc::clone(self);
+            spawn_local(async move {
+                clock::sleep_until(at).await;
+                feed.send();
+            });
         }
+    }
+}
+
+fn apply_entry(roster: &mut Roster, change: Change, settled_at: UnixMs) {
+    match change {
+        Change::Put(pair) => match read_entry(&pair) {
+            Some((name, target)) => roster.put(name, target),
+            None => roster.discard(&pair.key),
+        },
+        Change::Deleted(key, _) => roster.remove(&key, settled_at),
+    }
+}
+
+/// Decodes a registry entry; one that can't be decoded is logged and left out.
+fn read_entry(pair: &Pair) -> Option<(String, Target)> {
+    match platform::registry::decode(pair) {
+        Ok(target) => Some((pair.key.clone(), target)),
         Err(e) => {
             log::warn!(key = pair.key.as_str(), error:% = e; "a registry entry can't be read; its worker isn't used");
-            entries.remove(&pair.key);
+            None
         }
     }
 }
--- a/marigoldgladed/src/batch/store.rs
+++ b/marigoldgladed/src/batch/store.rs
@@ -1,10 +1,12 @@
 //! The client of the platform's store, which all parts of the daemon use.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use marigoldglade::batch::roster::REJOIN_MS;
 use marigoldglade::store::{Body, Call, Change, Fault, Op, Outcome, Pair, Reply, Revision, Txn};
+use marigoldglade::time::UnixMs;
 
 use crate::admin::Counts;
 use crate::batch::client::{Client, Failure};
@@ -35,7 +37,8 @@
     counts: Counts,
     /// The failures since the last call that was answered.
     failures: Cell<u32>,
-    last_fault: RefCell<Option<Fault>>,
+    /// When the store last answered again after it was lost.
+    regained_at: Cell<Option<UnixMs>>,
 }
 
 impl Store {
@@ -47,7 +50,7 @@
             client: Client::default(),
             counts,
             failures: Cell::new(0),
-            last_fault: RefCell::new(None),
+            regained_at: Cell::new(None),
         }
     }
 
@@ -56,6 +59,16 @@
         self.failures.get() >= LOST_THRESHOLD
     }
 
+    /// Returns when the entries that expired during the last outage are back; the Unix epoch when
+    /// there was no outage.
+    pub(super) fn settled_at(&self) -> UnixMs {
+        if self.is_lost() {
+            return clock::now().after(REJOIN_MS);
+        }
+        let regained = self.regained_at.get();
+        regained.map_or(UnixMs::default(), |at| at.after(REJOIN_MS))
+    }
+
     /// Makes a call.
     pub(super) async fn call(&self, call: &Call) -> std::result::Result<Reply, Fault> {
         let (wait, limit) = if call.is_watch() {
@@ -99,12 +112,12 @@
             Ok(_) => {
                 if self.is_lost() {
                     log::info!(dependency = "store", failures = self.failures.get(); "dependency regained");
+                    self.regained_at.set(Some(clock::now()));
                 }
                 self.failures.set(0);
             }
-            Err(fault) => {
+            Err(_) => {
                 self.failures.set(self.failures.get().saturating_add(1));
-                *self.last_fault.borrow_mut() = Some(*fault);
                 if self.failures.get() == LOST_THRESHOLD {
                     log::warn!(dependency = "store", why = result, call = kind; "dependency lost");
                 }
