Add a benchmark of the batch engine's processor time by fleet size

Cause: the owner's processor time grows with the fleet, and nothing of ours showed which part of it the engine takes. Change: bench engine drives the shipping engine against simulated workers with seeded arrivals.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod decide;
+mod engine;
 mod entry;
 #[expect(dead_code, reason = "the tests use more of it")]
 #[path = "../../marigoldglade/tests/member/fleet.rs"]
@@ -24,6 +25,7 @@
         .subcommand_required(true)
         .subcommand(capacity::command())
         .subcommand(decide::command())
+        .subcommand(engine::command())
         .subcommand(entry::command())
         .subcommand(flood::command())
         .subcommand(frag::command())
@@ -35,6 +37,7 @@
     match matches.subcommand() {
         Some(("capacity", sub)) => capacity::run(sub),
         Some(("decide", _)) => decide::run(),
+        Some(("engine", sub)) => engine::run(sub),
         Some(("entry", sub)) => entry::run(sub),
         Some(("flood", sub)) => flood::run(sub),
         Some(("frag", sub)) => frag::run(sub),
