Relay the owner's orders to workers through other daemons

Cause: the owner alone keeps the connections to all workers, so its connections and memory grow with the fleet. Change: batch::links chooses relays in each data centre by rendezvous hashing, one for 64 workers; the owner sends them batches of orders and gets batches of responses. A relay has no authority: terms and deadlines on the worker's clock hold as before. A silent relay's orders count as lost and its workers take another way. The engine plans, commits and renews once for all events that came together.

--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -4,7 +4,7 @@
 //! orders to workers, commits and replies. The other modules are its parts: the job as submitted
 //! ([`spec`]) and as stored ([`record`]), the operators' configuration ([`policy`]), messages between
 //! daemons ([`messages`]), the protocol with workers ([`worker`]), the workers that the registry lists ([`roster`]),
-//! earlier owners that may still act ([`succession`]), and the decisions ([`admission`], [`rank`], [`pack`], [`preempt`], [`pace`],
+//! the daemons that relay orders to them ([`links`]), earlier owners that may still act ([`succession`]), and the decisions ([`admission`], [`rank`], [`pack`], [`preempt`], [`pace`],
 //! [`advice`], [`health`]).
 
 pub mod admission;
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod health;
 pub mod id;
+pub mod links;
 pub mod messages;
 pub mod pace;
 pub mod pack;
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -295,18 +295,23 @@
 
     /// Processes one event and appends the resulting actions to `out`.
     pub fn step(&mut self, now: UnixMs, wall_ms: u64, event: Event, out: &mut Vec<Action>) {
+        self.step_all(now, wall_ms, [event], out);
+    }
+
+    /// Processes events that came together, and appends the resulting actions to `out`.
+    ///
+    /// What isn't bound to one event (planning, commits, renewals) is done once for all of them.
+    pub fn step_all(
+        &mut self,
+        now: UnixMs,
+        wall_ms: u64,
+        events: impl IntoIterator<Item = Event>,
+        out: &mut Vec<Action>,
+    ) {
         self.now = self.now.max(now);
         self.wall_ms = wall_ms;
-        match event {
-            Event::Policy(policy) => self.set_policy(policy),
-            Event::Registry(targets) => self.update_registry(targets),
-            Event::Call(call_id, call) => self.handle_call(call_id, call, out),
-            Event::Inbox(items) => self.apply_inbox(items),
-            Event::OrderResponse(key, order, r) => self.handle_response(key, &order, r, out),
-            Event::CommitOutcome(number, outcome) => self.finish_commit(number, outcome, out),
-            Event::PredecessorsEnded => self.limit_inherited_leases(),
-            Event::Advised(response) => self.handle_advice(response),
-            Event::Tick => self.tick(),
+        for event in events {
+            self.apply(event, out);
         }
         if self.replan && self.plan_after.passed(self.now) {
             self.replan = false;
@@ -324,6 +329,20 @@
         self.send_renewals(out);
     }
 
+    fn apply(&mut self, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Policy(policy) => self.set_policy(policy),
+            Event::Registry(targets) => self.update_registry(targets),
+            Event::Call(call_id, call) => self.handle_call(call_id, call, out),
+            Event::Inbox(items) => self.apply_inbox(items),
+            Event::OrderResponse(key, order, r) => self.handle_response(key, &order, r, out),
+            Event::CommitOutcome(number, outcome) => self.finish_commit(number, outcome, out),
+            Event::PredecessorsEnded => self.limit_inherited_leases(),
+            Event::Advised(response) => self.handle_advice(response),
+            Event::Tick => self.tick(),
+        }
+    }
+
     /// Returns when the next [`Event::Tick`] is due.
     #[must_use]
     pub fn next_tick(&self) -> UnixMs {
--- a/marigoldglade/src/batch/messages.rs
+++ b/marigoldglade/src/batch/messages.rs
@@ -7,6 +7,7 @@
 use crate::batch::policy::{Policy, Queue};
 use crate::batch::record::Record;
 use crate::batch::spec::JobSpec;
+use crate::batch::worker::{Order, OrderResponse};
 
 /// A job being submitted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -96,6 +97,28 @@
     pub since: u64,
 }
 
+/// An order of the owner that another daemon sends to the worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedOrder {
+    /// Identifies the order on its link.
+    pub number: u64,
+    /// The worker's name.
+    pub worker: String,
+    /// The worker's address.
+    pub addr: std::net::SocketAddr,
+    /// The order.
+    pub order: Order,
+}
+
+/// The response to a [`RelayedOrder`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RelayedResponse {
+    /// The number of the order.
+    pub number: u64,
+    /// The worker's response, or its loss.
+    pub response: OrderResponse,
+}
+
 /// A message between daemons.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -133,4 +156,13 @@
         /// The owner, if its term is newer.
         owner: Option<Owner>,
     },
+    /// Orders of the owner that the receiver sends to workers.
+    Orders(Vec<RelayedOrder>),
+    /// Responses of workers to [`Message::Orders`]; without any, it shows that the sender is alive.
+    OrderResponses {
+        /// The responses.
+        responses: Vec<RelayedResponse>,
+        /// Whether the sender stops and takes no new orders.
+        stopping: bool,
+    },
 }
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use crate::batch::id::TaskId;
+use crate::batch::id::{JobId, TaskId};
 
 /// The number of cores that one accelerator counts for in amounts of work, by the platform's prices.
 pub const CORES_PER_ACCEL: u64 = 8;
@@ -107,7 +107,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Display, IntoStaticStr, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, IntoStaticStr, PartialEq, Eq, Serialize, Deserialize)]
 #[strum(serialize_all = "lowercase")]
 pub enum Outcome {
     /// The run completed its task.
@@ -125,7 +125,8 @@
 }
 
 /// A run in progress, as listed in a report.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "ActiveRunRow", into = "ActiveRunRow")]
 pub struct ActiveRun {
     /// The task that is run.
     pub task: TaskId,
@@ -140,8 +141,68 @@
     pub load: Option<u64>,
 }
 
+/// The fields of [`ActiveRun`] in order. Reports between daemons carry rows, which are a fraction of
+/// the size of maps.
+type ActiveRunRow = (TaskRow, u64, String, u32, Option<u64>);
+
+/// The fields of a [`TaskId`] in order.
+type TaskRow = (JobId, u32, u16, u32);
+
+const fn task_row(task: TaskId) -> TaskRow {
+    (task.job, task.round, task.step, task.index)
+}
+
+const fn task_of((job, round, step, index): TaskRow) -> TaskId {
+    TaskId {
+        job,
+        round,
+        step,
+        index,
+    }
+}
+
+impl From<ActiveRun> for ActiveRunRow {
+    fn from(r: ActiveRun) -> Self {
+        (task_row(r.task), r.run, r.checkpoint, r.percent, r.load)
+    }
+}
+
+impl From<ActiveRunRow> for ActiveRun {
+    fn from((task, run, checkpoint, percent, load): ActiveRunRow) -> Self {
+        Self {
+            task: task_of(task),
+            run,
+            checkpoint,
+            percent,
+            load,
+        }
+    }
+}
+
+/// The fields of [`Completion`] in order.
+type CompletionRow = (u64, TaskRow, u64, Outcome, String);
+
+impl From<Completion> for CompletionRow {
+    fn from(c: Completion) -> Self {
+        (c.number, task_row(c.task), c.run, c.outcome, c.checkpoint)
+    }
+}
+
+impl From<CompletionRow> for Completion {
+    fn from((number, task, run, outcome, checkpoint): CompletionRow) -> Self {
+        Self {
+            number,
+            task: task_of(task),
+            run,
+            outcome,
+            checkpoint,
+        }
+    }
+}
+
 /// The end of a run, as listed in a report.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "CompletionRow", into = "CompletionRow")]
 pub struct Completion {
     /// The completion's number, from one in each incarnation of the worker.
     pub number: u64,
@@ -156,7 +217,7 @@
 }
 
 /// A worker's response to a [`Renewal`].
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The worker's monotonic clock, in milliseconds.
     pub clock: u64,
@@ -182,7 +243,7 @@
 }
 
 /// Why a worker refused an order.
-#[derive(Clone, Copy, Debug, Display, IntoStaticStr, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, IntoStaticStr, PartialEq, Eq, Serialize, Deserialize)]
 #[strum(serialize_all = "lowercase")]
 pub enum Refusal {
     /// The worker has had orders of a newer owner.
@@ -204,7 +265,7 @@
 }
 
 /// The result of an order.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OrderResponse {
     /// The order was carried out; with the worker's clock.
     Accepted(u64),
@@ -217,7 +278,7 @@
 }
 
 /// An order to start a run of a task.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// The task to run.
     pub task: TaskId,
@@ -237,7 +298,7 @@
 }
 
 /// An order to stop a run, or to never start it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stop {
     /// The task whose run is stopped.
     pub task: TaskId,
@@ -248,7 +309,7 @@
 }
 
 /// An order to change the speed of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SetPace {
     /// The task whose run changes its speed.
     pub task: TaskId,
@@ -261,7 +322,7 @@
 }
 
 /// An order that renews all leases of a worker, acknowledges completions and asks for a report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
     /// When the worker's leases expire, on its own clock; zero to renew none.
     pub expires_at: u64,
@@ -275,7 +336,7 @@
 }
 
 /// An order to a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// Start a run.
     Start(Start),
@@ -286,3 +347,16 @@
     /// Change a run's speed.
     SetPace(SetPace),
 }
+
+impl Order {
+    /// Returns the term of the owner that gives the order.
+    #[must_use]
+    pub const fn term(&self) -> u64 {
+        match self {
+            Self::Start(start) => start.term,
+            Self::Stop(stop) => stop.term,
+            Self::Renew(renewal) => renewal.term,
+            Self::SetPace(pace) => pace.term,
+        }
+    }
+}
--- a/marigoldgladed/src/batch.rs
+++ b/marigoldgladed/src/batch.rs
@@ -9,9 +9,11 @@
 mod front;
 mod live;
 mod metrics;
+mod orders;
 mod owner;
 mod peers;
 mod policy;
+mod relay;
 mod store;
 
 use std::cell::{Cell, RefCell};
@@ -34,6 +36,7 @@
 use client::Client;
 use live::View;
 use metrics::Metrics;
+use orders::OrderSlots;
 use owner::Input;
 use peers::Peers;
 use store::Store;
@@ -58,6 +61,8 @@
     incarnation: u64,
     store: Store,
     client: Client,
+    /// Limits the orders under way to each worker.
+    slots: OrderSlots,
     peers: Peers,
     policy: watch::Sender<Option<Arc<Policy>>>,
     view: watch::Sender<View>,
@@ -113,6 +118,7 @@
     let node = Rc::new(Node {
         store: Store::new(settings.store[0], metrics.store.clone()),
         client: Client::default(),
+        slots: OrderSlots::default(),
         peers: Peers::new(&settings),
         policy: watch::Sender::new(None),
         view: watch::Sender::new(View::default()),
--- a/marigoldgladed/src/batch/live.rs
+++ b/marigoldgladed/src/batch/live.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use marigoldglade::batch::links::Candidate;
 use marigoldglade::batch::messages::Owner;
 use marigoldglade::prelude::*;
 use marigoldglade::store::{Body, Call, Change, Compare, Op, Pair, Revision, Txn};
@@ -43,12 +44,18 @@
 }
 
 /// What a daemon announces about itself.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Daemon {
     /// The daemon's mesh address.
     pub addr: SocketAddr,
     /// The processor capacity of the daemon's VM, in thousandths of a core.
     pub cores: u32,
+    /// The daemon's data centre.
+    #[serde(default)]
+    pub dc: String,
+    /// Whether the daemon relays orders to workers.
+    #[serde(default)]
+    pub relays: bool,
 }
 
 /// What this daemon knows of the owner and of the daemons that are alive.
@@ -212,6 +219,8 @@
         let value = encode(&Daemon {
             addr: self.settings.borrow().mesh,
             cores: self.millicores(),
+            dc: self.settings.borrow().dc.clone(),
+            relays: true,
         });
         let txn = Txn {
             then: vec![Op::Put(key, value, lease)],
@@ -246,6 +255,23 @@
         addrs
     }
 
+    /// Returns the other daemons that can relay orders to workers.
+    pub(super) fn relay_candidates(&self) -> Vec<Candidate> {
+        let view = self.view.borrow();
+        let others = view
+            .daemons
+            .iter()
+            .filter(|(name, d)| d.relays && **name != self.name);
+        others
+            .map(|(name, d)| Candidate {
+                name: name.clone(),
+                addr: d.addr,
+                dc: d.dc.clone(),
+                cores: d.cores,
+            })
+            .collect()
+    }
+
     /// Deletes this daemon's own key, so that peers no longer call it.
     pub(super) async fn withdraw(&self) {
         let key = format!("{DAEMON_PREFIX}{}", self.name);
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -3,13 +3,15 @@
 mod driver;
 mod inputs;
 mod predecessors;
+mod relays;
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use marigoldglade::batch::engine::{Bounds, Engine, Event, InitialState, UNCONFIRMED_LIMIT_MS};
-use marigoldglade::batch::messages::{Call, Owner, Reply};
+use marigoldglade::batch::messages::{Call, Owner, RelayedResponse, Reply};
 use marigoldglade::batch::succession::active_predecessors;
 use marigoldglade::store::{
     self, Body, Compare, Fault, Op, Outcome, Pair, Revision, Txn, TxnResult,
@@ -50,6 +52,10 @@
 pub(super) enum Input {
     Event(Event),
     Call(Call, oneshot::Sender<Reply>),
+    /// Responses of workers that a relay sent, and whether it stops.
+    Relayed(SocketAddr, Vec<RelayedResponse>, bool),
+    /// The link with this number to a relay broke or couldn't be opened.
+    RelayFailed(SocketAddr, u64),
 }
 
 /// The term and number of the last commit.
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -1,6 +1,6 @@
 //! The driver of the engine: passes events to it and carries out its actions.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -9,28 +9,24 @@
     Action, Batch, CallId, CommitOutcome, Engine, Event, WorkerKey,
 };
 use marigoldglade::batch::id::TaskId;
-use marigoldglade::batch::messages::Reply;
+use marigoldglade::batch::links::{Links, RelayKey, Route};
+use marigoldglade::batch::messages::{RelayedOrder, Reply};
 use marigoldglade::batch::worker::{Order, OrderResponse, Target};
 use marigoldglade::prelude::*;
 use marigoldglade::store::{self, Body, Compare, Fault, Op, Pair, Txn, TxnResult};
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
 use crate::batch::calls::job_key;
-use crate::batch::client::Failure;
 use crate::batch::live::{decode, encode};
+use crate::batch::orders::{response_limit_ms, send_order};
+use crate::batch::owner::relays::RelayLinks;
 use crate::batch::owner::{Input, Ownership, SEQ_KEY, Seq, WORKERS_KEY, first_pair};
 use crate::batch::store::pause;
 use crate::batch::{Node, clock, wall_ms};
 
-/// The longest time that a worker may take to respond to a start, a stop or a change of pace, in
-/// milliseconds: many times what it usually takes. Three such times fit into the time that gangs wait
-/// for members.
-const ORDER_TIMEOUT_MS: u64 = 500;
-/// How much longer than its wait a renewal of worker leases may take, in milliseconds.
-const RENEWAL_MARGIN_MS: u64 = 600;
-/// The most orders under way to one worker, besides a renewal. Each one takes a connection.
-const ORDERS_PER_WORKER: usize = 2;
+/// The time between two looks at the daemons that can relay orders, in milliseconds.
+const CANDIDATES_MS: u64 = 250;
 
 impl Node {
     /// Passes inputs to the engine and carries out its actions until the ownership ends.
@@ -44,10 +40,13 @@
         let mut driver = Driver {
             node: Rc::clone(self),
             ownership: Rc::clone(ownership),
-            inputs,
+            inputs: inputs.clone(),
             callers: HashMap::new(),
             last_call: 0,
-            order_slots: HashMap::new(),
+            links: Links::new(clock::now()),
+            relays: RelayLinks::new(inputs),
+            outgoing: BTreeMap::new(),
+            candidates_at: clock::now(),
         };
         let mut ended = std::pin::pin!(self.wait_ended(ownership));
         let mut releasing = false;
@@ -65,13 +64,14 @@
                     continue;
                 }
             };
-            let mut out = Vec::new();
+            let mut events = Vec::new();
             let mut next = input;
             while let Some(input) = next {
-                let event = driver.convert(input);
-                engine.step(clock::now(), wall_ms(), event, &mut out);
+                driver.convert(input, &mut events);
                 next = queue.try_recv().ok();
             }
+            let mut out = Vec::new();
+            engine.step_all(clock::now(), wall_ms(), events, &mut out);
             if !driver.perform(out) {
                 return;
             }
@@ -92,20 +92,57 @@
     /// The callers that wait for a reply.
     callers: HashMap<CallId, oneshot::Sender<Reply>>,
     last_call: CallId,
-    /// Limits the orders under way to each worker.
-    order_slots: HashMap<WorkerKey, Rc<Semaphore>>,
+    /// The daemons that relay orders, and the orders under way through them.
+    links: Links,
+    relays: RelayLinks,
+    /// Orders that go to relays once the engine's actions have been carried out.
+    outgoing: BTreeMap<RelayKey, Vec<RelayedOrder>>,
+    /// When the daemons that can relay orders are looked at again.
+    candidates_at: UnixMs,
 }
 
 impl Driver {
-    /// Turns an input into an event, and assigns an id to a call.
-    fn convert(&mut self, input: Input) -> Event {
+    /// Turns an input into events, and assigns an id to a call.
+    fn convert(&mut self, input: Input, events: &mut Vec<Event>) {
+        let now = clock::now();
         match input {
-            Input::Event(event) => event,
+            Input::Event(event) => {
+                match &event {
+                    Event::Registry(targets) => self.links.set_workers(now, targets.iter()),
+                    Event::Tick => self.check_links(now, events),
+                    _ => {}
+                }
+                events.push(event);
+            }
             Input::Call(call, answer) => {
                 self.last_call += 1;
                 self.callers.insert(self.last_call, answer);
-                Event::Call(self.last_call, call)
+                events.push(Event::Call(self.last_call, call));
+            }
+            Input::Relayed(addr, responses, stopping) => {
+                let taken = self.links.receive(now, addr, responses, stopping);
+                push_responses(events, taken);
             }
+            Input::RelayFailed(addr, number) => {
+                if self.relays.is_current(addr, number) {
+                    self.relays.close(addr);
+                    push_responses(events, self.links.fail(now, addr));
+                }
+            }
+        }
+    }
+
+    /// Gives up silent relays, and looks at the daemons that are alive.
+    fn check_links(&mut self, now: UnixMs, events: &mut Vec<Event>) {
+        if self.candidates_at.passed(now) {
+            self.candidates_at = now.after(CANDIDATES_MS);
+            let candidates = self.node.relay_candidates();
+            self.links.set_candidates(now, candidates);
+        }
+        let (lost, silent) = self.links.check(now);
+        push_responses(events, lost);
+        for addr in silent {
+            self.relays.close(addr);
         }
     }
 
@@ -128,22 +165,30 @@
                 Action::StepDown => return false,
             }
         }
+        for (relay, orders) in std::mem::take(&mut self.outgoing) {
+            self.relays.send(&self.node, self.links.addr(relay), orders);
+        }
         true
     }
 
+    /// Sends an order to a worker, or adds it to those for the worker's relay.
     fn start_order(&mut self, worker: WorkerKey, target: Arc<Target>, order: Order) {
-        let slots = self
-            .order_slots
-            .entry(worker)
-            .or_insert_with(|| Rc::new(Semaphore::new(ORDERS_PER_WORKER)));
-        let slots = Rc::clone(slots);
+        if let Route::Relay(relay) = self.links.route(worker, &target) {
+            let limit_ms = response_limit_ms(&order);
+            let relayed = RelayedOrder {
+                number: self
+                    .links
+                    .send(clock::now(), relay, worker, order.clone(), limit_ms),
+                worker: target.name.clone(),
+                addr: target.addr,
+                order,
+            };
+            self.outgoing.entry(relay).or_default().push(relayed);
+            return;
+        }
         let (node, inputs) = (Rc::clone(&self.node), self.inputs.clone());
         spawn_local(async move {
-            let _slot = match order {
-                Order::Renew(_) => None,
-                Order::Start(_) | Order::Stop(_) | Order::SetPace(_) => slots.acquire().await.ok(),
-            };
-            let answer = send_order(&node, &target, &order).await;
+            let answer = send_order(&node, &target.name, target.addr, &order).await;
             let _ = inputs.send(Input::Event(Event::OrderResponse(worker, order, answer)));
         });
     }
@@ -175,30 +220,9 @@
     }
 }
 
-async fn send_order(node: &Node, target: &Target, order: &Order) -> OrderResponse {
-    let limit = match order {
-        Order::Renew(renewal) => renewal.wait_ms + RENEWAL_MARGIN_MS,
-        Order::Start(_) | Order::Stop(_) | Order::SetPace(_) => ORDER_TIMEOUT_MS,
-    };
-    let request = match platform::worker::encode(order, &target.name, &target.addr.to_string()) {
-        Ok(request) => request,
-        Err(e) => {
-            log::error!(worker = target.name.as_str(), error:% = e; "can't encode an order");
-            return OrderResponse::Lost;
-        }
-    };
-    let began = clock::now();
-    let sent = node
-        .client
-        .send(target.addr, request, began.after(limit))
-        .await;
-    match sent {
-        Ok(response) => {
-            node.metrics.record_order(order, clock::now().since(began));
-            platform::worker::decode(order, &response)
-        }
-        Err(Failure::NotSent | Failure::Unknown) => OrderResponse::Lost,
-    }
+fn push_responses(events: &mut Vec<Event>, responses: Vec<(WorkerKey, Order, OrderResponse)>) {
+    let event = |(worker, order, response)| Event::OrderResponse(worker, order, response);
+    events.extend(responses.into_iter().map(event));
 }
 
 async fn request_advice(
--- a/marigoldgladed/src/batch/peers.rs
+++ b/marigoldgladed/src/batch/peers.rs
@@ -14,8 +14,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
+use crate::batch::relay::Outbox;
 use crate::batch::{Node, clock};
-use crate::link::{self, FrameReader, FrameWriter};
+use crate::link::{self, FrameReader, FrameWriter, Link};
 
 /// The most frames that may wait to be sent on one link.
 const QUEUE_LIMIT: usize = 1_024;
@@ -139,16 +140,7 @@
         {
             return Ok(Rc::clone(link));
         }
-        let key = self.key.borrow().clone();
-        let key = key.ok_or_else(|| {
-            Error::new(Kind::NoTarget, "the daemons' shared secret isn't known yet")
-        })?;
-        let dial =
-            tokio::time::timeout(clock::until(deadline), link::dial(addr, &key, &self.hello));
-        let link = dial
-            .await
-            .unwrap_or_else(|_| Err(Error::new(Kind::NoTarget, "the link wasn't open in time")));
-        let link = link.map_err(|e| Error::new(Kind::NoTarget, e.detail))?;
+        let link = self.dial(addr, deadline).await?;
         let (frames, queue) = mpsc::channel(QUEUE_LIMIT);
         let pending = Pending::default();
         let peer_link = Rc::new(PeerLink {
@@ -159,6 +151,24 @@
         self.links.borrow_mut().insert(addr, Rc::clone(&peer_link));
         Ok(peer_link)
     }
+
+    /// Opens a new link to a daemon.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::NoTarget`] when no link could be opened until `deadline`.
+    pub(super) async fn dial(&self, addr: SocketAddr, deadline: UnixMs) -> Result<Link> {
+        let key = self.key.borrow().clone();
+        let key = key.ok_or_else(|| {
+            Error::new(Kind::NoTarget, "the daemons' shared secret isn't known yet")
+        })?;
+        let dial =
+            tokio::time::timeout(clock::until(deadline), link::dial(addr, &key, &self.hello));
+        let link = dial
+            .await
+            .unwrap_or_else(|_| Err(Error::new(Kind::NoTarget, "the link wasn't open in time")));
+        link.map_err(|e| Error::new(Kind::NoTarget, e.detail))
+    }
 }
 
 /// Sends and receives frames until the link breaks, then fails the requests that still wait for a
@@ -234,12 +244,24 @@
                 }
             }
         });
+        let mut outbox = None;
         while let Ok((frame, _)) = reader.receive().await {
-            let (FrameKind::Request(number, deadline), Payload::Batch(message)) =
-                (frame.kind, frame.payload)
-            else {
-                log::warn!(peer = name.as_str(); "a peer sent a frame that isn't a request");
-                continue;
+            let (number, deadline, message) = match (frame.kind, frame.payload) {
+                (FrameKind::Request(number, deadline), Payload::Batch(message)) => {
+                    (number, deadline, message)
+                }
+                (FrameKind::Notification, Payload::Batch(message)) => {
+                    if let Message::Orders(orders) = *message {
+                        let outbox =
+                            outbox.get_or_insert_with(|| Outbox::new(&self, frames.clone()));
+                        self.relay_orders(orders, outbox);
+                    }
+                    continue;
+                }
+                _ => {
+                    log::warn!(peer = name.as_str(); "a peer sent a frame that isn't a request");
+                    continue;
+                }
             };
             let (node, frames) = (Rc::clone(&self), frames.clone());
             spawn_local(async move {
@@ -272,6 +294,8 @@
                 term: self.term.get(),
             },
             Message::Reply(_)
+            | Message::Orders(_)
+            | Message::OrderResponses { .. }
             | Message::NewerResponse { .. }
             | Message::IncarnationResponse { .. } => Message::Reply(Reply::NotOwner),
         }
