Know the relays before the first orders, and close connections that they replace

Cause: a new owner sent its first orders before it had looked at the daemons that can relay, so it connected to every worker itself, and kept the connections. Change: it looks at them before the first orders; the very first owner waits until the daemons have announced themselves.

--- a/marigoldgladed/src/batch/client.rs
+++ b/marigoldgladed/src/batch/client.rs
@@ -95,6 +95,11 @@
         Ok(Response { status, body })
     }
 
+    /// Closes the idle connections to an address.
+    pub(super) fn close_idle(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
     fn take_idle(&self, addr: SocketAddr) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let conns = idle.get_mut(&addr)?;
--- a/marigoldgladed/src/batch/metrics.rs
+++ b/marigoldgladed/src/batch/metrics.rs
@@ -5,6 +5,7 @@
 use marigoldglade::batch::engine::Counts;
 use marigoldglade::batch::worker::Order;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
@@ -36,6 +37,10 @@
     events: admin::Counts,
     /// The term in which this daemon is the owner; zero while it isn't.
     pub(super) term: Gauge,
+    /// Orders that this daemon relayed for the owner.
+    pub(super) relayed: Counter,
+    /// The relays that the owner uses.
+    relays: Gauge,
     /// The jobs that haven't ended.
     open_jobs: Gauge,
     /// The engine's counts at the last update.
@@ -92,6 +97,18 @@
             "Term in which this daemon is the owner, or 0",
             term.clone(),
         );
+        let relayed = Counter::default();
+        registry.register(
+            "relayed_orders",
+            "Orders to workers that this daemon relayed for the owner",
+            relayed.clone(),
+        );
+        let relays = Gauge::default();
+        registry.register(
+            "relays",
+            "Daemons that relay this owner's orders to workers",
+            relays.clone(),
+        );
         let open_jobs = Gauge::default();
         registry.register("open_jobs", "Jobs that haven't ended", open_jobs.clone());
         Self {
@@ -102,6 +119,8 @@
             order_latencies,
             events,
             term,
+            relayed,
+            relays,
             open_jobs,
             last_counts: Cell::default(),
         }
@@ -136,8 +155,10 @@
             .observe(seconds(ms));
     }
 
-    /// Adds what the engine has counted since the last update, and sets the number of open jobs.
-    pub(super) fn update_engine(&self, counts: &Counts, open_jobs: usize) {
+    /// Adds what the engine has counted since the last update, and sets the numbers of open jobs and of
+    /// relays.
+    pub(super) fn update_engine(&self, counts: &Counts, open_jobs: usize, relays: usize) {
+        self.relays.set(i64::try_from(relays).unwrap_or(i64::MAX));
         self.open_jobs
             .set(i64::try_from(open_jobs).unwrap_or(i64::MAX));
         let last_counts = self.last_counts.replace(*counts);
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -39,6 +39,10 @@
 const RANK_DELAY_MS: u64 = 40;
 /// The time between a failed claim and the next attempt, in milliseconds.
 const CLAIM_RETRY_MS: u64 = 250;
+/// How long no further daemon must have announced itself before the first owner starts, in
+/// milliseconds, and the longest wait for that.
+const DAEMONS_QUIET_MS: u64 = 300;
+const DAEMONS_LIMIT_MS: u64 = 2_000;
 /// The key of the last commit's term and number. Each commit requires that it is unchanged, so that
 /// an owner which has been replaced can't write.
 const SEQ_KEY: &str = "mg/seq";
@@ -232,8 +236,15 @@
             let (entries, entries_since) = self.store.list(platform::registry::PREFIX).await;
             (records, workers, inbox, inbox_since, entries, entries_since)
         };
+        let prepare = async {
+            let loaded = load.await;
+            if ownership.term == 1 {
+                self.wait_daemons().await;
+            }
+            loaded
+        };
         let loaded = tokio::select! {
-            loaded = load => loaded,
+            loaded = prepare => loaded,
             () = self.wait_ended(ownership) => return,
         };
         let (records, workers, inbox, inbox_since, entries, entries_since) = loaded;
@@ -289,6 +300,22 @@
         self.release(ownership).await;
     }
 
+    /// Waits until no further daemons announce themselves, for a bounded time. When all start at the
+    /// same time, the first owner otherwise connects to every worker itself.
+    async fn wait_daemons(&self) {
+        let deadline = clock::now().after(DAEMONS_LIMIT_MS);
+        let mut view = self.view.subscribe();
+        let mut known = 0;
+        while !deadline.passed(clock::now()) {
+            let quiet = Duration::from_millis(DAEMONS_QUIET_MS);
+            let more = tokio::time::timeout(quiet, view.wait_for(|v| v.daemons.len() > known));
+            match more.await {
+                Ok(Ok(view)) => known = view.daemons.len(),
+                Ok(Err(_)) | Err(_) => return,
+            }
+        }
+    }
+
     fn bounds(&self) -> Bounds {
         let p = &self.platform;
         let ms = |s: f64| {
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -76,7 +76,7 @@
                 return;
             }
             self.metrics
-                .update_engine(engine.counts(), engine.open_jobs());
+                .update_engine(engine.counts(), engine.open_jobs(), driver.links.in_use());
             if releasing && (engine.is_settled() || driver.callers.is_empty()) {
                 return;
             }
@@ -108,7 +108,10 @@
         match input {
             Input::Event(event) => {
                 match &event {
-                    Event::Registry(targets) => self.links.set_workers(now, targets.iter()),
+                    Event::Registry(targets) => {
+                        self.update_candidates(now);
+                        self.links.set_workers(now, targets.iter());
+                    }
                     Event::Tick => self.check_links(now, events),
                     _ => {}
                 }
@@ -132,13 +135,18 @@
         }
     }
 
-    /// Gives up silent relays, and looks at the daemons that are alive.
-    fn check_links(&mut self, now: UnixMs, events: &mut Vec<Event>) {
+    /// Looks at the daemons that are alive, unless that was done shortly before.
+    fn update_candidates(&mut self, now: UnixMs) {
         if self.candidates_at.passed(now) {
             self.candidates_at = now.after(CANDIDATES_MS);
             let candidates = self.node.relay_candidates();
             self.links.set_candidates(now, candidates);
         }
+    }
+
+    /// Gives up silent relays, and looks at the daemons that are alive.
+    fn check_links(&mut self, now: UnixMs, events: &mut Vec<Event>) {
+        self.update_candidates(now);
         let (lost, silent) = self.links.check(now);
         push_responses(events, lost);
         for addr in silent {
@@ -174,6 +182,7 @@
     /// Sends an order to a worker, or adds it to those for the worker's relay.
     fn start_order(&mut self, worker: WorkerKey, target: Arc<Target>, order: Order) {
         if let Route::Relay(relay) = self.links.route(worker, &target) {
+            self.node.client.close_idle(target.addr);
             let limit_ms = response_limit_ms(&order);
             let relayed = RelayedOrder {
                 number: self
--- a/marigoldgladed/src/batch/relay.rs
+++ b/marigoldgladed/src/batch/relay.rs
@@ -67,6 +67,9 @@
     pub(super) fn relay_orders(self: &Rc<Self>, orders: Vec<RelayedOrder>, outbox: &Rc<Outbox>) {
         outbox.under_way.set(outbox.under_way.get() + orders.len());
         outbox.changed.notify_one();
+        self.metrics
+            .relayed
+            .inc_by(u64::try_from(orders.len()).unwrap_or(0));
         for relayed in orders {
             let (node, outbox) = (Rc::clone(self), Rc::clone(outbox));
             spawn_local(async move {
