--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -54,6 +54,8 @@
     pub lease_limit_ms: u64,
     /// How long the record of an ended job is kept, in milliseconds.
     pub retention_ms: u64,
+    /// The maximum number of records, deletions and handled inbox entries in one commit.
+    pub commit_entries: usize,
 }
 
 /// A submission or cancel that another daemon left in the store for the owner.
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -5,9 +5,6 @@
 use crate::batch::record::State;
 use crate::time::UnixMs;
 
-/// The maximum number of entries in one commit: the store takes 32 in a transaction, of which the
-/// condition and the commit number take two, and the list of workers one.
-const ENTRY_LIMIT: usize = 28;
 /// The size at which a commit takes no further records, in bytes: a fraction of the store's largest
 /// value, so that a commit stays quick.
 const BYTE_LIMIT: usize = 512 << 10;
@@ -63,10 +60,11 @@
             deletes: Vec::new(),
             workers: None,
         };
+        let entry_limit = self.bounds.commit_entries;
         let mut bytes = 0;
         let mut covers_all = true;
         for key in &self.dirty_jobs {
-            if batch.puts.len() >= ENTRY_LIMIT || bytes >= BYTE_LIMIT {
+            if batch.puts.len() >= entry_limit || bytes >= BYTE_LIMIT {
                 covers_all = false;
                 break;
             }
@@ -89,7 +87,7 @@
                 }
             }
         }
-        let entries_left = ENTRY_LIMIT - batch.puts.len();
+        let entries_left = entry_limit - batch.puts.len();
         batch.handled = self
             .handled
             .iter()
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -64,6 +64,8 @@
     pub faults: Faults,
     /// Whether a restarted worker keeps its id and obeys orders meant for its earlier process.
     pub reuse_ids: bool,
+    /// The limits that owners elected from now on observe.
+    pub bounds: Bounds,
     /// Whether new owners know that earlier ones have ended.
     pub predecessors_ended: bool,
     pub policy: Arc<Policy>,
@@ -170,6 +172,7 @@
 pub const BOUNDS: Bounds = Bounds {
     lease_limit_ms: 10_000,
     retention_ms: 600_000,
+    commit_entries: 28,
 };
 
 pub fn job_id(n: u64) -> JobId {
@@ -204,6 +207,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
             reuse_ids: false,
+            bounds: BOUNDS,
             predecessors_ended: false,
             policy: Arc::new(policy()),
             workers: BTreeMap::new(),
@@ -284,7 +288,7 @@
             predecessors_ended: self.predecessors_ended,
         };
         let engine = Engine::new(
-            BOUNDS,
+            self.bounds,
             Arc::clone(&self.policy),
             initial,
             UnixMs(self.now),
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -49,6 +49,9 @@
 /// The key of the list of owners, the newest last. Only the newest owner and those that may still act
 /// are kept.
 const OWNERS_KEY: &str = "mg/owners";
+/// The maximum number of entries in one commit: the store takes 32 in a transaction, of which the
+/// condition and the commit number take two, and the list of workers one.
+const COMMIT_ENTRIES: usize = 28;
 /// The key of the list of workers that may run something.
 const WORKERS_KEY: &str = "mg/workers";
 
@@ -324,6 +327,7 @@
         Bounds {
             lease_limit_ms: p.lease_limit_ms,
             retention_ms: ms(p.status_s) + 30 * SECOND_MS,
+            commit_entries: COMMIT_ENTRIES,
         }
     }
 
