Enforce by type that only durable completions are acknowledged

Cause: the numbers of applied, durable and acknowledged completions were plain fields that any part of the engine could set. Change: engine::acks keeps them private; the number to acknowledge rises only by a mark taken when a commit that covers all began.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -5,6 +5,7 @@
 //! and the acknowledgement of a completion to a worker are sent only after the commit that makes
 //! the change durable.
 
+mod acks;
 mod advise;
 mod calls;
 mod capacity;
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -1,5 +1,6 @@
 //! Group commits, one at a time, and the replies and acknowledgements that wait for each.
 
+use crate::batch::engine::acks::CommitMark;
 use crate::batch::engine::{Action, Batch, CommitOutcome, Engine, JobKey, WorkerKey};
 use crate::batch::messages::Reply;
 use crate::batch::record::State;
@@ -22,8 +23,8 @@
     /// durable.
     jobs: Vec<(JobKey, u64, State)>,
     /// The workers whose completions it makes durable: the start time of the worker's process, and
-    /// the number of the last completion.
-    completions: Vec<(WorkerKey, u64, u64)>,
+    /// how far.
+    completions: Vec<(WorkerKey, u64, CommitMark)>,
     handled: Vec<String>,
     deletes: Vec<crate::batch::id::JobId>,
     /// The workers on the list that it writes, with the start times of their processes; `None` if it
@@ -38,7 +39,7 @@
             || !self.dirty_jobs.is_empty()
             || !self.deletes.is_empty()
             || !self.handled.is_empty()
-            || self.workers.iter().any(|w| w.last_applied > w.last_durable)
+            || self.workers.iter().any(|w| w.acks.is_pending())
     }
 
     /// Starts a commit when one is due.
@@ -80,10 +81,9 @@
         if covers_all {
             for key in self.worker_keys() {
                 let worker = self.worker(key);
-                if worker.last_applied > worker.last_durable {
-                    pending
-                        .completions
-                        .push((key, worker.target.started_at, worker.last_applied));
+                if let Some(mark) = worker.acks.mark() {
+                    let started_at = worker.target.started_at;
+                    pending.completions.push((key, started_at, mark));
                 }
             }
         }
@@ -186,11 +186,11 @@
         for key in ended {
             self.stop_job(key);
         }
-        for (key, started_at, applied) in &pending.completions {
+        for (key, started_at, mark) in &pending.completions {
             let now = self.now;
             let worker = self.worker_mut(*key);
             if worker.target.started_at == *started_at {
-                worker.last_durable = worker.last_durable.max(*applied);
+                worker.acks.settle(*mark);
                 worker.renewal_after = worker.renewal_after.min(now);
             }
             let leaves = !worker.concerns_successor(now);
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -40,11 +40,11 @@
                 continue;
             }
             let silent = !worker.answered && (worker.listed || !worker.uncertain_until.passed(now));
-            let unacked = worker.last_durable > worker.last_acked;
+            let unacked = worker.acks.is_unacked();
             let busy = !worker.runs.is_empty();
             // A worker with unacknowledged completions answers at once instead of waiting, so until
             // they are durable its renewals are spaced by `renew_at`.
-            let uncommitted = worker.last_applied > worker.last_durable;
+            let uncommitted = worker.acks.is_pending();
             let needed =
                 silent || unacked || (busy && (!uncommitted || worker.renew_at.passed(now)));
             if !needed {
@@ -74,7 +74,7 @@
             };
             let renewal = Renewal {
                 expires_at: end,
-                acked: worker.last_durable,
+                acked: worker.acks.ackable(),
                 wait_ms,
                 term,
             };
@@ -149,7 +149,7 @@
                     log::info!(worker = worker.target.name.as_str(), lost = worker.failed_renewals; "worker answers again");
                 }
                 worker.failed_renewals = 0;
-                worker.last_acked = worker.last_acked.max(renewal.acked);
+                worker.acks.acknowledge(renewal.acked);
                 worker.renewal_after = now;
                 self.apply_report(key, report, out);
             }
@@ -209,8 +209,7 @@
         }
         self.record_clock(key, Some(report.clock));
         for completion in &report.completions {
-            if completion.number > self.worker(key).last_applied {
-                self.worker_mut(key).last_applied = completion.number;
+            if self.worker_mut(key).acks.apply(completion.number) {
                 self.apply_completion(key, completion);
             }
         }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
+use crate::batch::engine::acks::Acks;
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::health::Health;
 use crate::batch::id::TaskId;
@@ -97,12 +98,8 @@
     pub clock_reading: Option<ClockReading>,
     /// The latest expiry of a lease or start deadline that was sent, on the worker's clock.
     pub lease_expires_at: u64,
-    /// The number of the last completion that was applied.
-    pub last_applied: u64,
-    /// The number of the last completion that is durable.
-    pub last_durable: u64,
-    /// The number of the last completion that was acknowledged to the worker.
-    pub last_acked: u64,
+    /// How far the worker's completions are applied, durable and acknowledged.
+    pub acks: Acks,
     pub runs: BTreeMap<TaskId, Run>,
     /// What the runs take of the worker's capacity.
     pub used: Resources,
@@ -141,9 +138,7 @@
             uncertain_until: now,
             clock_reading: None,
             lease_expires_at: 0,
-            last_applied: 0,
-            last_durable: 0,
-            last_acked: 0,
+            acks: Acks::default(),
             runs: BTreeMap::new(),
             used: Resources::default(),
             renewal_pending: false,
@@ -197,7 +192,7 @@
     pub fn concerns_successor(&self, now: UnixMs) -> bool {
         self.listed
             || !self.runs.is_empty()
-            || self.last_applied > self.last_durable
+            || self.acks.is_pending()
             || !self.uncertain_until.passed(now)
     }
 
@@ -226,12 +221,8 @@
         self.answered = false;
         self.inherited = false;
         self.recorded = false;
-        (
-            self.lease_expires_at,
-            self.last_applied,
-            self.last_durable,
-            self.last_acked,
-        ) = (0, 0, 0, 0);
+        self.lease_expires_at = 0;
+        self.acks = Acks::default();
         self.failed_renewals = 0;
         self.health = Health::default();
         self.pace = Pace::default();
