Refuse submissions behind a commit that the store leaves without an answer

Cause: while the store is silent, submissions waited with the commit under way or were written to the inbox blindly, so that callers were left in doubt after up to 1.6 s (504) although most of them were certainly not stored. Change: the engine refuses what waits behind a stuck commit; a daemon that the owner refuses reads from the store before it writes. Ruled out: refusing what is in the commit under way, which may be stored. The new test fails without the change.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -342,7 +342,10 @@
             Event::CommitOutcome(number, outcome) => self.finish_commit(number, outcome, out),
             Event::PredecessorsEnded => self.limit_inherited_leases(),
             Event::Advised(response) => self.handle_advice(response),
-            Event::Tick => self.tick(),
+            Event::Tick => {
+                self.tick();
+                self.refuse_unsent(out);
+            }
         }
     }
 
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -207,6 +207,39 @@
         self.replan = true;
     }
 
+    /// Refuses the submissions that wait behind a commit which the store leaves without an answer:
+    /// they certainly aren't stored, and their callers needn't wait for the outcome.
+    pub(super) fn refuse_unsent(&mut self, out: &mut Vec<Action>) {
+        if !self.store_unavailable() {
+            return;
+        }
+        let sent: Vec<JobKey> = self
+            .pending
+            .iter()
+            .flat_map(|p| p.jobs.iter().map(|(key, ..)| *key))
+            .collect();
+        let unsent = |key: &JobKey| {
+            let job = self.jobs.get(key);
+            job.is_some_and(|j| j.durable_state.is_none()) && !sent.contains(key)
+        };
+        let keys: Vec<JobKey> = self.dirty_jobs.iter().copied().filter(unsent).collect();
+        for key in keys {
+            self.refuse_unstored(key, out);
+        }
+    }
+
+    /// Removes a job whose acceptance isn't stored and can't be any more, and tells its callers.
+    fn refuse_unstored(&mut self, key: JobKey, out: &mut Vec<Action>) {
+        let Some(mut job) = self.jobs.remove(&key) else {
+            return;
+        };
+        for call_id in job.submit_calls.drain(..).chain(job.cancel_calls.drain(..)) {
+            out.push(Action::Reply(call_id, Reply::NotOwner));
+        }
+        self.job_ids.remove(&job.record.id);
+        self.dirty_jobs.remove(&key);
+    }
+
     /// Removes the jobs whose acceptance failed; the other changes go into the next commit.
     fn handle_failed_commit(&mut self, pending: &PendingCommit, out: &mut Vec<Action>) {
         log::warn!(commit = pending.number, term = self.term; "the store refused a commit");
@@ -214,18 +247,10 @@
         self.commit_after = self.now.after(CLOSED_MS / 4);
         self.workers_dirty |= pending.workers.is_some();
         for (key, ..) in &pending.jobs {
-            let Some(job) = self.jobs.get_mut(key) else {
-                continue;
-            };
-            if job.durable_state.is_some() {
-                continue;
-            }
-            for call_id in job.submit_calls.drain(..).chain(job.cancel_calls.drain(..)) {
-                out.push(Action::Reply(call_id, Reply::NotOwner));
+            let unstored = |j: &super::job::Job| j.durable_state.is_none();
+            if self.jobs.get(key).is_some_and(unstored) {
+                self.refuse_unstored(*key, out);
             }
-            self.job_ids.remove(&job.record.id);
-            self.dirty_jobs.remove(key);
-            self.jobs.remove(key);
         }
     }
 }
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -434,3 +434,24 @@
     sim.run_for(1_000);
     assert!(sim.stored_workers.is_empty());
 }
+
+/// The store falls silent with a commit under way. A submission in that commit may be stored, so its
+/// caller isn't told anything yet; one behind it certainly isn't, and is refused at once.
+#[test]
+fn submissions_behind_a_commit_without_an_answer_are_refused_and_never_run() {
+    let mut sim = Simulation::new(33, 1, 4);
+    sim.run_for(200);
+    sim.store_silent = true;
+    let first = sim.submit(1, "sweep", "w0", spec(vec![step(1, 1, 900)]), 1_000);
+    sim.run_for(50);
+    let second = sim.submit(2, "sweep", "w0", spec(vec![step(1, 1, 900)]), 1_000);
+    sim.run_for(800);
+    assert_eq!(sim.replies.get(&first), None);
+    assert_eq!(sim.replies.get(&second), Some(&Reply::NotOwner));
+    sim.store_silent = false;
+    sim.run_for(4_000);
+    assert_eq!(sim.replies.get(&first), Some(&Reply::Accepted));
+    assert_eq!(sim.status(1), Some(JobStatus::Done));
+    assert_eq!(sim.status(2), None);
+    assert_eq!(sim.starts, 1);
+}
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -82,6 +82,10 @@
     pub stored_workers: Vec<Target>,
     pub inbox: Vec<InboxItem>,
     pub store_down: bool,
+    /// Whether the store leaves commits without an answer; it carries them out when it is back.
+    pub store_silent: bool,
+    /// The commits that a silent store holds.
+    held_commits: Vec<(usize, Batch)>,
     /// The workers that the adviser allows.
     pub allowed: BTreeSet<String>,
     /// How long the adviser's tickets are valid, in milliseconds.
@@ -219,6 +223,8 @@
             stored_workers: Vec::new(),
             inbox: Vec::new(),
             store_down: false,
+            store_silent: false,
+            held_commits: Vec::new(),
             allowed: BTreeSet::new(),
             valid_ms: 3_000,
             issued_tickets: HashMap::new(),
@@ -441,6 +447,11 @@
                 }
             }
             self.now = tick;
+            if !self.store_silent {
+                for (owner, batch) in std::mem::take(&mut self.held_commits) {
+                    self.commit(owner, batch);
+                }
+            }
             self.advance_workers();
             for owner in 0..self.owners.len() {
                 self.deliver(owner, Event::Tick);
@@ -661,6 +672,10 @@
     /// Applies a commit to the store unless the store is down or a newer owner has written.
     fn commit(&mut self, owner: usize, batch: Batch) {
         let number = batch.number;
+        if self.store_silent {
+            self.held_commits.push((owner, batch));
+            return;
+        }
         if self.store_down {
             self.schedule(
                 self.now + 5,
--- a/marigoldgladed/src/batch/calls.rs
+++ b/marigoldgladed/src/batch/calls.rs
@@ -97,9 +97,13 @@
             Ok(reply) => return Attempt::Answered(reply),
             Err(e) => sure = e.kind == Kind::NoTarget,
         }
+        let write = matches!(call, Call::Submit(_) | Call::Cancel(_));
         let direct = match call {
             // Another task probes whether the store is back; a call would only time out.
             _ if self.store.is_lost() => Err(Fault::NotSent),
+            // A write without an answer leaves the caller in doubt. An owner that refuses writes has
+            // often met an outage that this daemon hasn't noticed yet, so a read goes first.
+            _ if write && !self.store.probe().await => Err(Fault::NotSent),
             Call::Submit(submission) => self.submit_to_inbox(submission).await,
             Call::Status(id) => self.read_status(*id).await,
             Call::Cancel(id) => self.cancel_in_inbox(*id).await,
--- a/marigoldgladed/src/batch/store.rs
+++ b/marigoldgladed/src/batch/store.rs
@@ -125,10 +125,11 @@
         }
     }
 
-    /// Makes a cheap call, which shows whether a lost store answers again.
-    pub(super) async fn probe(&self) {
+    /// Makes a cheap call without an effect; returns whether the store answered it.
+    pub(super) async fn probe(&self) -> bool {
         let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
-        let _ = tokio::time::timeout(limit, self.get(PROBE_KEY)).await;
+        let answer = tokio::time::timeout(limit, self.get(PROBE_KEY)).await;
+        answer.is_ok_and(|pair| pair.is_ok())
     }
 
     /// Repeats a call until it is answered; only for calls that are safe to repeat.
