Keep a job that is in the inbox when its waiting submission is refused; return refused callers by the age of the outage

Cause: a caller's first attempt waits in the owner for a commit while its second one is accepted into the inbox. Change: an entry that is found for a submission under way makes that job durable. Besides: Retry-After during an outage is about as long as the outage has lasted, one to three seconds, spread by a quarter.

--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -165,6 +165,14 @@
                             job.changes += 1;
                             self.dirty_jobs.insert(key);
                         }
+                    } else if let Some((_, job)) = self.job_mut(id)
+                        && job.durable_state.is_none()
+                    {
+                        // A submission of the job also waits for a commit here. The entry is durable
+                        // and is deleted only with the commit of the record, so the job stays even
+                        // if that submission is refused.
+                        log::info!(job = id.as_str(); "submission under way is in the inbox too");
+                        job.durable_state = Some(State::Open);
                     }
                 }
                 InboxBody::Cancel(id) => {
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -455,3 +455,23 @@
     assert_eq!(sim.status(2), None);
     assert_eq!(sim.starts, 1);
 }
+
+/// A caller's first attempt waits in the owner for a commit; its second one goes through another
+/// daemon, which can write, into the inbox. The owner then finds that it can't store the first.
+#[rstest]
+#[case::the_store_gives_no_answer(true)]
+#[case::the_store_refuses_the_commit(false)]
+fn a_job_in_the_inbox_outlives_a_refused_submission_of_it(#[case] silent: bool) {
+    let mut sim = Simulation::new(34, 1, 4);
+    sim.run_for(200);
+    (sim.store_silent, sim.store_down) = (silent, !silent);
+    sim.submit(1, "sweep", "w0", spec(vec![step(1, 1, 900)]), 1_000);
+    sim.run_for(30);
+    sim.submit(2, "sweep", "w0", spec(vec![step(1, 1, 900)]), 1_000);
+    sim.store_submission(2, "sweep", spec(vec![step(1, 1, 900)]), 1_000);
+    sim.run_for(1_000);
+    (sim.store_silent, sim.store_down) = (false, false);
+    sim.run_for(4_000);
+    assert_eq!(sim.status(2), Some(JobStatus::Done));
+    assert!(sim.inbox.is_empty());
+}
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -4,6 +4,7 @@
 #[expect(dead_code, reason = "the simulation serves several test files")]
 mod simulation;
 
+use marigoldglade::batch::admission::outage_retry_ms;
 use marigoldglade::batch::admission::{Backlog, retry_after_ms};
 use marigoldglade::batch::engine::WorkerKey;
 use marigoldglade::batch::health::{Grade, Health};
@@ -503,3 +504,16 @@
     sim.run_for(3_000);
     assert!(sim.all_done(2..8));
 }
+
+/// A store that has been away for some seconds: callers that are told to return each second have used
+/// up their few attempts before it is back.
+#[test]
+fn callers_refused_during_an_outage_return_after_about_its_age_and_not_together() {
+    let times = |lasted_ms| (0..51).map(move |roll| outage_retry_ms(lasted_ms, roll));
+    for (lasted_ms, expected_ms) in [(0, 1_000), (1_000, 1_000), (2_000, 2_000), (60_000, 3_000)] {
+        let (low, high) = (expected_ms * 3 / 4, expected_ms * 5 / 4);
+        assert!(times(lasted_ms).all(|ms| (low..=high).contains(&ms)));
+        let distinct: std::collections::BTreeSet<u64> = times(lasted_ms).collect();
+        assert!(distinct.len() > 25, "{} times", distinct.len());
+    }
+}
--- a/marigoldgladed/src/batch/calls.rs
+++ b/marigoldgladed/src/batch/calls.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use marigoldglade::batch::admission::outage_retry_ms;
 use marigoldglade::batch::id::JobId;
 use marigoldglade::batch::messages::{Call, JobStatus, Message, Reply, Submission};
 use marigoldglade::batch::record::{Record, State};
@@ -67,7 +68,7 @@
             // A read has no effect, and a write that certainly had none can be refused at once.
             let write = matches!(call, Call::Submit(_) | Call::Cancel(_));
             if sure || !write {
-                return Reply::Refused(RETRY_AFTER_MS);
+                return Reply::Refused(outage_retry_ms(self.store.lost_ms(), rand::random()));
             }
             if clock::now() >= deadline {
                 return Reply::Unsure;
--- a/marigoldgladed/src/batch/store.rs
+++ b/marigoldgladed/src/batch/store.rs
@@ -37,6 +37,8 @@
     counts: Counts,
     /// The failures since the last call that was answered.
     failures: Cell<u32>,
+    /// When the first of those failures was noticed.
+    failing_since: Cell<UnixMs>,
     /// When the store last answered again after it was lost.
     regained_at: Cell<Option<UnixMs>>,
 }
@@ -50,6 +52,7 @@
             client: Client::default(),
             counts,
             failures: Cell::new(0),
+            failing_since: Cell::new(UnixMs::MAX),
             regained_at: Cell::new(None),
         }
     }
@@ -59,6 +62,15 @@
         self.failures.get() >= LOST_THRESHOLD
     }
 
+    /// Returns how long the store has answered nothing, in milliseconds; zero if its last answer was
+    /// usable.
+    pub(super) fn lost_ms(&self) -> u64 {
+        if self.failures.get() == 0 {
+            return 0;
+        }
+        clock::now().since(self.failing_since.get())
+    }
+
     /// Returns when the entries that expired during the last outage are back; the Unix epoch when
     /// there was no outage.
     pub(super) fn settled_at(&self) -> UnixMs {
@@ -117,6 +129,9 @@
                 self.failures.set(0);
             }
             Err(_) => {
+                if self.failures.get() == 0 {
+                    self.failing_since.set(clock::now());
+                }
                 self.failures.set(self.failures.get().saturating_add(1));
                 if self.failures.get() == LOST_THRESHOLD {
                     log::warn!(dependency = "store", why = result, call = kind; "dependency lost");
