Hand the ownership over to a daemon on a larger VM

Change: an owner hands over after three calm seconds when a daemon with twice the processor is alive, at most each 30 s. The wait of the first owner for other daemons applies only where relays are needed: it had made two tests of whole daemons fail.

--- a/marigoldgladed/src/batch.rs
+++ b/marigoldgladed/src/batch.rs
@@ -70,6 +70,8 @@
     engine: RefCell<Option<mpsc::UnboundedSender<Input>>>,
     /// The term in which this daemon is the owner; `None` while it isn't.
     term: Cell<Option<u64>>,
+    /// When this daemon, as the owner, may next hand over to one on a larger VM.
+    handover_after: Cell<UnixMs>,
     stop: Stop,
     metrics: Metrics,
 }
@@ -124,6 +126,7 @@
         view: watch::Sender::new(View::default()),
         engine: RefCell::new(None),
         term: Cell::new(None),
+        handover_after: Cell::default(),
         stop: Stop::new(),
         name: settings.name.clone(),
         incarnation,
--- a/marigoldgladed/src/batch/live.rs
+++ b/marigoldgladed/src/batch/live.rs
@@ -294,6 +294,14 @@
         (self.platform.cores * MILLICORES_PER_CORE) as u32
     }
 
+    /// Returns whether a live daemon runs on a VM with at least twice the processor of this one.
+    pub(super) fn has_larger_daemon(&self) -> bool {
+        let (own, view) = (self.millicores(), self.view.borrow());
+        view.daemons
+            .values()
+            .any(|d| d.cores >= own.saturating_mul(2))
+    }
+
     /// Returns how many live daemons are preferred to this one as the owner: those on larger VMs, and
     /// those on equal VMs whose names come first.
     pub(super) fn count_preferred(&self) -> usize {
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use marigoldglade::batch::engine::{Bounds, Engine, Event, InitialState, UNCONFIRMED_LIMIT_MS};
+use marigoldglade::batch::links::WORKERS_PER_RELAY;
 use marigoldglade::batch::messages::{Call, Owner, RelayedResponse, Reply};
 use marigoldglade::batch::succession::active_predecessors;
 use marigoldglade::store::{
@@ -43,6 +44,12 @@
 /// milliseconds, and the longest wait for that.
 const DAEMONS_QUIET_MS: u64 = 300;
 const DAEMONS_LIMIT_MS: u64 = 2_000;
+/// How long a daemon on a small VM stays the owner before it hands over to one on a larger VM, in
+/// milliseconds; the larger ones had reasons not to claim, such as an outage.
+const HANDOVER_AFTER_MS: u64 = 3_000;
+/// The shortest time between two such handovers by one daemon, in milliseconds: the larger daemons
+/// may be unable to claim.
+const HANDOVER_GAP_MS: u64 = 30_000;
 /// The key of the last commit's term and number. Each commit requires that it is unchanged, so that
 /// an owner which has been replaced can't write.
 const SEQ_KEY: &str = "mg/seq";
@@ -72,6 +79,15 @@
     number: u64,
 }
 
+/// How an ownership ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// The owner gives it up; callers that wait for a commit still get their answer.
+    Planned,
+    /// Another daemon is, or may be, the owner.
+    Lost,
+}
+
 /// The ownership of the jobs in one term.
 struct Ownership {
     term: u64,
@@ -237,18 +253,15 @@
                 .await;
             let (inbox, inbox_since) = self.store.list(INBOX_PREFIX).await;
             let (entries, entries_since) = self.store.list(platform::registry::PREFIX).await;
-            (records, workers, inbox, inbox_since, entries, entries_since)
-        };
-        let prepare = async {
-            let loaded = load.await;
-            if ownership.term == 1 {
+            // A small fleet needs no relays.
+            if ownership.term == 1 && entries.len() >= WORKERS_PER_RELAY {
                 self.wait_daemons().await;
             }
-            loaded
+            (records, workers, inbox, inbox_since, entries, entries_since)
         };
         let loaded = tokio::select! {
-            loaded = prepare => loaded,
-            () = self.wait_ended(ownership) => return,
+            loaded = load => loaded,
+            _ = self.wait_ended(ownership) => return,
         };
         let (records, workers, inbox, inbox_since, entries, entries_since) = loaded;
         let workers = match workers.body {
@@ -332,23 +345,34 @@
     }
 
     /// Waits until the daemon stops, the lease has expired, ownership hasn't been confirmed for too
-    /// long, or a newer owner is known.
-    async fn wait_ended(&self, ownership: &Ownership) {
+    /// long, a newer owner is known, or the ownership is better given to a daemon on a larger VM.
+    async fn wait_ended(&self, ownership: &Ownership) -> Ending {
+        let settled_at = clock::now().after(HANDOVER_AFTER_MS);
         loop {
             if self.stop.is_stopping() {
-                return;
+                return Ending::Planned;
             }
             let Some(confirmed) = ownership.confirmed.get() else {
-                return;
+                return Ending::Lost;
             };
             let unconfirmed_ms = boot_ms().saturating_sub(confirmed);
             if unconfirmed_ms > STEP_DOWN_AFTER_MS {
                 log::warn!(term = ownership.term, blind_ms = unconfirmed_ms; "the ownership hasn't been confirmed for too long");
-                return;
+                return Ending::Lost;
             }
             if self.known_term() > ownership.term {
                 log::warn!(term = ownership.term; "another daemon has become the owner");
-                return;
+                return Ending::Lost;
+            }
+            let now = clock::now();
+            if settled_at.passed(now)
+                && self.handover_after.get().passed(now)
+                && self.has_larger_daemon()
+                && self.store.lost_ms() == 0
+            {
+                log::info!(term = ownership.term; "handing the ownership over to a daemon on a larger VM");
+                self.handover_after.set(now.after(HANDOVER_GAP_MS));
+                return Ending::Planned;
             }
             tokio::select! {
                 () = self.stop.wait_begun() => {}
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -21,7 +21,7 @@
 use crate::batch::live::{decode, encode};
 use crate::batch::orders::{response_limit_ms, send_order};
 use crate::batch::owner::relays::RelayLinks;
-use crate::batch::owner::{Input, Ownership, SEQ_KEY, Seq, WORKERS_KEY, first_pair};
+use crate::batch::owner::{Ending, Input, Ownership, SEQ_KEY, Seq, WORKERS_KEY, first_pair};
 use crate::batch::store::pause;
 use crate::batch::{Node, clock, wall_ms};
 
@@ -54,11 +54,10 @@
             let input = tokio::select! {
                 input = queue.recv() => input,
                 () = clock::sleep_until(engine.next_tick()) => Some(Input::Event(Event::Tick)),
-                () = &mut ended, if !releasing => {
+                ending = &mut ended, if !releasing => {
                     releasing = true;
                     *self.engine.borrow_mut() = None;
-                    // At a planned stop, callers that wait for a commit still get their answer.
-                    if !self.stop.is_stopping() {
+                    if ending == Ending::Lost {
                         return;
                     }
                     continue;
--- a/marigoldgladed/tests/platform.rs
+++ b/marigoldgladed/tests/platform.rs
@@ -345,3 +345,18 @@
     wait_until("completion", || c.daemons[0].state(12) == "completed");
     assert_eq!(c.count_starts(), 1);
 }
+
+/// After an outage the owner is sometimes a daemon on a small VM, which can't carry a large fleet.
+#[test]
+fn a_daemon_on_a_larger_vm_becomes_the_owner() {
+    let mut c = Cluster::new(2, 1);
+    assert_eq!(c.daemons[0].submit(1, &job("run_ms=6000", 3)), 200);
+    let larger = c.spawn_with_cores("daemon-larger", 1.0);
+    c.daemons.push(larger);
+    wait_until("the handover", || c.owner() == 1);
+    assert_eq!(c.daemons[0].submit(2, &job("run_ms=200", 2)), 200);
+    for id in [1, 2] {
+        wait_until("completion", || c.daemons[0].state(id) == "completed");
+    }
+    assert_eq!(c.count_starts(), 5);
+}
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -118,12 +118,17 @@
 
     /// Starts a daemon and waits only for its first log line.
     pub fn spawn(&self, name: &str) -> Daemon {
+        self.spawn_with_cores(name, 0.25)
+    }
+
+    /// Starts a daemon on a VM with this many cores, and waits only for its first log line.
+    pub fn spawn_with_cores(&self, name: &str, cores: f64) -> Daemon {
         let endpoint = self.store.open_endpoint().expect("a port is free");
         let store = endpoint.served.addr;
         let text = format!(
             "name: {name}\ndc: dc-a\nlisten: 127.0.0.1:0\nmesh: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
              store: [\"{store}\"]\nvm_list: 127.0.0.1:1\nlog: {{format: json, output: stdout}}\n\
-             platform:\n  ready: 127.0.0.1:0\n  cores: 0.25\n  grace_s: 6\n  lease_limit_ms: 10000\n  status_s: 120\n  adviser: \"{}\"\n",
+             platform:\n  ready: 127.0.0.1:0\n  cores: {cores}\n  grace_s: 6\n  lease_limit_ms: 10000\n  status_s: 120\n  adviser: \"{}\"\n",
             self.adviser.served.addr
         );
         let mut file = tempfile::NamedTempFile::new().expect("a file can be created");
