Split the stored list of workers into parts that fit into the store's values

Cause: the list of workers was one value of some 200 bytes a worker, over the store's limit of 1 MiB at about 5,000 workers; every commit with it would then be refused. Change: batch::worker_list splits it into parts of 2,048 workers, written in one transaction; up to 2,048 workers nothing changes in the store. A commit takes 24 records instead of 28, which leaves room for six parts.

--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -3,7 +3,8 @@
 //! The [`engine`] takes calls of clients, reports of workers and outcomes of commits, and emits
 //! orders to workers, commits and replies. The other modules are its parts: the job as submitted
 //! ([`spec`]) and as stored ([`record`]), the operators' configuration ([`policy`]), messages between
-//! daemons ([`messages`]), the protocol with workers ([`worker`]), the workers that the registry lists ([`roster`]),
+//! daemons ([`messages`]), the protocol with workers ([`worker`]), the workers that the registry lists ([`roster`]) and
+//! those on the stored list ([`worker_list`]),
 //! the daemons that relay orders to them ([`links`]), earlier owners that may still act ([`succession`]), and the decisions ([`admission`], [`rank`], [`pack`], [`preempt`], [`pace`],
 //! [`advice`], [`health`]).
 
@@ -24,3 +25,4 @@
 pub mod spec;
 pub mod succession;
 pub mod worker;
+pub mod worker_list;
--- /dev/null
+++ b/marigoldglade/tests/batch_worker_list.rs
@@ -0,0 +1,58 @@
+//! Tests of the stored list of workers at the size of the largest fleet.
+
+use marigoldglade::batch::worker::{Resources, Target};
+use marigoldglade::batch::worker_list::{PART_WORKERS, part_key, split, surplus};
+use marigoldglade::mesh;
+
+/// The store's largest value, in bytes.
+const VALUE_LIMIT_BYTES: usize = 1 << 20;
+/// The most parts for which a commit leaves room.
+const PARTS_LIMIT: usize = 6;
+
+fn targets(count: usize) -> Vec<Target> {
+    (0..count)
+        .map(|i| Target {
+            name: format!("i-{i:010x}"),
+            addr: ([10, 200, 64, 200], 8_481).into(),
+            pool: "service-with-a-long-name".to_owned(),
+            dc: "data-centre-a".to_owned(),
+            labels: vec!["kind-a".to_owned(), format!("r{}-{}", i / 20, i % 7)],
+            capacity: Resources {
+                cpu: 128_000,
+                mem: 524_288,
+                accels: 8,
+            },
+            draining: false,
+            started_at: 1_775_019_926_023,
+        })
+        .collect()
+}
+
+#[test]
+fn every_part_of_the_list_of_ten_thousand_workers_fits_into_a_value() {
+    let all = targets(10_640);
+    let parts = split(&all);
+    assert!(parts.len() <= PARTS_LIMIT);
+    for (key, part) in &parts {
+        let bytes = mesh::encode(&part).expect("a part can be encoded");
+        assert!(bytes.len() < VALUE_LIMIT_BYTES, "{key}: {}", bytes.len());
+    }
+    let joined: Vec<Target> = parts.iter().flat_map(|(_, p)| p.to_vec()).collect();
+    assert_eq!(joined, all);
+}
+
+#[test]
+fn a_short_list_keeps_the_key_that_it_always_had() {
+    for count in [0, 1, PART_WORKERS] {
+        let all = targets(count);
+        let keys: Vec<String> = split(&all).into_iter().map(|(key, _)| key).collect();
+        assert_eq!(keys, ["mg/workers"]);
+    }
+}
+
+#[test]
+fn parts_that_a_shorter_list_no_longer_has_are_deleted() {
+    assert_eq!(surplus(1, 3), [part_key(1), part_key(2)]);
+    assert!(surplus(2, 2).is_empty());
+    assert!(surplus(3, 1).is_empty());
+}
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -14,6 +14,8 @@
 use marigoldglade::batch::links::WORKERS_PER_RELAY;
 use marigoldglade::batch::messages::{Call, Owner, RelayedResponse, Reply};
 use marigoldglade::batch::succession::active_predecessors;
+use marigoldglade::batch::worker::Target;
+use marigoldglade::batch::worker_list;
 use marigoldglade::store::{
     self, Body, Compare, Fault, Op, Outcome, Pair, Revision, Txn, TxnResult,
 };
@@ -57,10 +59,8 @@
 /// are kept.
 const OWNERS_KEY: &str = "mg/owners";
 /// The maximum number of entries in one commit: the store takes 32 in a transaction, of which the
-/// condition and the commit number take two, and the list of workers one.
-const COMMIT_ENTRIES: usize = 28;
-/// The key of the list of workers that may run something.
-const WORKERS_KEY: &str = "mg/workers";
+/// condition and the commit number take two, and the list of workers up to six.
+const COMMIT_ENTRIES: usize = 24;
 
 /// An input of the engine's task.
 pub(super) enum Input {
@@ -94,6 +94,8 @@
     lease: i64,
     /// The revision of this owner's last change of [`SEQ_KEY`].
     seq_revision: Cell<Revision>,
+    /// The number of parts of the list of workers in the store.
+    worker_parts: Cell<usize>,
     /// The revision at which this owner wrote [`OWNER_KEY`].
     key_revision: Revision,
     /// When the last grant or renewal that the store has confirmed was sent, by [`boot_ms`]; `None`
@@ -218,6 +220,7 @@
             term,
             lease,
             seq_revision: Cell::new(revision),
+            worker_parts: Cell::new(0),
             key_revision: revision,
             confirmed: Cell::new(Some(confirmed)),
             predecessors,
@@ -247,10 +250,7 @@
         let renewal = AbortOnDrop(renewal);
         let load = async {
             let (records, _) = self.store.list(JOB_PREFIX).await;
-            let workers = self
-                .store
-                .call_until_answered(&read_call(WORKERS_KEY))
-                .await;
+            let (workers, _) = self.store.list(worker_list::PREFIX).await;
             let (inbox, inbox_since) = self.store.list(INBOX_PREFIX).await;
             let (entries, entries_since) = self.store.list(platform::registry::PREFIX).await;
             // A small fleet needs no relays.
@@ -264,17 +264,14 @@
             _ = self.wait_ended(ownership) => return,
         };
         let (records, workers, inbox, inbox_since, entries, entries_since) = loaded;
-        let workers = match workers.body {
-            Body::Txn(done) => first_pair(done),
-            _ => None,
-        };
+        ownership.worker_parts.set(workers.len());
         let initial = InitialState {
             term: ownership.term,
             records: records.iter().filter_map(inputs::read_record).collect(),
-            workers: decode_or_default(workers.as_ref()).unwrap_or_else(|e| {
-                log::error!(error:% = e; "can't decode the list of workers");
-                Vec::new()
-            }),
+            workers: workers
+                .iter()
+                .flat_map(|p| decode::<Vec<Target>>(p).unwrap_or_default())
+                .collect(),
             has_predecessors: ownership.term > 1,
             predecessors_ended: ownership.predecessors.is_empty(),
         };
@@ -436,13 +433,6 @@
     }
 }
 
-fn read_call(key: &str) -> store::Call {
-    store::Call::Txn(Txn {
-        then: vec![Op::Get(key.to_owned())],
-        ..Txn::default()
-    })
-}
-
 fn first_pair(done: TxnResult) -> Option<Pair> {
     done.outcomes.into_iter().find_map(|o| match o {
         Outcome::Pairs(pairs) => pairs.into_iter().next(),
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -12,6 +12,7 @@
 use marigoldglade::batch::links::{Links, RelayKey, Route};
 use marigoldglade::batch::messages::{RelayedOrder, Reply};
 use marigoldglade::batch::worker::{Order, OrderResponse, Target};
+use marigoldglade::batch::worker_list;
 use marigoldglade::prelude::*;
 use marigoldglade::store::{self, Body, Compare, Fault, Op, Pair, Txn, TxnResult};
 use tokio::sync::{mpsc, oneshot};
@@ -21,7 +22,7 @@
 use crate::batch::live::{decode, encode};
 use crate::batch::orders::{response_limit_ms, send_order};
 use crate::batch::owner::relays::RelayLinks;
-use crate::batch::owner::{Ending, Input, Ownership, SEQ_KEY, Seq, WORKERS_KEY, first_pair};
+use crate::batch::owner::{Ending, Input, Ownership, SEQ_KEY, Seq, first_pair};
 use crate::batch::store::pause;
 use crate::batch::{Node, clock, wall_ms};
 
@@ -267,7 +268,14 @@
     then.extend(batch.deletes.iter().map(|id| Op::Delete(job_key(*id))));
     then.extend(batch.handled.iter().map(|key| Op::Delete(key.clone())));
     if let Some(workers) = &batch.workers {
-        then.push(Op::Put(WORKERS_KEY.to_owned(), encode(workers), 0));
+        let parts = worker_list::split(workers);
+        let stored = ownership.worker_parts.get();
+        let surplus = worker_list::surplus(parts.len(), stored).into_iter();
+        // The parts stay counted until a later commit, as this one may fail.
+        ownership.worker_parts.set(stored.max(parts.len()));
+        let puts = parts.into_iter();
+        then.extend(puts.map(|(key, part)| Op::Put(key, encode(&part), 0)));
+        then.extend(surplus.map(Op::Delete));
     }
     let txn = Txn {
         when: vec![Compare::Changed(
