--- a/marigoldgladed/tests/platform.rs
+++ b/marigoldgladed/tests/platform.rs
@@ -1,6 +1,7 @@
 //! Daemons in front of the platform's stand-ins, while the store, workers or daemons fail.
 
 #[path = "support/cluster.rs"]
+#[expect(dead_code, reason = "the cluster serves several test files")]
 mod cluster;
 
 use std::io::{Read as _, Write as _};
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -20,6 +20,7 @@
     pub front: String,
     pub ready: String,
     pub admin: String,
+    pub mesh: String,
     /// The store as this daemon sees it, whose behaviour a test can change.
     pub endpoint: Endpoint,
     /// The lines that the daemon has logged after the first one.
@@ -157,6 +158,7 @@
             front: addr("listen"),
             ready: addr("ready"),
             admin: addr("admin"),
+            mesh: addr("mesh"),
             child,
             endpoint,
             log,
