Write the records that callers wait for first

Cause: a commit took the changed records of the oldest jobs first. Change: batch::commit_order takes records that callers wait for, then ended jobs, then progress, and keeps a quarter for the latter.

--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -1,5 +1,6 @@
 //! Group commits, one at a time, and the replies and acknowledgements that wait for each.
 
+use crate::batch::commit_order::{self, Change, Reason};
 use crate::batch::engine::acks::CommitMark;
 use crate::batch::engine::{Action, Batch, CommitOutcome, Engine, JobKey, WorkerKey};
 use crate::batch::messages::Reply;
@@ -42,6 +43,23 @@
             || self.workers.iter().any(|w| w.acks.is_pending())
     }
 
+    /// Returns why the record of a job is to be written.
+    fn change(&self, key: JobKey) -> Option<Change> {
+        let job = self.jobs.get(&key)?;
+        let reason = if !job.submit_calls.is_empty() || !job.cancel_calls.is_empty() {
+            Reason::Caller
+        } else if job.is_open() {
+            Reason::Progress
+        } else {
+            Reason::End
+        };
+        Some(Change {
+            reason,
+            priority: job.record.queue.priority,
+            job: key,
+        })
+    }
+
     /// Starts a commit when one is due.
     pub(super) fn start_commit(&mut self, out: &mut Vec<Action>) {
         if self.pending.is_some() || !self.commit_after.passed(self.now) || !self.has_changes() {
@@ -62,10 +80,15 @@
             workers: None,
         };
         let entry_limit = self.bounds.commit_entries;
+        let changes: Vec<Change> = self
+            .dirty_jobs
+            .iter()
+            .filter_map(|k| self.change(*k))
+            .collect();
+        let mut covers_all = changes.len() <= entry_limit;
         let mut bytes = 0;
-        let mut covers_all = true;
-        for key in &self.dirty_jobs {
-            if batch.puts.len() >= entry_limit || bytes >= BYTE_LIMIT {
+        for key in &commit_order::select(changes, entry_limit) {
+            if bytes >= BYTE_LIMIT {
                 covers_all = false;
                 break;
             }
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -84,6 +84,8 @@
     pub store_down: bool,
     /// Whether the store leaves commits without an answer; it carries them out when it is back.
     pub store_silent: bool,
+    /// How much longer than usual the store takes for a commit, in milliseconds.
+    pub store_ms: u64,
     /// The commits that a silent store holds.
     held_commits: Vec<(usize, Batch)>,
     /// The workers that the adviser allows.
@@ -224,6 +226,7 @@
             inbox: Vec::new(),
             store_down: false,
             store_silent: false,
+            store_ms: 0,
             held_commits: Vec::new(),
             allowed: BTreeSet::new(),
             valid_ms: 3_000,
@@ -350,7 +353,7 @@
         match action {
             Action::Order(worker, target, order) => self.send(owner, worker, &target, order),
             Action::Commit(batch) => {
-                let delay = self.rng.random_range(3..12);
+                let delay = self.store_ms + self.rng.random_range(3..12);
                 self.schedule(self.now + delay, Scheduled::Commit(owner, Box::new(batch)));
             }
             Action::Reply(call_id, reply) => {
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -517,3 +517,39 @@
         assert!(distinct.len() > 25, "{} times", distinct.len());
     }
 }
+
+/// The store takes 250 ms for a commit while the tasks of many long jobs end all the time, so that there
+/// are more changed records than commits can hold. New urgent jobs mustn't wait behind all of them.
+#[test]
+fn urgent_jobs_start_soon_while_a_slow_store_falls_behind() {
+    let mut sim = Simulation::new(41, 4, 5);
+    sim.bounds.commit_entries = 4;
+    sim.kill_newest_owner();
+    sim.predecessors_ended = true;
+    sim.elect();
+    for n in 0..40 {
+        let chain = |i: u16| {
+            let mut next = step(2, 1, 300);
+            next.depends_on = i.checked_sub(1).into_iter().collect();
+            next
+        };
+        sim.submit(n, "survey", "w0", spec((0..12).map(chain).collect()), 300);
+        sim.run_for(10);
+    }
+    sim.run_for(300);
+    sim.store_ms = 250;
+    sim.run_for(700);
+    let mut waits = Vec::new();
+    for n in 1_000..1_003 {
+        sim.submit(n, "urgent", "w1", spec(vec![step(2, 1, 300)]), 300);
+        let submitted = sim.now;
+        sim.run_for(900);
+        let started = sim.started_at.get(&job_id(n)).copied();
+        waits.push(started.map_or(900, |at| at - submitted));
+    }
+    // A submission waits for the commit under way and for its own.
+    assert!(
+        waits.iter().all(|w| *w <= 700),
+        "waited {waits:?} ms for the first start"
+    );
+}
