Log what the expiry of a silent worker's leases is computed from

Change: the line about expired leases names the worker's process, the latest expiry that this owner sent, the clock reading it was compared with and the reading's age, the term, and whether the worker is inherited; the first renewal without an answer names the expiry it carried.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -174,7 +174,11 @@
                 };
                 worker.renewal_after = now.after(pause);
                 if worker.failed_renewals == 1 {
-                    log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(); "worker doesn't answer renewals");
+                    log::warn!(
+                        worker = worker.target.name.as_str(), runs = worker.runs.len(),
+                        expires_at = renewal.expires_at, lease_expires_at = worker.lease_expires_at;
+                        "worker doesn't answer renewals"
+                    );
                 }
                 self.replan = true;
             }
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -250,7 +250,14 @@
     /// Removes all runs of a silent worker whose leases have expired.
     fn expire_leases(&mut self, key: WorkerKey) {
         let worker = self.worker(key);
-        log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(), lost = worker.failed_renewals; "leases of a silent worker have expired");
+        let reading = worker.clock_reading;
+        log::warn!(
+            worker = worker.target.name.as_str(), started_at = worker.target.started_at, runs = worker.runs.len(),
+            lost = worker.failed_renewals, term = self.term, inherited = worker.inherited,
+            lease_expires_at = worker.lease_expires_at, clock = reading.map_or(0, |r| r.clock),
+            clock_age_ms = reading.map_or(0, |r| self.now.since(r.at));
+            "leases of a silent worker have expired"
+        );
         let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
         for id in tasks {
             self.remove_run(key, &id);
