Wait for leases that an earlier owner renewed

Cause: all leases on a worker end together and never shorten, so a lease that an earlier owner renewed also holds the runs that a new owner starts. The new owner counted only the expiries that it had sent itself. A worker that was idle when it answered, and whose first renewal under the new owner got no answer, was held for expired 2 s after a start (the start's own deadline), up to 3 s too early.

Change: when a worker first answers an owner that has predecessors, its leases count as lasting for the longest that one of them can have renewed; from then on the worker refuses them. The bound is kept on the owner's clock, with the drift of the worker's.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -186,6 +186,8 @@
 /// The state of the owner's scheduler.
 pub struct Engine {
     term: u64,
+    /// Whether there was an owner before this one.
+    has_predecessors: bool,
     bounds: Bounds,
     policy: Arc<Policy>,
     jobs: BTreeMap<JobKey, Job>,
@@ -258,6 +260,7 @@
     ) -> Self {
         let mut engine = Self {
             term: initial.term,
+            has_predecessors: initial.has_predecessors,
             bounds,
             policy,
             jobs: BTreeMap::new(),
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -223,9 +223,16 @@
         self.remove_missing(key, &report);
         self.check_stalls(key);
         self.update_pace(key, &report, out);
+        // Leases never shorten, so those of an earlier owner also hold the runs that this one starts.
+        // The report was made under this owner's term, and the worker refuses earlier owners since.
+        let inherited_until = self.now.after(self.inherited_lease_ms());
+        let has_predecessors = self.has_predecessors;
         let worker = self.worker_mut(key);
         if !worker.answered {
             worker.answered = true;
+            if has_predecessors {
+                worker.foreign_until = worker.foreign_until.max(inherited_until);
+            }
             log::info!(worker = worker.target.name.as_str(), runs = worker.runs.len(), clock = report.clock; "worker answered the owner");
             self.replan = true;
         }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -98,6 +98,8 @@
     pub clock_reading: Option<ClockReading>,
     /// The latest expiry of a lease or start deadline that was sent, on the worker's clock.
     pub lease_expires_at: u64,
+    /// Until when leases may last that this owner didn't renew.
+    pub foreign_until: UnixMs,
     /// How far the worker's completions are applied, durable and acknowledged.
     pub acks: Acks,
     pub runs: BTreeMap<TaskId, Run>,
@@ -126,6 +128,12 @@
     pub stale_resend_at: UnixMs,
 }
 
+/// Returns how long to wait for a lease with `left_ms` left on a worker's clock, on this process's
+/// clock.
+const fn longest_wait(left_ms: u64) -> u64 {
+    left_ms + left_ms * CLOCK_DRIFT_PERCENT / (100 - CLOCK_DRIFT_PERCENT) + EXPIRY_SLACK_MS
+}
+
 impl Worker {
     fn new(target: Target, rack: RackKey, now: UnixMs) -> Self {
         Self {
@@ -138,6 +146,7 @@
             uncertain_until: now,
             clock_reading: None,
             lease_expires_at: 0,
+            foreign_until: now,
             acks: Acks::default(),
             runs: BTreeMap::new(),
             used: Resources::default(),
@@ -164,12 +173,10 @@
     /// Returns when all leases of the worker have certainly expired.
     pub fn all_leases_expired_at(&self) -> UnixMs {
         let Some(reading) = self.clock_reading else {
-            return self.uncertain_until;
+            return self.uncertain_until.max(self.foreign_until);
         };
         let left = self.lease_expires_at.saturating_sub(reading.clock);
-        reading.at.after(
-            left + left * CLOCK_DRIFT_PERCENT / (100 - CLOCK_DRIFT_PERCENT) + EXPIRY_SLACK_MS,
-        )
+        reading.at.after(longest_wait(left)).max(self.foreign_until)
     }
 
     /// Returns the capacity that no run takes.
@@ -250,9 +257,8 @@
     }
 
     /// Returns how long a lease that an earlier owner renews now can last, on this process's clock.
-    fn inherited_lease_ms(&self) -> u64 {
-        let limit = self.bounds.lease_limit_ms.min(LEASE_MS);
-        limit + limit * CLOCK_DRIFT_PERCENT / (100 - CLOCK_DRIFT_PERCENT) + EXPIRY_SLACK_MS
+    pub(super) fn inherited_lease_ms(&self) -> u64 {
+        longest_wait(self.bounds.lease_limit_ms.min(LEASE_MS))
     }
 
     /// Shortens the wait for silent workers now that no earlier owner renews leases any more.
