Reproduce a done task that starts again after a late acknowledgement

What callers would see: a task that is done runs again (TWICE), and its job ends later.

Cause: numbers of completions begin at one in each process of a worker. A renewal carries the number of the last durable completion in every call, also when the worker has been told before. One that is carried out late, in the next process of a worker with the same id, acknowledges completions of that process up to the earlier one's number, and the worker forgets those that no owner knows.

Evidence: batch::an_acknowledgement_to_an_earlier_process_loses_no_completion.

Result: the test fails on this code, as it should.

--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -532,3 +532,36 @@
     assert_eq!(sim.status(2), Some(JobStatus::Done));
     assert_eq!(sim.starts, 3, "the task was to be started again elsewhere");
 }
+
+/// Guards against a done task that is started again: a worker that restarted under its id obeys an
+/// acknowledgement that was sent to its earlier process, and forgets a completion that no owner knows.
+#[test]
+fn an_acknowledgement_to_an_earlier_process_loses_no_completion() {
+    let mut sim = Simulation::new(37, 1, 1);
+    sim.reuse_ids = true;
+    sim.submit(1, "sweep", "w0", spec(vec![step(3, 2, 300)]), 300);
+    sim.run_for(100);
+    while sim.records[&job_id(1)].state != State::Done {
+        sim.run_for(1);
+    }
+    // The acknowledgement is carried out 2.5 s later, in the worker's next process.
+    sim.late_ms = 2_500..2_501;
+    sim.faults.late = 100;
+    sim.run_for(100);
+    sim.faults.late = 0;
+    sim.run_for(900);
+    let now = sim.now;
+    sim.workers.get_mut("worker-0-0").unwrap().restart(now);
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.run_for(300);
+    sim.submit(2, "sweep", "w0", spec(vec![step(1, 8, 700)]), 700);
+    sim.run_for(200);
+    assert_eq!(sim.starts, 4);
+    sim.lost_renewals.insert("worker-0-0".to_owned());
+    sim.run_for(1_300);
+    sim.lost_renewals.clear();
+    sim.run_for(5_000);
+    assert_eq!(sim.status(2), Some(JobStatus::Done));
+    assert_eq!(sim.starts, 4, "a task that was done was started again");
+}
