Keep late acknowledgements from the next process of a worker

What callers would see: a task that is done runs again (TWICE), and its job ends later.

Cause: a worker numbers its completions from one in each process, and each renewal carried the number of the last durable one. A renewal that is carried out late, by the next process of a worker with the same id, acknowledges completions of that process which no owner knows.

Evidence: batch::an_acknowledgement_to_an_earlier_process_loses_no_completion failed before: 'a completion was acknowledged before it was durable'.

Change: a renewal carries a number only while the worker isn't known to have been told. After a restart a worker gets no work as long as an acknowledgement that got no response may still arrive.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -74,7 +74,9 @@
             };
             let renewal = Renewal {
                 expires_at: end,
-                acked: worker.acks.ackable(),
+                // A number that the worker knows isn't repeated: a renewal that is carried out late may
+                // reach the worker's next process, which counts its completions from one again.
+                acked: if unacked { worker.acks.ackable() } else { 0 },
                 wait_ms,
                 term,
             };
@@ -110,10 +112,8 @@
             out.push(Action::StepDown);
             return;
         }
-        if matches!(response, OrderResponse::Lost) {
-            self.counts.lost += 1;
-        }
         let lost = matches!(response, OrderResponse::Lost);
+        self.counts.lost += u64::from(lost);
         match order {
             Order::Renew(renewal) => self.handle_renewal_response(key, renewal, response, out),
             Order::Start(start) => self.handle_start_response(key, start, &response),
@@ -123,8 +123,11 @@
         // The response may have shown a restart, so this comes after it.
         let (now, lease_limit_ms) = (self.now, self.bounds.lease_limit_ms);
         let expires_at = order.lease_expiry();
-        self.worker_mut(key)
-            .note_expiry(now, expires_at, lost, lease_limit_ms);
+        let worker = self.worker_mut(key);
+        worker.note_expiry(now, expires_at, lost, lease_limit_ms);
+        if let (true, Order::Renew(renewal)) = (lost, order) {
+            worker.note_lost_ack(now, renewal.acked);
+        }
     }
 
     /// Records a reading of a worker's clock unless it is older than the last one.
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -106,6 +106,11 @@
     pub late_until: UnixMs,
     /// How far the worker's completions are applied, durable and acknowledged.
     pub acks: Acks,
+    /// Until when an acknowledgement that got no response may still be carried out.
+    pub late_ack_until: UnixMs,
+    /// Until when the worker gets no work because an acknowledgement that was sent to an earlier
+    /// process may reach this one, which would forget completions that no owner knows.
+    pub idle_until: UnixMs,
     pub runs: BTreeMap<TaskId, Run>,
     /// What the runs take of the worker's capacity.
     pub used: Resources,
@@ -153,6 +158,8 @@
             foreign_until: now,
             late_until: now,
             acks: Acks::default(),
+            late_ack_until: now,
+            idle_until: now,
             runs: BTreeMap::new(),
             used: Resources::default(),
             renewal_pending: false,
@@ -198,6 +205,18 @@
         }
     }
 
+    /// Notes that an acknowledgement of completions up to `number` got no response.
+    ///
+    /// One beyond what this process has made durable was meant for an earlier process.
+    pub fn note_lost_ack(&mut self, now: UnixMs, number: u64) {
+        let late_until = now.after(LATE_ORDER_MS);
+        if number > self.acks.ackable() {
+            self.idle_until = self.idle_until.max(late_until);
+        } else if number > 0 {
+            self.late_ack_until = self.late_ack_until.max(late_until);
+        }
+    }
+
     /// Returns the capacity that no run takes.
     pub fn free(&self) -> Resources {
         self.target.capacity.minus(&self.used)
@@ -211,6 +230,7 @@
             && !self.target.draining
             && self.failed_renewals == 0
             && self.paused_until.passed(now)
+            && self.idle_until.passed(now)
     }
 
     /// Returns whether a new owner must hear from the worker before it may start tasks again: the
@@ -415,6 +435,7 @@
         let worker = self.worker_mut(key);
         // Orders to the earlier incarnation may have reached this one, or may do so later.
         worker.foreign_until = worker.late_until.max(now).after(longest_wait(lease));
+        worker.idle_until = worker.idle_until.max(worker.late_ack_until);
         // A worker cuts the deadline of a start meant for another incarnation to the longest lease.
         let left = if worker.runs.is_empty() {
             0
