Write completions that only the owner knows first

Cause: after an outage the store's first commit holds 24 records, those of callers and then the oldest jobs. A completion of a worker that is still there can be asked for again. One of a worker that has left is known to the owner alone, but waited in the same line.

Change: a job remembers which worker processes reported its changes until these are durable. If one of them may be gone (draining, silent, not in the registry, or restarted since), the record goes into the commit first, in up to half of it, so that callers still get their part.

Open: if the store takes no commit between the completion and the owner's loss, nothing can keep it; the task runs again.

--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -46,7 +46,13 @@
     /// Returns why the record of a job is to be written.
     fn change(&self, key: JobKey) -> Option<Change> {
         let job = self.jobs.get(&key)?;
-        let reason = if !job.submit_calls.is_empty() || !job.cancel_calls.is_empty() {
+        let may_be_gone = |(worker, started_at): &(WorkerKey, u64)| {
+            let worker = self.worker(*worker);
+            worker.target.started_at != *started_at || worker.may_be_gone()
+        };
+        let reason = if job.reporters.iter().any(may_be_gone) {
+            Reason::OnlyCopy
+        } else if !job.submit_calls.is_empty() || !job.cancel_calls.is_empty() {
             Reason::Caller
         } else if job.is_open() {
             Reason::Progress
@@ -204,6 +210,7 @@
             }
             if job.durable_changes == job.changes {
                 self.dirty_jobs.remove(key);
+                job.reporters.clear();
             }
         }
         for key in ended {
--- a/marigoldglade/src/batch/engine/completions.rs
+++ b/marigoldglade/src/batch/engine/completions.rs
@@ -65,8 +65,12 @@
         if state == State::Open {
             self.finish_job(job_key);
         }
+        let reporter = (key, self.worker(key).target.started_at);
         if let Some(job) = self.jobs.get_mut(&job_key) {
             job.changes += 1;
+            if !job.reporters.contains(&reporter) {
+                job.reporters.push(reporter);
+            }
             self.dirty_jobs.insert(job_key);
         }
         self.replan = true;
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -57,6 +57,9 @@
     pub changes: u64,
     /// How many of the changes are durable.
     pub durable_changes: u64,
+    /// The workers whose completions changed the job, with the start times of their processes, until
+    /// all changes are durable.
+    pub reporters: Vec<(WorkerKey, u64)>,
     /// The state on record; `None` until the acceptance is durable.
     pub durable_state: Option<State>,
     /// Whether a task of the job has started.
@@ -115,6 +118,7 @@
             tasks_left,
             changes: 1,
             durable_changes: 0,
+            reporters: Vec::new(),
             durable_state: None,
             started,
             inherited,
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -233,6 +233,11 @@
             && self.idle_until.passed(now)
     }
 
+    /// Returns whether the worker may not be there for a new owner to ask.
+    pub fn may_be_gone(&self) -> bool {
+        !self.listed || !self.answered || self.target.draining || self.failed_renewals > 0
+    }
+
     /// Returns whether a new owner must hear from the worker before it may start tasks again: the
     /// worker may run something, or holds completions that aren't durable.
     pub fn concerns_successor(&self, now: UnixMs) -> bool {
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -13,6 +13,7 @@
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
 use simulation::{Faults, Simulation, job_id, spec, step};
+use standin::batch_worker::SimWorker;
 
 #[test]
 fn a_submitted_job_is_accepted_started_and_done() {
@@ -564,3 +565,61 @@
     assert_eq!(sim.status(2), Some(JobStatus::Done));
     assert_eq!(sim.starts, 4, "a task that was done was started again");
 }
+
+/// How a worker leaves that has told the owner of a completion.
+#[derive(Clone, Copy, PartialEq)]
+enum Departure {
+    Drained,
+    EntryGone,
+    Restarted,
+}
+
+/// Guards against a done task that runs again: after an outage the store takes one commit, which
+/// doesn't hold all changes, before the owner is lost. The worker of one completion has left, so that
+/// only the owner knew of it.
+#[rstest]
+#[case::drained(Departure::Drained)]
+#[case::entry_gone(Departure::EntryGone)]
+#[case::restarted(Departure::Restarted)]
+fn a_completion_that_only_the_owner_knows_is_written_first(#[case] departure: Departure) {
+    let mut sim = Simulation::new(38, 4, 10);
+    for n in 0..40 {
+        sim.submit(n, "sweep", "w0", spec(vec![step(1, 8, 1_500)]), 1_500);
+    }
+    sim.run_for(1_000);
+    assert_eq!(sim.starts, 40);
+    let youngest = |(_, w): &(&String, &SimWorker)| w.runs.keys().any(|t| t.job == job_id(39));
+    let name = sim.workers.iter().find(youngest).unwrap().0.clone();
+    let owner = sim.newest_owner();
+    if departure == Departure::Drained {
+        sim.workers.get_mut(&name).unwrap().target.draining = true;
+        sim.send_registry(owner);
+        sim.run_for(100);
+    }
+    sim.store_down = true;
+    sim.run_for(1_500);
+    assert_eq!(sim.done.len(), 40);
+    let now = sim.now;
+    let worker = sim.workers.get_mut(&name).unwrap();
+    if departure == Departure::Restarted {
+        worker.restart(now);
+    } else {
+        worker.exit();
+        sim.listed.remove(&name);
+    }
+    if departure != Departure::Drained {
+        sim.send_registry(owner);
+        sim.run_for(1_000);
+    }
+    sim.store_down = false;
+    let before = sim.seq;
+    while sim.seq == before {
+        sim.run_for(1);
+    }
+    sim.kill_newest_owner();
+    sim.predecessors_ended = true;
+    sim.elect();
+    sim.run_for(12_000);
+    assert!(sim.all_done(0..40));
+    assert_eq!(sim.starts, 40, "a task ran again although it was done");
+}
--- a/marigoldglade/tests/batch_commit_order.rs
+++ b/marigoldglade/tests/batch_commit_order.rs
@@ -48,3 +48,22 @@
     let changes = vec![change(Reason::Caller, 0, 1), change(Reason::Progress, 0, 0)];
     assert_eq!(select(changes, 1), [JobKey(1)]);
 }
+
+/// Guards against a done task that runs again: records with completions that only the owner knows
+/// come first, and callers still get a part of each commit.
+#[test]
+fn completions_that_only_the_owner_knows_come_first() {
+    let mut changes: Vec<Change> = (0..50).map(|n| change(Reason::Progress, 0, n)).collect();
+    changes.extend((100..200).map(|n| change(Reason::Caller, 0, n)));
+    changes.extend((300..303).map(|n| change(Reason::OnlyCopy, 2, n)));
+    let selected = select(changes.clone(), 24);
+    assert_eq!(selected[..3], keys(300..303));
+    assert_eq!(selected[3..19], keys(100..116));
+    assert_eq!(selected[19..], keys(0..5));
+
+    changes.extend((303..340).map(|n| change(Reason::OnlyCopy, 2, n)));
+    let selected = select(changes, 24);
+    assert_eq!(selected[..12], keys(300..312));
+    assert_eq!(selected[12..21], keys(100..109));
+    assert_eq!(selected[21..], keys(312..315));
+}
