Measure the wait after the loss of a completion that only the owner knew

Evidence: a simulation of the case (a draining worker, the store away, the run's completion told to the owner, the worker gone, the owner lost, a new owner). The task starts again 5.58 s after the election if the store says that the earlier owner has ended, 6.00 s if its daemon says so 0.4 s later, 15.60 s if nobody does.

The vanished worker never answers the new owner, so no expiry of a lease there is counted at all.

--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -623,3 +623,53 @@
     assert!(sim.all_done(0..40));
     assert_eq!(sim.starts, 40, "a task ran again although it was done");
 }
+
+/// Guards against a job that stays open: the completion of a worker that has left was known only to a
+/// lost owner. The task waits for that owner to end, as far as it can be asked, and for one lease.
+#[rstest]
+#[case::from_the_store(Some(0), 5_600)]
+#[case::from_the_earlier_owners_daemon(Some(400), 6_000)]
+#[case::never(None, 15_600)]
+fn a_task_whose_completion_was_lost_with_its_owner_runs_again_after_the_leases(
+    #[case] ended_ms: Option<u64>,
+    #[case] wait_ms: u64,
+) {
+    let mut sim = Simulation::new(41, 1, 4);
+    sim.run_for(200);
+    sim.submit(1, "survey", "w0", spec(vec![step(1, 8, 3_000)]), 3_000);
+    sim.run_for(300);
+    let busy = |(_, w): &(&String, &SimWorker)| !w.runs.is_empty();
+    let name = sim.workers.iter().find(busy).unwrap().0.clone();
+    sim.workers.get_mut(&name).unwrap().target.draining = true;
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.run_for(500);
+    sim.store_down = true;
+    sim.run_for(3_000);
+    assert_eq!(sim.done.len(), 1);
+    sim.workers.get_mut(&name).unwrap().exit();
+    sim.listed.remove(&name);
+    sim.run_for(1_000);
+    sim.kill_newest_owner();
+    sim.store_down = false;
+    assert_eq!(sim.records[&job_id(1)].state, State::Open);
+    assert!(sim.stored_workers.iter().any(|w| w.name == name));
+    sim.predecessors_ended = ended_ms == Some(0);
+    let owner = sim.elect();
+    let elected = sim.now;
+    if let Some(ms) = ended_ms.filter(|ms| *ms > 0) {
+        sim.run_to(elected + ms);
+        sim.deliver(owner, Event::PredecessorsEnded);
+    }
+    while sim.starts == 1 {
+        sim.run_for(10);
+    }
+    assert!(
+        sim.now <= elected + wait_ms,
+        "started at {}",
+        sim.now - elected
+    );
+    sim.run_for(3_200);
+    assert_eq!(sim.status(1), Some(JobStatus::Done));
+    assert_eq!(sim.starts, 2);
+}
