Use no registry entry with an address that no worker can have

What the owner did: it sent orders to port 0, to broadcast and multicast addresses, and for the unspecified address to its own machine, for as long as the entry was there.

Cause: any address that can be parsed was used. A port above 65535 was refused before.

Evidence: the 8 cases with port 0, an unspecified, broadcast or multicast address in an_address_that_no_worker_can_have_names_none failed before.

Change: Target::check refuses them, IPv4 addresses in IPv6 form included.

--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -1,11 +1,12 @@
 //! Workers, the orders sent to them and their responses.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
 use crate::batch::id::{JobId, TaskId};
+use crate::error::{Error, Kind, Result};
 
 /// The number of cores that one accelerator counts for in amounts of work, by the platform's prices.
 pub const CORES_PER_ACCEL: u64 = 8;
@@ -104,6 +105,28 @@
     pub fn rack(&self) -> &str {
         self.labels.last().map_or("", String::as_str)
     }
+
+    /// Checks what other writers of the registry may have got wrong.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadInput`], with the invalid field.
+    pub fn check(&self) -> Result<()> {
+        if !is_reachable(self.addr) {
+            return Err(Error::new(
+                Kind::BadInput,
+                format!("address: no process listens on {}", self.addr),
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// Returns whether one process can listen on an address and others connect to it.
+fn is_reachable(addr: SocketAddr) -> bool {
+    let ip = addr.ip().to_canonical();
+    let broadcast = matches!(ip, IpAddr::V4(v4) if v4.is_broadcast());
+    addr.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !broadcast
 }
 
 /// How a run ended.
