Bound the texts of a worker, so that the stored list always fits

What callers saw: after one entry with 200,000 labels or a data centre's name of 900 kB, no job was accepted or started any more, whichever daemon was the owner.

Cause: an entry may be as large as the store's largest value. Its worker was recorded on the stored list, whose parts were bounded by their number of workers, not by their bytes. Each commit carried the part, and the store refused each.

--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -76,6 +76,12 @@
     }
 }
 
+/// The most bytes that the texts of a worker take together: several times those of any fleet, and few
+/// enough that any worker fits on the stored list.
+pub const TEXT_LIMIT_BYTES: usize = 1 << 10;
+/// What a label takes besides its text, in bytes.
+const LABEL_BYTES: usize = 2;
+
 /// A worker as it appears in the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -106,17 +112,28 @@
         self.labels.last().map_or("", String::as_str)
     }
 
+    /// Returns how many bytes the texts take.
+    #[must_use]
+    pub fn text_bytes(&self) -> usize {
+        let labels = self.labels.iter().map(|l| l.len() + LABEL_BYTES);
+        self.name.len() + self.pool.len() + self.dc.len() + labels.sum::<usize>()
+    }
+
     /// Checks what other writers of the registry may have got wrong.
     ///
     /// # Errors
     ///
     /// [`Kind::BadInput`], with the invalid field.
     pub fn check(&self) -> Result<()> {
+        let bad = |detail: String| Err(Error::new(Kind::BadInput, detail));
         if !is_reachable(self.addr) {
-            return Err(Error::new(
-                Kind::BadInput,
-                format!("address: no process listens on {}", self.addr),
-            ));
+            return bad(format!("address: no process listens on {}", self.addr));
+        }
+        if self.text_bytes() > TEXT_LIMIT_BYTES {
+            return bad(format!("expected at most {TEXT_LIMIT_BYTES} bytes of text"));
+        }
+        if self.pool.is_empty() {
+            return bad("pool: expected a name".to_owned());
         }
         Ok(())
     }
--- a/marigoldglade/tests/batch_worker_list.rs
+++ b/marigoldglade/tests/batch_worker_list.rs
@@ -1,6 +1,6 @@
 //! Tests of the stored list of workers at the size of the largest fleet.
 
-use marigoldglade::batch::worker::{Resources, Target};
+use marigoldglade::batch::worker::{Resources, TEXT_LIMIT_BYTES, Target};
 use marigoldglade::batch::worker_list::{PART_WORKERS, part_key, split, surplus};
 use marigoldglade::mesh;
 
@@ -41,6 +41,24 @@
     assert_eq!(joined, all);
 }
 
+/// A part used to be bounded by its number of workers only: with long texts it outgrew a value, and the
+/// store refused every commit.
+#[test]
+fn every_part_of_a_list_of_workers_with_long_texts_fits_into_a_value() {
+    let mut all = targets(PART_WORKERS + 1);
+    for target in &mut all {
+        target.labels = vec!["x".repeat(TEXT_LIMIT_BYTES - 100)];
+        target.check().expect("as long as a worker's texts may be");
+    }
+    let parts = split(&all);
+    for (key, part) in &parts {
+        let bytes = mesh::encode(&part).expect("a part can be encoded");
+        assert!(bytes.len() < VALUE_LIMIT_BYTES, "{key}: {}", bytes.len());
+    }
+    let joined: Vec<Target> = parts.iter().flat_map(|(_, p)| p.to_vec()).collect();
+    assert_eq!(joined, all);
+}
+
 #[test]
 fn a_short_list_keeps_the_key_that_it_always_had() {
     for count in [0, 1, PART_WORKERS] {
