Let a start time that no report confirms give way to a later entry

What callers saw: work that only one worker could run never started. An entry of another writer under the worker's name, read before the worker's own, named a start far in the future; the own entry then counted as that of an earlier process for good, and through the stored list under later owners too. While the odd entry was there, the owner asked the worker for reports without a pause.

Cause: the later of two start times always held, although an entry isn't proof of one. A report of an earlier process was passed over and asked for again at once.

Evidence: both cases of a_wrong_start_time_does_not_hide_a_worker_for_good in which the odd entry comes first failed before, as did one of the two cases "born" with whole daemons; reports_that_are_passed_over_are_not_asked_for_without_a_pause counted 4,999 renewals in 10 s.

Change: only a start time that the worker's own report has confirmed outranks a later entry. A report that is passed over is asked for again after the pause of a failed renewal.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -199,6 +199,7 @@
         let worker = self.worker(key);
         let known = worker.target.started_at;
         if report.started_at > 0 && known > 0 && report.started_at < known {
+            self.worker_mut(key).renewal_after = self.now.after(RENEWAL_RETRY_MS);
             return;
         }
         if report.started_at > known && known > 0 {
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -378,8 +378,8 @@
             return;
         }
         let worker = self.worker_mut(key);
-        // The entry belongs to an earlier incarnation.
-        if target.started_at < worker.target.started_at {
+        // The entry belongs to an earlier incarnation, unless no report has confirmed the later one.
+        if target.started_at < worker.target.started_at && worker.answered {
             return;
         }
         if !worker.listed {
@@ -392,8 +392,9 @@
             worker.recorded = false;
         }
         if *worker.target != target {
-            let changed =
-                worker.target.addr != target.addr || worker.target.capacity != target.capacity;
+            let changed = worker.target.addr != target.addr
+                || worker.target.capacity != target.capacity
+                || worker.target.started_at != target.started_at;
             worker.target = Arc::new(target);
             if changed {
                 worker.recorded = false;
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -136,6 +136,8 @@
     pub starts: u32,
     /// How many stops reached a worker.
     pub stops: u32,
+    /// How many renewals were sent.
+    pub renewals: u32,
     /// The ended runs by the worker's name and its process's start time.
     ended_runs: HashMap<(String, u64), EndedRuns>,
 }
@@ -259,6 +261,7 @@
             cancelled: BTreeMap::new(),
             starts: 0,
             stops: 0,
+            renewals: 0,
             ended_runs: HashMap::new(),
         };
         for rack in 0..racks {
@@ -419,6 +422,7 @@
     fn send(&mut self, owner: usize, worker: WorkerKey, target: &Target, order: Order) {
         let roll = self.rng.random_range(0..100);
         let delay = self.rng.random_range(1..4);
+        self.renewals += u32::from(matches!(order, Order::Renew(_)));
         let cut = matches!(order, Order::Renew(_)) && self.lost_renewals.contains(&target.name);
         let lost = cut || roll < self.faults.late + self.faults.unanswered;
         let late = roll < self.faults.late;
--- a/marigoldglade/tests/batch_odd_entries.rs
+++ b/marigoldglade/tests/batch_odd_entries.rs
@@ -4,6 +4,7 @@
 #[expect(dead_code, reason = "the simulation serves several test files")]
 mod simulation;
 
+use marigoldglade::batch::engine::Event;
 use marigoldglade::batch::worker::{Resources, Target};
 use rstest::rstest;
 use simulation::{Simulation, spec, step};
@@ -48,3 +49,63 @@
     sim.run_for(3_000);
     assert!(sim.all_done(6..7));
 }
+
+/// An entry of another writer says that a worker started far in the future, before or after the worker's
+/// own entry: the own one counted as that of an earlier process for good.
+#[rstest]
+fn a_wrong_start_time_does_not_hide_a_worker_for_good(
+    #[values(true, false)] known: bool,
+    #[values(true, false)] taken_over: bool,
+) {
+    let mut sim = Simulation::new(52, 1, 2);
+    sim.reuse_ids = true;
+    let names: Vec<String> = sim.workers.keys().cloned().collect();
+    if known {
+        sim.run_for(500);
+    } else {
+        sim.kill_newest_owner();
+        sim.stored_workers.clear();
+        sim.listed.clear();
+        sim.elect();
+    }
+    let owner = sim.newest_owner();
+    let odd = |name: &String| Target {
+        started_at: 1 << 62,
+        ..sim.workers[name].target.clone()
+    };
+    let odd = names.iter().map(odd).collect();
+    sim.deliver(owner, Event::Registry(odd));
+    sim.run_for(500);
+    if taken_over {
+        sim.kill_newest_owner();
+        sim.predecessors_ended = true;
+        sim.elect();
+    }
+    sim.listed = names.into_iter().collect();
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.submit(1, "sweep", "w0", spec(vec![step(4, 2, 900)]), 900);
+    sim.run_for(3_000);
+    assert!(sim.all_done(1..2));
+}
+
+/// A report of a process that started before the listed one was asked for again without a pause.
+#[test]
+fn reports_that_are_passed_over_are_not_asked_for_without_a_pause() {
+    let mut sim = Simulation::new(53, 1, 1);
+    sim.reuse_ids = true;
+    let owner = sim.newest_owner();
+    sim.kill_newest_owner();
+    sim.stored_workers.clear();
+    sim.listed.clear();
+    sim.elect();
+    let odd = Target {
+        started_at: 1 << 62,
+        ..sim.workers["worker-0-0"].target.clone()
+    };
+    sim.deliver(owner + 1, Event::Registry(vec![odd]));
+    let before = sim.renewals;
+    sim.run_for(10_000);
+    let renewals = sim.renewals - before;
+    assert!(renewals <= 50, "{renewals} renewals in 10 s");
+}
--- a/marigoldgladed/tests/odd_entries.rs
+++ b/marigoldgladed/tests/odd_entries.rs
@@ -102,7 +102,7 @@
 /// The entry of a worker is replaced by an odd one for a while, also before the worker has started.
 #[rstest]
 fn a_worker_is_used_again_once_its_entry_is_back(
-    #[values("nesting", "figures", "addresses", "labels", "names")] kind: &str,
+    #[values("nesting", "figures", "addresses", "labels", "names", "born")] kind: &str,
     #[values(true, false)] before: bool,
 ) {
     let c = Cluster::new(0, 1);
