Log changes of a worker's capacity

The log didn't show it: a start that no longer fits, or a worker that takes no more work, couldn't be told from other causes.

Change: one line names the worker, its runs, the old and the new capacity, what its runs take, and whether they take more than the new capacity.

Result: no logic is changed.

--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -337,8 +337,15 @@
             worker.recorded = false;
         }
         if *worker.target != target {
-            let changed =
-                worker.target.addr != target.addr || worker.target.capacity != target.capacity;
+            let (old, new) = (worker.target.capacity, target.capacity);
+            if old != new {
+                log::info!(
+                    worker = target.name.as_str(), runs = worker.runs.len(), old:% = old, new:% = new,
+                    used:% = worker.used, over = !new.covers(&worker.used);
+                    "capacity of a worker has changed"
+                );
+            }
+            let changed = worker.target.addr != target.addr || old != new;
             worker.target = Arc::new(target);
             if changed {
                 worker.recorded = false;
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -1,5 +1,6 @@
 //! Workers, the orders sent to them and their responses.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -75,6 +76,12 @@
     }
 }
 
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.cpu, self.mem, self.accels)
+    }
+}
+
 /// A worker as it appears in the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
