Read from the configuration which pools enforce their capacity

The configuration's word about it was dropped by the decoder, so that the owner couldn't treat such pools otherwise.

Change: the configuration holds the pools; a pool counts as enforcing unless the platform denies it.

No logic uses it yet.

--- a/marigoldglade/src/batch/policy.rs
+++ b/marigoldglade/src/batch/policy.rs
@@ -79,6 +79,15 @@
     pub guarantee: u64,
 }
 
+/// A pool of workers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pool {
+    /// The pool's name.
+    pub name: String,
+    /// Whether its workers refuse starts that don't fit into their capacity.
+    pub enforces_capacity: bool,
+}
+
 /// Bounds on calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
@@ -113,6 +122,9 @@
     pub queues: Vec<Queue>,
     /// All workspaces.
     pub workspaces: Vec<Workspace>,
+    /// All pools of workers.
+    #[serde(default)]
+    pub pools: Vec<Pool>,
     /// Bounds on calls.
     pub limits: Limits,
 }
@@ -166,6 +178,14 @@
         }
     }
 
+    /// Returns whether the workers of a pool refuse what doesn't fit; a pool that isn't configured
+    /// counts as one that does.
+    #[must_use]
+    pub fn enforces_capacity(&self, pool: &str) -> bool {
+        let known = self.pools.iter().find(|p| p.name == pool);
+        known.is_none_or(|p| p.enforces_capacity)
+    }
+
     /// Returns the accelerators guaranteed to a workspace.
     #[must_use]
     pub fn guarantee(&self, workspace: &str) -> u64 {
