Count unwanted runs until they have ended

Cause: a run that a report lists and that the owner doesn't want, such as one of an earlier owner whose job was cancelled meanwhile, was only sent a stop. It wasn't in the owner's books, so that its capacity counted as free at once; and if the stop was lost on a worker without other runs, no further report was asked for, so that the run went on until its lease ended.

The simulated workers could only refuse what doesn't fit, so that no test could see it; they can now carry it out, and the simulation checks each start against the capacity, with the delay after which a smaller one counts.

Change: the owner keeps what unwanted runs take from each report until the next, counts it as taken, and asks for reports as long as there is any. A run of an unknown task counts as the whole worker. The lease of such a run isn't extended.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -7,7 +7,9 @@
 use crate::batch::engine::workers::{ClockReading, LEASE_MS, Run, Stage};
 use crate::batch::engine::{Action, Engine, WorkerKey};
 use crate::batch::id::TaskId;
-use crate::batch::worker::{ActiveRun, Order, OrderResponse, Refusal, Renewal, Report, Stop};
+use crate::batch::worker::{
+    ActiveRun, Order, OrderResponse, Refusal, Renewal, Report, Resources, Stop,
+};
 
 /// How long a busy worker may delay its response to a renewal until a run ends, in milliseconds: a
 /// quarter of the lease, so that no lease expires when a renewal is lost.
@@ -42,20 +44,25 @@
             let silent = !worker.answered && (worker.listed || !worker.uncertain_until.passed(now));
             let unacked = worker.acks.is_unacked();
             let busy = !worker.runs.is_empty();
+            // An unwanted run is stopped again unless the next report shows its end.
+            let stopping = worker.answered
+                && !worker.unwanted.is_empty()
+                && (worker.listed || worker.failed_renewals == 0);
             // A worker with unacknowledged completions answers at once instead of waiting, so until
             // they are durable its renewals are spaced by `renew_at`.
             let uncommitted = worker.acks.is_pending();
-            let needed =
-                silent || unacked || (busy && (!uncommitted || worker.renew_at.passed(now)));
+            let waiting = (busy || stopping) && (!uncommitted || worker.renew_at.passed(now));
+            let needed = silent || unacked || waiting;
             if !needed {
                 continue;
             }
-            let urgent = busy && self.has_urgent_runs(key);
+            let urgent = stopping || (busy && self.has_urgent_runs(key));
             let watched = busy && self.needs_tail_reports(key);
             let worker = self.worker_mut(key);
             // The leases of a silent worker aren't extended: otherwise the owner could never tell
             // that they have expired.
-            let renews = busy && worker.answered && worker.failed_renewals == 0;
+            let responsive = worker.answered && worker.failed_renewals == 0;
+            let renews = busy && responsive;
             let end = worker
                 .clock(now)
                 .filter(|_| renews)
@@ -63,7 +70,8 @@
             worker.lease_expires_at = worker.lease_expires_at.max(end);
             worker.renewal_pending = true;
             worker.renew_at = now.after(RENEW_MS);
-            let wait_ms = if !renews || uncommitted {
+            let may_wait = renews || (stopping && responsive);
+            let wait_ms = if !may_wait || uncommitted {
                 0
             } else if watched {
                 TAIL_WAIT_MS
@@ -217,6 +225,7 @@
                 self.apply_completion(key, completion);
             }
         }
+        self.worker_mut(key).unwanted.clear();
         for row in &report.running {
             self.apply_running(key, row, report.clock, out);
         }
@@ -279,10 +288,18 @@
                 term: self.term,
             };
             let target = Arc::clone(&self.worker(key).target);
+            let resources = self.charge(&row.task).unwrap_or(target.capacity);
+            self.worker_mut(key).unwanted.push(resources);
             out.push(Action::Order(key, target, Order::Stop(stop)));
         }
     }
 
+    /// Returns what a run of a task takes of a worker's capacity; `None` if the task isn't known.
+    pub(super) fn charge(&self, id: &TaskId) -> Option<Resources> {
+        let job = self.jobs.get(self.job_ids.get(&id.job)?)?;
+        Some(job.step(id)?.charge())
+    }
+
     /// Adopts a run of an earlier owner; returns false if the run isn't wanted.
     fn adopt(&mut self, key: WorkerKey, row: &ActiveRun, clock: u64) -> bool {
         let now = self.now;
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -103,6 +103,8 @@
     pub runs: BTreeMap<TaskId, Run>,
     /// What the runs take of the worker's capacity.
     pub used: Resources,
+    /// What each run takes that the last report lists and that isn't wanted: it is being stopped.
+    pub unwanted: Vec<Resources>,
     /// Whether a renewal is under way.
     pub renewal_pending: bool,
     /// When the next renewal may be sent.
@@ -141,6 +143,7 @@
             acks: Acks::default(),
             runs: BTreeMap::new(),
             used: Resources::default(),
+            unwanted: Vec::new(),
             renewal_pending: false,
             renewal_after: now,
             renew_at: now,
@@ -172,9 +175,15 @@
         )
     }
 
-    /// Returns the capacity that no run takes.
+    /// Returns what is taken of the worker's capacity by all that runs there.
+    pub fn taken(&self) -> Resources {
+        let unwanted = self.unwanted.iter();
+        unwanted.fold(self.used, |sum, r| sum.plus(r))
+    }
+
+    /// Returns the capacity that nothing takes.
     pub fn free(&self) -> Resources {
-        self.target.capacity.minus(&self.used)
+        self.target.capacity.minus(&self.taken())
     }
 
     /// Returns whether the worker can be given work.
@@ -223,6 +232,7 @@
         self.recorded = false;
         self.lease_expires_at = 0;
         self.acks = Acks::default();
+        self.unwanted.clear();
         self.failed_renewals = 0;
         self.health = Health::default();
         self.pace = Pace::default();
@@ -341,7 +351,7 @@
             if old != new {
                 log::info!(
                     worker = target.name.as_str(), runs = worker.runs.len(), old:% = old, new:% = new,
-                    used:% = worker.used, over = !new.covers(&worker.used);
+                    taken:% = worker.taken(), over = !new.covers(&worker.taken());
                     "capacity of a worker has changed"
                 );
             }
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner's engine under faults of workers, orders, owners and the store.
 
 #[path = "batch/world.rs"]
+#[expect(dead_code, reason = "the simulation serves several test files")]
 mod simulation;
 
 use marigoldglade::batch::engine::{Event, WorkerKey};
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -13,7 +13,7 @@
 };
 use marigoldglade::batch::id::{JobId, TaskId};
 use marigoldglade::batch::messages::{Call, JobStatus, Reply, Submission};
-use marigoldglade::batch::policy::{AdviceLatency, Policy, Queue, Workspace};
+use marigoldglade::batch::policy::{AdviceLatency, Policy, Pool, Queue, Workspace};
 use marigoldglade::batch::record::{Record, State};
 use marigoldglade::batch::spec::{JobSpec, Step};
 use marigoldglade::batch::worker::{
@@ -74,6 +74,21 @@
     pub workers: BTreeMap<String, SimWorker>,
     /// Workers that the registry lists.
     pub listed: BTreeSet<String>,
+    /// Whether workers write their registry entries in time; otherwise the entries show them as they
+    /// are at each [`Simulation::send_registry`].
+    pub heartbeats: bool,
+    /// The workers as their registry entries show them.
+    entries: BTreeMap<String, Target>,
+    /// Workers that can't write their registry entries.
+    pub lost_heartbeats: BTreeSet<String>,
+    /// Whether no owner can read the registry.
+    pub registry_lost: bool,
+    /// How much longer than usual orders are under way, in milliseconds.
+    pub order_ms: u64,
+    /// Workers that no stops reach.
+    pub lost_stops: BTreeSet<String>,
+    /// Earlier capacities of workers, and until when they were in force.
+    old_capacities: HashMap<String, Vec<(u64, Resources)>>,
     /// All owners so far, the newest last.
     pub owners: Vec<Owner>,
     /// The commit counter in the store.
@@ -136,6 +151,12 @@
 
 pub const POOL: &str = "pool";
 
+/// The time between two heartbeats of a worker, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_500;
+/// How long after it shrinks a worker's old capacity still counts, in milliseconds: the shortest time
+/// in touch of the platform, and a heartbeat.
+const SHRINK_DELAY_MS: u64 = 3_000 + HEARTBEAT_MS;
+
 pub fn queue(name: &str, priority: u32, slack: f64, target_ms: u64) -> Queue {
     Queue {
         name: name.to_owned(),
@@ -221,6 +242,13 @@
             policy: Arc::new(policy()),
             workers: BTreeMap::new(),
             listed: BTreeSet::new(),
+            heartbeats: false,
+            entries: BTreeMap::new(),
+            lost_heartbeats: BTreeSet::new(),
+            registry_lost: false,
+            order_ms: 0,
+            lost_stops: BTreeSet::new(),
+            old_capacities: HashMap::new(),
             owners: Vec::new(),
             seq: 0,
             term: 0,
@@ -330,14 +358,88 @@
     }
 
     pub fn send_registry(&mut self, owner: usize) {
-        let targets = self
-            .listed
-            .iter()
-            .map(|n| self.workers[n].target.clone())
-            .collect();
+        for name in &self.listed {
+            if !self.heartbeats || !self.entries.contains_key(name) {
+                let target = self.workers[name].target.clone();
+                self.entries.insert(name.clone(), target);
+            }
+        }
+        let targets = self.listed.iter().map(|n| self.entries[n].clone());
+        let targets = targets.collect();
         self.deliver(owner, Event::Registry(targets));
     }
 
+    /// Has no worker enforce its capacity, and the configuration say so.
+    pub fn stop_enforcing(&mut self) {
+        let mut policy = (*self.policy).clone();
+        policy.version += 1;
+        policy.pools = vec![Pool {
+            name: POOL.to_owned(),
+            enforces_capacity: false,
+        }];
+        self.policy = Arc::new(policy);
+        self.heartbeats = true;
+        for worker in self.workers.values_mut() {
+            worker.enforces_capacity = false;
+        }
+        for owner in 0..self.owners.len() {
+            self.deliver(owner, Event::Policy(Arc::clone(&self.policy)));
+        }
+    }
+
+    /// Changes a worker's capacity, which its registry entry shows with the next heartbeat.
+    pub fn resize(&mut self, name: &str, accels: u64) {
+        let worker = self.workers.get_mut(name).expect("known worker");
+        let old = worker.target.capacity;
+        worker.target.capacity = Resources {
+            cpu: 4_000 * accels,
+            mem: 16_384 * accels,
+            accels,
+        };
+        let old_capacities = self.old_capacities.entry(name.to_owned()).or_default();
+        old_capacities.push((self.now, old));
+    }
+
+    /// Has the workers write their registry entries whose turn has come.
+    fn send_heartbeats(&mut self) {
+        let turn = self.now / 10 % (HEARTBEAT_MS / 10);
+        let mut written = Vec::new();
+        for (i, name) in (0u64..).zip(&self.listed) {
+            let worker = &self.workers[name];
+            let due = (i * 370 / 10) % (HEARTBEAT_MS / 10) == turn;
+            if due && !worker.exited && !self.lost_heartbeats.contains(name) {
+                written.push(name.clone());
+            }
+        }
+        for name in written {
+            let target = self.workers[&name].target.clone();
+            let changed = self.entries.get(&name) != Some(&target);
+            self.entries.insert(name.clone(), target.clone());
+            if self.registry_lost {
+                continue;
+            }
+            for owner in 0..self.owners.len() {
+                if changed {
+                    self.send_registry(owner);
+                }
+            }
+        }
+    }
+
+    /// Returns the capacity that a worker's runs must not exceed: one that has shrunk counts after a
+    /// delay.
+    fn binding_capacity(&self, name: &str) -> Resources {
+        let now = self.now;
+        let capacity = self.workers[name].target.capacity;
+        let old = self.old_capacities.get(name).into_iter().flatten();
+        let recent = old.filter(|(until, _)| now < until + SHRINK_DELAY_MS);
+        recent.fold(capacity, |sum, (_, c)| Resources {
+            cpu: sum.cpu.max(c.cpu),
+            mem: sum.mem.max(c.mem),
+            accels: sum.accels.max(c.accels),
+        })
+    }
+
     pub fn deliver(&mut self, owner: usize, event: Event) {
         if !self.owners[owner].alive {
             return;
@@ -411,8 +513,12 @@
 
     fn send(&mut self, owner: usize, worker: WorkerKey, target: &Target, order: Order) {
         let roll = self.rng.random_range(0..100);
-        let delay = self.rng.random_range(1..4);
-        let cut = matches!(order, Order::Renew(_)) && self.lost_renewals.contains(&target.name);
+        let delay = self.order_ms + self.rng.random_range(1..4);
+        let cut = match &order {
+            Order::Renew(_) => self.lost_renewals.contains(&target.name),
+            Order::Stop(_) => self.lost_stops.contains(&target.name),
+            Order::Start(_) | Order::SetPace(_) => false,
+        };
         let lost = cut || roll < self.faults.late + self.faults.unanswered;
         let late = roll < self.faults.late;
         let at = if late {
@@ -463,6 +569,9 @@
                 }
             }
             self.advance_workers();
+            if self.heartbeats && self.now.is_multiple_of(10) {
+                self.send_heartbeats();
+            }
             for owner in 0..self.owners.len() {
                 self.deliver(owner, Event::Tick);
             }
@@ -643,6 +752,7 @@
         let specs = self.specs();
         let spec = specs.get(&id.job).expect("a started job is stored");
         let live = self.live_runs.entry(id).or_default();
+        let worker = &self.workers[name];
         let others: Vec<&(String, u64)> = live
             .iter()
             .filter(|(n, _)| !self.workers[n].exited)
@@ -677,6 +787,11 @@
             );
         }
         live.push((name.to_owned(), run));
+        let (used, capacity) = (worker.used(), self.binding_capacity(name));
+        assert!(
+            worker.enforces_capacity || capacity.covers(&used),
+            "the start of run {run} of {id} brought {name} to {used}, over its capacity {capacity}"
+        );
     }
 
     /// Applies a commit to the store unless the store is down or a newer owner has written.
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -71,6 +71,8 @@
     pub fails_all: bool,
     /// Whether its runs make no progress.
     pub hung: bool,
+    /// Whether it refuses starts that don't fit into its capacity.
+    pub enforces_capacity: bool,
     /// Events that the test hasn't taken yet.
     pub events: Vec<WorkerEvent>,
 }
@@ -104,6 +106,7 @@
             exited: false,
             fails_all: false,
             hung: false,
+            enforces_capacity: true,
             events: Vec::new(),
         }
     }
@@ -114,14 +117,11 @@
         worker_clock(now - self.started_at) + 1
     }
 
-    /// Returns the resources that no run takes.
+    /// Returns the resources that its runs take, including those that are being stopped.
     #[must_use]
-    pub fn free(&self) -> Resources {
-        let used = self
-            .runs
-            .values()
-            .fold(Resources::default(), |sum, r| sum.plus(&r.resources));
-        self.target.capacity.minus(&used)
+    pub fn used(&self) -> Resources {
+        let runs = self.runs.values();
+        runs.fold(Resources::default(), |sum, r| sum.plus(&r.resources))
     }
 
     /// Restarts the worker's process at the same address; its runs are lost.
@@ -133,8 +133,10 @@
         let mut target = self.target.clone();
         target.started_at += 1_000;
         let events = std::mem::take(&mut self.events);
+        let enforces_capacity = self.enforces_capacity;
         *self = Self::new(target, now);
         self.events = events;
+        self.enforces_capacity = enforces_capacity;
     }
 
     /// Ends the worker's process for good.
@@ -252,7 +254,8 @@
             return OrderResponse::Refused(Refusal::Late, Some(clock));
         }
         let (work_ms, resources, fails) = work(s);
-        if !self.free().covers(&resources) {
+        let fits = self.target.capacity.covers(&self.used().plus(&resources));
+        if self.enforces_capacity && !fits {
             return OrderResponse::Refused(Refusal::Full, Some(clock));
         }
         self.lease_expires_at = self.lease_expires_at.max(s.deadline);
