Plan with what exceeds a worker's capacity

Cause: what is free on a worker was cut off at zero. Once its capacity has shrunk below what runs there, a task that needs nothing of the exceeded resource still fitted, and stopping one run seemed to free the run's whole size: it was stopped, its place wasn't free, and after the reservation had expired another one was stopped.

Change: placement and preemption work with what is taken, which may exceed the capacity. A worker over its capacity takes nothing; a plan to preempt runs there frees the excess as well, or uses another worker. Reservations count as before, at most up to the capacity.

--- a/marigoldglade/src/batch/engine/advise.rs
+++ b/marigoldglade/src/batch/engine/advise.rs
@@ -52,10 +52,10 @@
         bins.sort_by_key(|b| {
             let far = demand.near_rack.is_some_and(|rack| rack != b.rack);
             (
-                !b.free.covers(&demand.resources),
+                !b.fits(&demand.resources),
                 far,
                 b.grade,
-                Reverse(b.free.accels),
+                Reverse(b.free().accels),
             )
         });
         let incarnation = |b: &Bin| (b.worker, self.worker(b.worker).target.started_at);
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -10,6 +10,7 @@
 use crate::batch::pack::{Bin, Demand, RackKey, count_fitting, in_rack, racks};
 use crate::batch::preempt::{Victim, plan_preemption};
 use crate::batch::spec::Step;
+use crate::batch::worker::Resources;
 
 /// How long preempted capacity is reserved for the step that preempted it, in milliseconds: twice
 /// the platform's longest stop.
@@ -44,8 +45,8 @@
             .map(|(_, key)| *key)
     }
 
-    /// Returns the workers that may take tasks of a step, with their free capacity less what is
-    /// reserved for other steps.
+    /// Returns the workers that may take tasks of a step; what is reserved for other steps counts as
+    /// used.
     ///
     /// If healthy workers are preferred, suspect ones are returned only when no healthy one is left.
     /// Workers to avoid are returned only when there are no others at all.
@@ -104,11 +105,13 @@
                 continue;
             }
             let i = usize::from(key.0);
-            let free = pass.free[i].minus(&pass.reserved[i]);
+            let used = pass.used[i];
+            // Part of a reservation is still taken by the runs that are being stopped for it.
+            let reserved = pass.reserved[i].at_most(&target.capacity.minus(&used));
             bins.push(Bin {
                 worker: key,
                 rack: worker.rack,
-                free,
+                used: used.plus(&reserved),
                 capacity: target.capacity,
                 grade,
                 max_tasks: self.step_limit_left(step_key, key),
@@ -290,8 +293,9 @@
     /// Keeps a rack free for a gang that can't be placed: the one near its data if it is large
     /// enough, else the one with the most free capacity for its tasks.
     pub(super) fn reserve_rack(&mut self, step_key: StepKey, bins: &[Bin], demand: &Demand) {
-        let fit_empty = |rack| count_fitting(&in_rack(bins, rack), demand, |b| b.capacity);
-        let fit_now = |rack| count_fitting(&in_rack(bins, rack), demand, |b| b.free);
+        let unused = |_: &Bin| Resources::default();
+        let fit_empty = |rack| count_fitting(&in_rack(bins, rack), demand, unused);
+        let fit_now = |rack| count_fitting(&in_rack(bins, rack), demand, |b| b.used);
         let kept = |rack| self.rack_reservations.iter().any(|r| r.rack == rack);
         let candidates = racks(bins)
             .into_iter()
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -51,8 +51,8 @@
 
 /// The state of a planning pass.
 pub(super) struct Pass {
-    /// The free capacity by worker.
-    pub free: Vec<Resources>,
+    /// The capacity taken by worker.
+    pub used: Vec<Resources>,
     /// The most urgent priority of all active jobs.
     pub top_priority: u32,
     /// Shapes of requests that couldn't be placed in this pass: another request of the same shape
@@ -149,10 +149,10 @@
         let ready: HashSet<StepKey> = steps.iter().map(|(_, key)| *key).collect();
         self.rack_reservations
             .retain(|r| !r.expires_at.passed(now) && ready.contains(&r.step_key));
-        let free = self.workers.iter().map(super::workers::Worker::free);
+        let used = self.workers.iter().map(super::workers::Worker::taken);
         let active = self.jobs.values().filter(|j| j.is_active());
         let mut pass = Pass {
-            free: free.collect(),
+            used: used.collect(),
             top_priority: active
                 .map(|j| j.record.queue.priority)
                 .min()
@@ -421,7 +421,7 @@
         let (allowed, others): (Vec<_>, Vec<_>) = bins
             .into_iter()
             .partition(|b| self.adviser_ticket(step_key, b.worker).is_some());
-        if count_fitting(&allowed, demand, |b| b.free) < demand.count {
+        if count_fitting(&allowed, demand, |b| b.used) < demand.count {
             self.request_advice(step_key, &others, demand, out);
         }
         allowed
@@ -464,8 +464,8 @@
         }
         self.rack_reservations.retain(|r| r.step_key != step_key);
         for ((index, key), run) in assignments.into_iter().zip(runs) {
-            let free = &mut pass.free[usize::from(key.0)];
-            *free = free.minus(&demand.resources);
+            let used = &mut pass.used[usize::from(key.0)];
+            *used = used.plus(&demand.resources);
             self.start_task(key, TaskId { index, ..id }, run, out);
         }
     }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -181,11 +181,6 @@
         unwanted.fold(self.used, |sum, r| sum.plus(r))
     }
 
-    /// Returns the capacity that nothing takes.
-    pub fn free(&self) -> Resources {
-        self.target.capacity.minus(&self.taken())
-    }
-
     /// Returns whether the worker can be given work.
     pub fn is_usable(&self, now: UnixMs) -> bool {
         self.listed
--- a/marigoldglade/src/batch/pack.rs
+++ b/marigoldglade/src/batch/pack.rs
@@ -20,8 +20,8 @@
     pub worker: WorkerKey,
     /// The worker's rack.
     pub rack: RackKey,
-    /// The resources that no run takes.
-    pub free: Resources,
+    /// The resources that are taken; they exceed the capacity where that has shrunk.
+    pub used: Resources,
     /// The resources that the worker has in total.
     pub capacity: Resources,
     /// How much the worker is trusted.
@@ -30,6 +30,20 @@
     pub max_tasks: u32,
 }
 
+impl Bin {
+    /// Returns whether one more task fits.
+    #[must_use]
+    pub const fn fits(&self, need: &Resources) -> bool {
+        self.capacity.covers(&self.used.plus(need))
+    }
+
+    /// Returns the resources that are left.
+    #[must_use]
+    pub const fn free(&self) -> Resources {
+        self.capacity.minus(&self.used)
+    }
+}
+
 /// Identical tasks to place.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
@@ -49,9 +63,9 @@
 /// rack, then the one with the least left over.
 #[must_use]
 pub fn place_one(bins: &[Bin], need: &Demand) -> Option<usize> {
-    let fits = |b: &Bin| b.max_tasks > 0 && b.free.covers(&need.resources);
+    let fits = |b: &Bin| b.max_tasks > 0 && b.fits(&need.resources);
     let score = |b: &Bin| {
-        let left = b.free.minus(&need.resources);
+        let left = b.free().minus(&need.resources);
         let far = need.near_rack.is_some_and(|rack| rack != b.rack);
         // Small tasks fill the first racks, so that the last ones stay free for gangs.
         (
@@ -76,7 +90,7 @@
             break;
         };
         let bin = &mut bins[i];
-        bin.free = bin.free.minus(&need.resources);
+        bin.used = bin.used.plus(&need.resources);
         bin.max_tasks -= 1;
         workers.push(bin.worker);
     }
@@ -86,18 +100,25 @@
 /// Returns a worker for each task, or `None` if they don't all fit.
 #[must_use]
 pub fn place_all(bins: &[Bin], need: &Demand) -> Option<Vec<WorkerKey>> {
-    if count_fitting(bins, need, |b| b.free) < need.count {
+    if count_fitting(bins, need, |b| b.used) < need.count {
         return None;
     }
     let workers = place_some(&mut bins.to_vec(), need);
     (workers.len() == usize::try_from(need.count).ok()?).then_some(workers)
 }
 
-/// Returns how many such tasks fit on the workers if each has the resources `available` left; it
-/// may exceed `need.count`.
+/// Returns how many such tasks fit on the workers if the resources `used` of each are taken; it may
+/// exceed `need.count`.
 #[must_use]
-pub fn count_fitting(bins: &[Bin], need: &Demand, available: impl Fn(&Bin) -> Resources) -> u32 {
-    let fitting = |b: &Bin| available(b).max_tasks(&need.resources, b.max_tasks);
+pub fn count_fitting(bins: &[Bin], need: &Demand, used: impl Fn(&Bin) -> Resources) -> u32 {
+    let fitting = |b: &Bin| {
+        let used = used(b);
+        if !b.capacity.covers(&used) {
+            return 0;
+        }
+        let free = b.capacity.minus(&used);
+        free.max_tasks(&need.resources, b.max_tasks)
+    };
     bins.iter().map(fitting).fold(0, u32::saturating_add)
 }
 
@@ -129,7 +150,7 @@
     let options = racks(bins).into_iter().filter_map(|rack| {
         let members = in_rack(bins, rack);
         let workers = place_all(&members, need)?;
-        let spare = count_fitting(&members, need, |b| b.free);
+        let spare = count_fitting(&members, need, |b| b.used);
         let chosen = members.iter().filter(|b| workers.contains(&b.worker));
         let grade = chosen.map(|b| b.grade).max().unwrap_or_default();
         let far = need.near_rack.is_some_and(|near| near != rack);
@@ -142,6 +163,7 @@
 /// Returns whether some rack could hold all tasks if it were empty.
 #[must_use]
 pub fn fits_one_rack(bins: &[Bin], need: &Demand) -> bool {
-    let holds_all = |rack| count_fitting(&in_rack(bins, rack), need, |b| b.capacity) >= need.count;
+    let unused = |_: &Bin| Resources::default();
+    let holds_all = |rack| count_fitting(&in_rack(bins, rack), need, unused) >= need.count;
     racks(bins).into_iter().any(holds_all)
 }
--- a/marigoldglade/src/batch/preempt.rs
+++ b/marigoldglade/src/batch/preempt.rs
@@ -54,7 +54,7 @@
     stopped: &BTreeSet<u32>,
     needed: &Resources,
 ) -> Option<(u64, Vec<u32>)> {
-    let mut free = bin.free;
+    let mut left = *bin;
     let mut chosen: Vec<&Victim> = Vec::new();
     let mut here: Vec<&Victim> = victims
         .iter()
@@ -62,20 +62,21 @@
         .collect();
     here.sort_by_key(|v| (v.cost / v.resources.weighted_cores().max(1), v.group));
     for victim in here {
-        if free.covers(needed) {
+        if left.fits(needed) {
             break;
         }
-        free = free.plus(&victim.resources);
+        left.used = left.used.minus(&victim.resources);
         chosen.push(victim);
     }
-    if !free.covers(needed) {
+    if !left.fits(needed) {
         return None;
     }
     // A victim chosen early may not be needed any more once larger ones were added.
     for i in (0..chosen.len()).rev() {
-        let without = free.minus(&chosen[i].resources);
-        if without.covers(needed) {
-            free = without;
+        let used = left.used.plus(&chosen[i].resources);
+        let without = Bin { used, ..left };
+        if without.fits(needed) {
+            left = without;
             chosen.remove(i);
         }
     }
@@ -106,16 +107,16 @@
                 let (cost, groups) = victims_on(b, victims, &plan.groups, &need.resources)?;
                 Some((i, cost, groups))
             })
-            .min_by_key(|(i, cost, _)| (*cost, bins[*i].grade, bins[*i].free.accels))?;
+            .min_by_key(|(i, cost, _)| (*cost, bins[*i].grade, bins[*i].free().accels))?;
         for victim in victims.iter().filter(|v| groups.contains(&v.group)) {
             if let Some(bin) = bins.iter_mut().find(|b| b.worker == victim.worker) {
-                bin.free = bin.free.plus(&victim.resources);
+                bin.used = bin.used.minus(&victim.resources);
             }
         }
         plan.groups.extend(groups);
         plan.cost += cost;
         let bin = &mut bins[i];
-        bin.free = bin.free.minus(&need.resources);
+        bin.used = bin.used.plus(&need.resources);
         bin.max_tasks -= 1;
         plan.workers.push(bin.worker);
     }
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -60,6 +60,16 @@
         }
     }
 
+    /// Returns the lesser amount of each resource.
+    #[must_use]
+    pub fn at_most(&self, limit: &Self) -> Self {
+        Self {
+            cpu: self.cpu.min(limit.cpu),
+            mem: self.mem.min(limit.mem),
+            accels: self.accels.min(limit.accels),
+        }
+    }
+
     /// Returns the number of whole cores, with [`CORES_PER_ACCEL`] for each accelerator.
     #[must_use]
     pub const fn weighted_cores(&self) -> u64 {
--- a/marigoldglade/tests/batch_capacity.rs
+++ b/marigoldglade/tests/batch_capacity.rs
@@ -6,6 +6,8 @@
 mod simulation;
 
 use marigoldglade::batch::messages::JobStatus;
+use marigoldglade::batch::spec::Step;
+use marigoldglade::batch::worker::Resources;
 use simulation::{Simulation, spec, step};
 
 /// Returns a simulation whose workers don't enforce their capacity of eight accelerators.
@@ -79,3 +81,45 @@
     sim.run_for(1_500);
     assert!(sim.workers[WORKER].runs.is_empty());
 }
+
+/// Guards against starts beyond a worker's capacity: a task that needs nothing of the exceeded
+/// resource was started.
+#[test]
+fn a_worker_over_its_capacity_takes_no_tasks_at_all() {
+    let mut sim = unenforced(9, 1);
+    for n in 1..=2 {
+        sim.submit(n, "sweep", "w0", spec(vec![step(1, 4, 9_000)]), 9_000);
+    }
+    sim.run_for(1_000);
+    sim.resize(WORKER, 4);
+    sim.run_for(5_000);
+    let resources = Resources {
+        mem: 1_000,
+        ..Resources::default()
+    };
+    let light = Step {
+        resources,
+        ..step(1, 0, 1_000)
+    };
+    sim.submit(3, "survey", "w0", spec(vec![light]), 1_000);
+    sim.run_for(8_000);
+    assert_eq!(sim.status(3), Some(JobStatus::Done));
+}
+
+/// Guards against work destroyed for nothing: preempting one run of a worker over its capacity seemed
+/// to free the run's whole size.
+#[test]
+fn preemption_makes_up_for_what_exceeds_the_capacity() {
+    let mut sim = unenforced(10, 2);
+    for n in 1..=4 {
+        sim.submit(n, "sweep", "w0", spec(vec![step(1, 4, 20_000)]), 20_000);
+    }
+    sim.run_for(1_000);
+    assert_eq!(sim.starts, 4);
+    sim.resize(WORKER, 4);
+    sim.run_for(5_000);
+    sim.submit(5, "urgent", "w0", spec(vec![step(1, 4, 1_000)]), 1_000);
+    sim.run_for(3_000);
+    assert_eq!(sim.status(5), Some(JobStatus::Done));
+    assert_eq!(sim.workers[WORKER].runs.len(), 2);
+}
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -28,7 +28,7 @@
     Bin {
         worker: WorkerKey(worker),
         rack: RackKey(rack),
-        free,
+        used: CAPACITY.minus(&free),
         capacity: CAPACITY,
         grade: Grade::Good,
         max_tasks: u32::MAX,
@@ -67,8 +67,8 @@
     );
     let mut bins = fleet();
     for worker in workers {
-        let free = &mut bins[usize::from(worker.0)].free;
-        *free = free.minus(&need(1, 1).resources);
+        let used = &mut bins[usize::from(worker.0)].used;
+        *used = used.plus(&need(1, 1).resources);
     }
     let wide = Demand {
         one_rack: true,
@@ -139,6 +139,42 @@
     assert_eq!(plan.cost, 10);
 }
 
+/// Guards against work destroyed for nothing: preempting a run of a worker over its capacity seemed
+/// to free the run's whole size.
+#[test]
+fn preemption_makes_up_for_a_capacity_that_has_shrunk() {
+    let accels = |accels| Resources {
+        accels,
+        ..Resources::default()
+    };
+    // One worker holds twice what it can, the other exactly that.
+    let over = Bin {
+        used: accels(16),
+        ..bin(0, 0, CAPACITY)
+    };
+    let full = Bin {
+        used: accels(8),
+        ..bin(1, 0, CAPACITY)
+    };
+    let victim = |worker, group, cost| Victim {
+        worker: WorkerKey(worker),
+        group,
+        resources: accels(8),
+        cost,
+    };
+    let victims = [victim(0, 0, 10), victim(0, 1, 20), victim(1, 2, 25)];
+    let small = Demand {
+        resources: accels(4),
+        ..need(4, 1)
+    };
+    let stopped = |bins: &[Bin]| {
+        let plan = plan_preemption(bins, &victims, &small).unwrap();
+        plan.groups.into_iter().collect::<Vec<_>>()
+    };
+    assert_eq!(stopped(&[over, full]), [2]);
+    assert_eq!(stopped(&[over]), [0, 1]);
+}
+
 #[test]
 fn work_that_can_finish_in_time_ranks_before_work_that_cannot() {
     let now = UnixMs(100_000);
