Don't send a start again that no longer fits

Cause: a start without a response was sent up to three times without a look at the capacity, which may have shrunk since the first time.

Evidence: on the code before, batch_capacity::a_lost_start_that_no_longer_fits_is_not_sent_again counted one start of a task of eight accelerators after the worker's entry had shown four. The last send is at most about 1 s after the first, less than the delay with which a smaller capacity counts, so that this alone breaks the rule only together with an entry that is old already.

Change: where the pool doesn't enforce its capacity, such a start is given up instead: the run is stopped in case the first order did arrive, and the task starts elsewhere once it is ruled out there. Workers that enforce theirs are asked again as before, as they refuse what doesn't fit.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -389,6 +389,9 @@
                 job.record.queue = (*queue).clone();
             }
         }
+        for worker in &mut self.workers {
+            worker.enforces_capacity = policy.enforces_capacity(&worker.target.pool);
+        }
         self.policy = policy;
         self.replan = true;
     }
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -111,12 +111,8 @@
                 if run.sends < START_SEND_LIMIT {
                     run.resend_at = now;
                 } else {
-                    log::warn!(task:% = start.task, run = start.run, worker = target.name.as_str(); "start given up without a response");
-                    run.stage = Stage::Abandoned;
-                    run.sends = 0;
-                    run.resend_at = now;
                     worker.paused_until = now.after(FULL_PAUSE_MS);
-                    self.break_gang(&start.task, start.run);
+                    self.abandon_start(key, &start.task);
                 }
             }
         }
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -131,6 +131,9 @@
                 .collect();
             for (id, stage, _) in due {
                 match stage {
+                    Stage::Starting if !self.worker(key).may_resend() => {
+                        self.abandon_start(key, &id);
+                    }
                     Stage::Starting => self.send_start(key, &id, out),
                     Stage::Stopping | Stage::Abandoned => self.send_stop(key, &id, out),
                     Stage::Running => {}
@@ -139,6 +142,26 @@
         }
     }
 
+    /// Gives up a start without a response, and the rest of a gang.
+    pub(super) fn abandon_start(&mut self, key: WorkerKey, id: &TaskId) {
+        let now = self.now;
+        let worker = self.worker_mut(key);
+        let Some(run) = worker.runs.get_mut(id) else {
+            return;
+        };
+        run.stage = Stage::Abandoned;
+        run.sends = 0;
+        run.resend_at = now;
+        let number = run.run;
+        log::warn!(
+            task:% = id, run = number, worker = worker.target.name.as_str(), taken:% = worker.taken(),
+            capacity:% = worker.target.capacity;
+            "start given up without a response"
+        );
+        self.runs_due = true;
+        self.break_gang(id, number);
+    }
+
     /// Stops runs whose starts were sent to an earlier incarnation of a worker and may still
     /// arrive.
     fn stop_stale_starts(&mut self, key: WorkerKey, out: &mut Vec<Action>) {
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -84,6 +84,8 @@
 pub(super) struct Worker {
     pub target: Arc<Target>,
     pub rack: RackKey,
+    /// Whether the worker refuses starts that don't fit into its capacity.
+    pub enforces_capacity: bool,
     /// Whether the registry lists the worker.
     pub listed: bool,
     /// Whether the durable list of workers contains this incarnation.
@@ -133,6 +135,7 @@
         Self {
             target: Arc::new(target),
             rack,
+            enforces_capacity: true,
             listed: false,
             recorded: false,
             answered: false,
@@ -181,6 +184,12 @@
         unwanted.fold(self.used, |sum, r| sum.plus(r))
     }
 
+    /// Returns whether a start that is under way may be sent again: the worker refuses what doesn't
+    /// fit, or its capacity still holds all that runs there and the run itself.
+    pub fn may_resend(&self) -> bool {
+        self.enforces_capacity || self.target.capacity.covers(&self.taken())
+    }
+
     /// Returns whether the worker can be given work.
     pub fn is_usable(&self, now: UnixMs) -> bool {
         self.listed
@@ -279,7 +288,9 @@
         let rack = *self.racks.entry(rack_name).or_insert(RackKey(next));
         let key = WorkerKey(u16::try_from(self.workers.len()).unwrap_or(u16::MAX));
         self.worker_names.insert(target.name.clone(), key);
-        self.workers.push(Worker::new(target, rack, self.now));
+        let mut worker = Worker::new(target, rack, self.now);
+        worker.enforces_capacity = self.policy.enforces_capacity(&worker.target.pool);
+        self.workers.push(worker);
         key
     }
 
@@ -312,8 +323,10 @@
     /// Applies a worker's registry entry.
     fn update_worker(&mut self, key: WorkerKey, target: Target) {
         let now = self.now;
+        let enforces_capacity = self.policy.enforces_capacity(&target.pool);
         let worker = self.worker_mut(key);
         if target.started_at > worker.target.started_at && worker.target.started_at > 0 {
+            worker.enforces_capacity = enforces_capacity;
             // Only the worker's own report tells which runs belong to the new incarnation.
             let incarnations = (worker.target.started_at, target.started_at);
             log::warn!(worker = target.name.as_str(), runs = worker.runs.len(), old = incarnations.0, new = incarnations.1; "the registry shows a restarted worker");
@@ -351,6 +364,7 @@
                 );
             }
             let changed = worker.target.addr != target.addr || old != new;
+            worker.enforces_capacity = enforces_capacity;
             worker.target = Arc::new(target);
             if changed {
                 worker.recorded = false;
--- a/marigoldglade/tests/batch_capacity.rs
+++ b/marigoldglade/tests/batch_capacity.rs
@@ -82,6 +82,27 @@
     assert!(sim.workers[WORKER].runs.is_empty());
 }
 
+/// Guards against starts beyond a worker's capacity: a lost start was sent again although the
+/// worker's registry entry showed a smaller capacity.
+#[test]
+fn a_lost_start_that_no_longer_fits_is_not_sent_again() {
+    let mut sim = unenforced(5, 1);
+    sim.faults.late = 100;
+    sim.submit(1, "sweep", "w0", spec(vec![step(1, 8, 1_000)]), 1_000);
+    sim.run_for(30);
+    sim.faults.late = 0;
+    sim.resize(WORKER, 4);
+    sim.heartbeats = false;
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.heartbeats = true;
+    sim.run_for(16_000);
+    assert_eq!(sim.starts, 0);
+    sim.resize(WORKER, 8);
+    sim.run_for(4_000);
+    assert_eq!(sim.status(1), Some(JobStatus::Done));
+}
+
 /// Guards against starts beyond a worker's capacity: a task that needs nothing of the exceeded
 /// resource was started.
 #[test]
