Base starts on a capacity for as long as it counts

A capacity that has shrunk counts after a delay.

Cause: the owner used registry entries of any age: it goes on for 9 s without the store, an entry outlives three missed heartbeats, and a new process of a worker was used with the capacity of the earlier one if its report came before its entry.

They fail again if the expiry is taken out of this change.

Change: where the pool doesn't enforce its capacity, the registry's watch passes each heartbeat to the engine with a time after which it was written: when the last watch that didn't report it was sent. A capacity counts until 4.5 s after that time, and for the worker's process that wrote it. Without at least 0.5 s left the worker gets no starts, and a start's deadline is no later than that end, so that the worker refuses one that is under way for longer. What a list of entries shows has no such time; after a change of owners such a worker is used from its next heartbeat on. Pools that enforce their capacity are used as before, and their heartbeats aren't passed on.

Result: these tests pass, and platform::workers_that_refuse_nothing_get_starts_when_their_heartbeats_arrive against daemons.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -68,6 +68,17 @@
     pub body: InboxBody,
 }
 
+/// A registry entry that a worker has written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The worker's name.
+    pub worker: String,
+    /// When the worker's process started, as the entry says.
+    pub started_at: u64,
+    /// A time after which the entry was written.
+    pub written_after: UnixMs,
+}
+
 /// The content of an [`InboxItem`].
 #[derive(Clone, Debug)]
 pub enum InboxBody {
@@ -95,6 +106,9 @@
     Policy(Arc<Policy>),
     /// The complete list of workers in the registry.
     Registry(Vec<Target>),
+    /// Heartbeats of workers that don't enforce their capacity; the list of workers that contains
+    /// their entries has come before.
+    Heartbeats(Vec<Heartbeat>),
     /// A call that has passed the checks of the daemon that received it.
     Call(CallId, Call),
     /// Submissions and cancels that other daemons left in the store.
@@ -336,6 +350,7 @@
         match event {
             Event::Policy(policy) => self.set_policy(policy),
             Event::Registry(targets) => self.update_registry(targets),
+            Event::Heartbeats(heartbeats) => self.apply_heartbeats(&heartbeats),
             Event::Call(call_id, call) => self.handle_call(call_id, call, out),
             Event::Inbox(items) => self.apply_inbox(items),
             Event::OrderResponse(key, order, r) => self.handle_response(key, &order, r, out),
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -87,7 +87,7 @@
         let Some(clock) = worker.clock(now) else {
             return;
         };
-        let end = clock + START_VALID_MS;
+        let end = clock + worker.start_valid_ms(now, START_VALID_MS);
         worker.lease_expires_at = worker.lease_expires_at.max(end);
         let target = Arc::clone(&worker.target);
         let Some(run) = worker.runs.get_mut(id) else {
@@ -131,7 +131,7 @@
                 .collect();
             for (id, stage, _) in due {
                 match stage {
-                    Stage::Starting if !self.worker(key).may_resend() => {
+                    Stage::Starting if !self.worker(key).may_resend(now) => {
                         self.abandon_start(key, &id);
                     }
                     Stage::Starting => self.send_start(key, &id, out),
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::batch::engine::acks::Acks;
-use crate::batch::engine::{Engine, JobKey, WorkerKey};
+use crate::batch::engine::{Engine, Heartbeat, JobKey, WorkerKey};
 use crate::batch::health::Health;
 use crate::batch::id::TaskId;
 use crate::batch::pace::Pace;
@@ -24,6 +24,12 @@
 /// A margin added to each computed expiry for responses under way, in milliseconds.
 const EXPIRY_SLACK_MS: u64 = 300;
 
+/// How long after it shrinks a worker's old capacity may still be used, in milliseconds: the shortest
+/// time in touch of the platform, and a heartbeat.
+const SHRINK_DELAY_MS: u64 = 4_500;
+/// For how much longer a worker's capacity must count when a start is sent, in milliseconds.
+const CAPACITY_MARGIN_MS: u64 = 500;
+
 /// How long a start may be under way to a worker, in milliseconds: twice an order's timeout.
 const START_TRANSIT_MS: u64 = 1_000;
 
@@ -86,6 +92,9 @@
     pub rack: RackKey,
     /// Whether the worker refuses starts that don't fit into its capacity.
     pub enforces_capacity: bool,
+    /// The newest heartbeat that has been read: the start time of the process that it came from, and
+    /// a time after which it was written.
+    pub heartbeat: Option<(u64, UnixMs)>,
     /// Whether the registry lists the worker.
     pub listed: bool,
     /// Whether the durable list of workers contains this incarnation.
@@ -136,6 +145,7 @@
             target: Arc::new(target),
             rack,
             enforces_capacity: true,
+            heartbeat: None,
             listed: false,
             recorded: false,
             answered: false,
@@ -184,10 +194,32 @@
         unwanted.fold(self.used, |sum, r| sum.plus(r))
     }
 
+    /// Returns until when starts may be based on the capacity that the registry shows; `None` if it
+    /// isn't known for this incarnation.
+    fn capacity_expires_at(&self) -> Option<UnixMs> {
+        if self.enforces_capacity {
+            return Some(UnixMs::MAX);
+        }
+        let (started_at, at) = self.heartbeat?;
+        (started_at == self.target.started_at).then(|| at.after(SHRINK_DELAY_MS))
+    }
+
+    /// Returns for how long a start may be valid on the worker's clock, at most `limit_ms`; zero if
+    /// none may be sent.
+    pub fn start_valid_ms(&self, now: UnixMs, limit_ms: u64) -> u64 {
+        let end = self.capacity_expires_at().unwrap_or(now);
+        let left = end.since(now);
+        if left < CAPACITY_MARGIN_MS {
+            return 0;
+        }
+        limit_ms.min(left - left / 100 * CLOCK_DRIFT_PERCENT)
+    }
+
     /// Returns whether a start that is under way may be sent again: the worker refuses what doesn't
     /// fit, or its capacity still holds all that runs there and the run itself.
-    pub fn may_resend(&self) -> bool {
-        self.enforces_capacity || self.target.capacity.covers(&self.taken())
+    pub fn may_resend(&self, now: UnixMs) -> bool {
+        self.enforces_capacity
+            || (self.start_valid_ms(now, 1) > 0 && self.target.capacity.covers(&self.taken()))
     }
 
     /// Returns whether the worker can be given work.
@@ -198,6 +230,7 @@
             && !self.target.draining
             && self.failed_renewals == 0
             && self.paused_until.passed(now)
+            && self.start_valid_ms(now, 1) > 0
     }
 
     /// Returns whether a new owner must hear from the worker before it may start tasks again: the
@@ -320,6 +353,22 @@
         self.replan = true;
     }
 
+    /// Applies heartbeats; the capacities that came with them have been applied before.
+    pub(super) fn apply_heartbeats(&mut self, heartbeats: &[Heartbeat]) {
+        let now = self.now;
+        for heartbeat in heartbeats {
+            let Some(key) = self.worker_names.get(&heartbeat.worker).copied() else {
+                continue;
+            };
+            let worker = self.worker_mut(key);
+            let newest = (heartbeat.started_at, heartbeat.written_after);
+            let was_usable = worker.start_valid_ms(now, 1) > 0;
+            worker.heartbeat = worker.heartbeat.max(Some(newest));
+            let becomes_usable = !was_usable && worker.start_valid_ms(now, 1) > 0;
+            self.replan |= becomes_usable;
+        }
+    }
+
     /// Applies a worker's registry entry.
     fn update_worker(&mut self, key: WorkerKey, target: Target) {
         let now = self.now;
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -8,7 +8,7 @@
 
 use marigoldglade::batch::advice::{self, AdviceResponse};
 use marigoldglade::batch::engine::{
-    Action, Batch, Bounds, CallId, CommitOutcome, Engine, Event, InboxBody, InboxItem,
+    Action, Batch, Bounds, CallId, CommitOutcome, Engine, Event, Heartbeat, InboxBody, InboxItem,
     InitialState, WorkerKey,
 };
 use marigoldglade::batch::id::{JobId, TaskId};
@@ -83,6 +83,8 @@
     pub lost_heartbeats: BTreeSet<String>,
     /// Whether no owner can read the registry.
     pub registry_lost: bool,
+    /// Whether an entry has changed that no owner has read.
+    unread: bool,
     /// How much longer than usual orders are under way, in milliseconds.
     pub order_ms: u64,
     /// Workers that no stops reach.
@@ -246,6 +248,7 @@
             entries: BTreeMap::new(),
             lost_heartbeats: BTreeSet::new(),
             registry_lost: false,
+            unread: false,
             order_ms: 0,
             lost_stops: BTreeSet::new(),
             old_capacities: HashMap::new(),
@@ -400,28 +403,35 @@
         old_capacities.push((self.now, old));
     }
 
-    /// Has the workers write their registry entries whose turn has come.
-    fn send_heartbeats(&mut self) {
-        let turn = self.now / 10 % (HEARTBEAT_MS / 10);
+    /// Has the workers write their registry entries whose turn has come since `before`.
+    fn send_heartbeats(&mut self, before: u64) {
         let mut written = Vec::new();
         for (i, name) in (0u64..).zip(&self.listed) {
-            let worker = &self.workers[name];
-            let due = (i * 370 / 10) % (HEARTBEAT_MS / 10) == turn;
-            if due && !worker.exited && !self.lost_heartbeats.contains(name) {
+            let turns = |time: u64| (time + i * 370) / HEARTBEAT_MS;
+            let due = turns(self.now) > turns(before);
+            if due && !self.workers[name].exited && !self.lost_heartbeats.contains(name) {
                 written.push(name.clone());
             }
         }
         for name in written {
             let target = self.workers[&name].target.clone();
-            let changed = self.entries.get(&name) != Some(&target);
+            self.unread |= self.entries.get(&name) != Some(&target);
             self.entries.insert(name.clone(), target.clone());
             if self.registry_lost {
                 continue;
             }
+            let changed = std::mem::take(&mut self.unread);
+            let heartbeat = Heartbeat {
+                worker: name,
+                started_at: target.started_at,
+                written_after: UnixMs(self.now),
+            };
             for owner in 0..self.owners.len() {
                 if changed {
                     self.send_registry(owner);
                 }
+                let heartbeats = Event::Heartbeats(vec![heartbeat.clone()]);
+                self.deliver(owner, heartbeats);
             }
         }
     }
@@ -551,7 +561,8 @@
     /// Runs the simulation until a point in time.
     pub fn run_to(&mut self, end: u64) {
         while self.now < end {
-            let tick = (self.now + 10).min(end);
+            let before = self.now;
+            let tick = (before + 10).min(end);
             while let Some(Reverse((time, number))) = self.queue.peek().copied() {
                 if time > tick {
                     break;
@@ -569,8 +580,8 @@
                 }
             }
             self.advance_workers();
-            if self.heartbeats && self.now.is_multiple_of(10) {
-                self.send_heartbeats();
+            if self.heartbeats {
+                self.send_heartbeats(before);
             }
             for owner in 0..self.owners.len() {
                 self.deliver(owner, Event::Tick);
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -252,18 +252,21 @@
             let (records, _) = self.store.list(JOB_PREFIX).await;
             let (workers, _) = self.store.list(worker_list::PREFIX).await;
             let (inbox, inbox_since) = self.store.list(INBOX_PREFIX).await;
+            let read_after = clock::now();
             let (entries, entries_since) = self.store.list(platform::registry::PREFIX).await;
             // A small fleet needs no relays.
             if ownership.term == 1 && entries.len() >= WORKERS_PER_RELAY {
                 self.wait_daemons().await;
             }
-            (records, workers, inbox, inbox_since, entries, entries_since)
+            let entries = (entries, entries_since, read_after);
+            (records, workers, inbox, inbox_since, entries)
         };
         let loaded = tokio::select! {
             loaded = load => loaded,
             _ = self.wait_ended(ownership) => return,
         };
-        let (records, workers, inbox, inbox_since, entries, entries_since) = loaded;
+        let (records, workers, inbox, inbox_since, entries) = loaded;
+        let (entries, entries_since, read_after) = entries;
         ownership.worker_parts.set(workers.len());
         let initial = InitialState {
             term: ownership.term,
@@ -290,6 +293,7 @@
             spawn_local(Rc::clone(self).follow_registry(
                 entries,
                 entries_since,
+                read_after,
                 former,
                 inputs.clone(),
             )),
--- a/marigoldgladed/src/batch/owner/inputs.rs
+++ b/marigoldgladed/src/batch/owner/inputs.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use marigoldglade::batch::engine::{Event, InboxBody, InboxItem};
+use marigoldglade::batch::engine::{Event, Heartbeat, InboxBody, InboxItem};
 use marigoldglade::batch::id::JobId;
 use marigoldglade::batch::record::Record;
 use marigoldglade::batch::roster::Roster;
@@ -33,13 +33,15 @@
         }
     }
 
-    /// Passes the registry's workers to the engine, at first and after each change.
+    /// Passes the registry's workers to the engine, at first and after each change, and the heartbeats
+    /// that it needs.
     ///
-    /// `former` are the workers that the earlier owner used.
+    /// The entries were read after `read_after`; `former` are the workers that the earlier owner used.
     pub(super) async fn follow_registry(
         self: Rc<Self>,
         mut pairs: Vec<Pair>,
         mut since: Revision,
+        mut read_after: UnixMs,
         mut former: Vec<Target>,
         inputs: mpsc::UnboundedSender<Input>,
     ) {
@@ -50,6 +52,8 @@
             review_at: Cell::default(),
         });
         loop {
+            // What the list doesn't contain was written after the list was asked for.
+            let mut written_after = read_after;
             let entries = pairs.iter().filter_map(read_entry).collect();
             let settled_at = self.store.settled_at();
             feed.roster.borrow_mut().replace(entries, settled_at);
@@ -60,25 +64,55 @@
                     .add_absent(name, target, settled_at);
             }
             feed.send();
-            while let Some(changes) = self.store.watch(prefix, &mut since).await {
+            loop {
+                let sent_at = clock::now();
+                let Some(changes) = self.store.watch(prefix, &mut since).await else {
+                    break;
+                };
                 if changes.is_empty() {
                     continue;
                 }
                 let mut changed = false;
+                let mut heartbeats = Vec::new();
                 for change in changes {
+                    if let Some(heartbeat) = self.needed_heartbeat(&change, written_after) {
+                        heartbeats.push(heartbeat);
+                    }
                     let settled_at = self.store.settled_at();
                     changed |= apply_entry(&mut feed.roster.borrow_mut(), change, settled_at);
                 }
                 if changed {
                     feed.send();
                 }
+                feed.send_heartbeats(heartbeats);
+                // The next watch reports changes that this one didn't.
+                written_after = sent_at;
                 clock::sleep_until(clock::now().after(REGISTRY_GAP_MS)).await;
             }
             log::info!("the store has dropped the history of the registry; reading it again");
+            read_after = clock::now();
             (pairs, since) = self.store.list(prefix).await;
         }
     }
 
+    /// Returns the heartbeat that a change of the registry shows, if the worker doesn't enforce its
+    /// capacity.
+    fn needed_heartbeat(&self, change: &Change, written_after: UnixMs) -> Option<Heartbeat> {
+        let policy = self.policy()?;
+        if policy.pools.iter().all(|p| p.enforces_capacity) {
+            return None;
+        }
+        let Change::Put(pair) = change else {
+            return None;
+        };
+        let target = platform::registry::decode(pair).ok()?;
+        (!policy.enforces_capacity(&target.pool)).then_some(Heartbeat {
+            worker: target.name,
+            started_at: target.started_at,
+            written_after,
+        })
+    }
+
     /// Passes the inbox's submissions and cancels to the engine.
     pub(super) async fn follow_inbox(
         self: Rc<Self>,
@@ -115,6 +149,15 @@
 }
 
 impl RosterFeed {
+    /// Passes heartbeats to the engine, after the workers that they came with.
+    fn send_heartbeats(&self, heartbeats: Vec<Heartbeat>) {
+        if !heartbeats.is_empty() {
+            let _ = self
+                .inputs
+                .send(Input::Event(Event::Heartbeats(heartbeats)));
+        }
+    }
+
     /// Passes the workers on the roster to the engine, and again when missing ones count as gone.
     fn send(self: &Rc<Self>) {
         let present = self.roster.borrow_mut().present(clock::now());
--- a/marigoldgladed/tests/platform.rs
+++ b/marigoldgladed/tests/platform.rs
@@ -158,6 +158,32 @@
     assert_eq!(c.count_starts(), 0);
 }
 
+/// Guards against starts beyond a worker's capacity: the owner used registry entries of any age on
+/// workers that refuse nothing.
+#[test]
+fn workers_that_refuse_nothing_get_starts_when_their_heartbeats_arrive() {
+    let mut c = Cluster::new(1, 1);
+    c.stop_enforcing("other");
+    wait_until("the configuration", || {
+        c.daemons[0].call("GET", "/sweep/", "other", None).0 == 200
+    });
+    let body = job("run_ms=100", 2).to_string();
+    let path = "/sweep/0000000000000009";
+    let (status, _) = c.daemons[0].call("POST", path, "other", Some(body.as_bytes()));
+    assert_eq!(status, 200);
+    let completed = || {
+        let (_, body) = c.daemons[0].call("GET", path, "other", None);
+        body["state"] == "completed"
+    };
+    assert!(!completed());
+    assert_eq!(c.count_starts(), 0);
+    wait_until("completion", || {
+        c.workers[0].register();
+        completed()
+    });
+    assert_eq!(c.count_starts(), 2);
+}
+
 #[test]
 fn a_commit_whose_answer_is_lost_is_read_back() {
     let c = Cluster::new(1, 1);
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -109,6 +109,14 @@
         self.store.put("op/config", text.as_bytes());
     }
 
+    /// Writes a new configuration by which workers don't enforce their capacity.
+    pub fn stop_enforcing(&mut self, key: &str) {
+        self.version += 3;
+        let mut document = document(self.version, key);
+        document["services"][0]["enforces_capacity"] = json!(false);
+        self.store.put("op/config", document.to_string().as_bytes());
+    }
+
     pub fn start_daemon(&mut self) {
         let name = format!("daemon-{}", self.daemons.len());
         let daemon = self.spawn(&name);
