--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -5,7 +5,7 @@
 
 use crate::batch::engine::acks::Acks;
 use crate::batch::engine::orders::LATE_ORDER_MS;
-use crate::batch::engine::{Engine, JobKey, WorkerKey};
+use crate::batch::engine::{Engine, Heartbeat, JobKey, WorkerKey};
 use crate::batch::health::Health;
 use crate::batch::id::TaskId;
 use crate::batch::pace::Pace;
@@ -25,6 +25,12 @@
 /// A margin added to each computed expiry for responses under way, in milliseconds.
 const EXPIRY_SLACK_MS: u64 = 300;
 
+/// How long after it shrinks a worker's old capacity may still be used, in milliseconds: the shortest
+/// time in touch of the platform, and a heartbeat.
+const SHRINK_DELAY_MS: u64 = 4_500;
+/// For how much longer a worker's capacity must count when a start is sent, in milliseconds.
+const CAPACITY_MARGIN_MS: u64 = 500;
+
 /// How long a start may be under way to a worker, in milliseconds: twice an order's timeout.
 const START_TRANSIT_MS: u64 = 1_000;
 
@@ -85,6 +91,11 @@
 pub(super) struct Worker {
     pub target: Arc<Target>,
     pub rack: RackKey,
+    /// Whether the worker refuses starts that don't fit into its capacity.
+    pub enforces_capacity: bool,
+    /// The newest heartbeat that has been read: the start time of the process that it came from, and
+    /// a time after which it was written.
+    pub heartbeat: Option<(u64, UnixMs)>,
     /// Whether the registry lists the worker.
     pub listed: bool,
     /// Whether the durable list of workers contains this incarnation.
@@ -114,6 +125,8 @@
     pub runs: BTreeMap<TaskId, Run>,
     /// What the runs take of the worker's capacity.
     pub used: Resources,
+    /// What each run takes that the last report lists and that isn't wanted: it is being stopped.
+    pub unwanted: Vec<Resources>,
     /// Whether a renewal is under way.
     pub renewal_pending: bool,
     /// When the next renewal may be sent.
@@ -148,6 +161,8 @@
         Self {
             target: Arc::new(target),
             rack,
+            enforces_capacity: true,
+            heartbeat: None,
             listed: false,
             recorded: false,
             answered: false,
@@ -162,6 +177,7 @@
             idle_until: now,
             runs: BTreeMap::new(),
             used: Resources::default(),
+            unwanted: Vec::new(),
             renewal_pending: false,
             renewal_after: now,
             renew_at: now,
@@ -217,9 +233,38 @@
         }
     }
 
-    /// Returns the capacity that no run takes.
-    pub fn free(&self) -> Resources {
-        self.target.capacity.minus(&self.used)
+    /// Returns what is taken of the worker's capacity by all that runs there.
+    pub fn taken(&self) -> Resources {
+        let unwanted = self.unwanted.iter();
+        unwanted.fold(self.used, |sum, r| sum.plus(r))
+    }
+
+    /// Returns until when starts may be based on the capacity that the registry shows; `None` if it
+    /// isn't known for this incarnation.
+    fn capacity_expires_at(&self) -> Option<UnixMs> {
+        if self.enforces_capacity {
+            return Some(UnixMs::MAX);
+        }
+        let (started_at, at) = self.heartbeat?;
+        (started_at == self.target.started_at).then(|| at.after(SHRINK_DELAY_MS))
+    }
+
+    /// Returns for how long a start may be valid on the worker's clock, at most `limit_ms`; zero if
+    /// none may be sent.
+    pub fn start_valid_ms(&self, now: UnixMs, limit_ms: u64) -> u64 {
+        let end = self.capacity_expires_at().unwrap_or(now);
+        let left = end.since(now);
+        if left < CAPACITY_MARGIN_MS {
+            return 0;
+        }
+        limit_ms.min(left - left / 100 * CLOCK_DRIFT_PERCENT)
+    }
+
+    /// Returns whether a start that is under way may be sent again: the worker refuses what doesn't
+    /// fit, or its capacity still holds all that runs there and the run itself.
+    pub fn may_resend(&self, now: UnixMs) -> bool {
+        self.enforces_capacity
+            || (self.start_valid_ms(now, 1) > 0 && self.target.capacity.covers(&self.taken()))
     }
 
     /// Returns whether the worker can be given work.
@@ -231,6 +276,7 @@
             && self.failed_renewals == 0
             && self.paused_until.passed(now)
             && self.idle_until.passed(now)
+            && self.start_valid_ms(now, 1) > 0
     }
 
     /// Returns whether the worker may not be there for a new owner to ask.
@@ -274,6 +320,7 @@
         self.recorded = false;
         self.lease_expires_at = 0;
         self.acks = Acks::default();
+        self.unwanted.clear();
         self.failed_renewals = 0;
         self.health = Health::default();
         self.pace = Pace::default();
@@ -329,7 +376,9 @@
         let rack = *self.racks.entry(rack_name).or_insert(RackKey(next));
         let key = WorkerKey(u16::try_from(self.workers.len()).unwrap_or(u16::MAX));
         self.worker_names.insert(target.name.clone(), key);
-        self.workers.push(Worker::new(target, rack, self.now));
+        let mut worker = Worker::new(target, rack, self.now);
+        worker.enforces_capacity = self.policy.enforces_capacity(&worker.target.pool);
+        self.workers.push(worker);
         key
     }
 
@@ -359,11 +408,29 @@
         self.replan = true;
     }
 
+    /// Applies heartbeats; the capacities that came with them have been applied before.
+    pub(super) fn apply_heartbeats(&mut self, heartbeats: &[Heartbeat]) {
+        let now = self.now;
+        for heartbeat in heartbeats {
+            let Some(key) = self.worker_names.get(&heartbeat.worker).copied() else {
+                continue;
+            };
+            let worker = self.worker_mut(key);
+            let newest = (heartbeat.started_at, heartbeat.written_after);
+            let was_usable = worker.start_valid_ms(now, 1) > 0;
+            worker.heartbeat = worker.heartbeat.max(Some(newest));
+            let becomes_usable = !was_usable && worker.start_valid_ms(now, 1) > 0;
+            self.replan |= becomes_usable;
+        }
+    }
+
     /// Applies a worker's registry entry.
     fn update_worker(&mut self, key: WorkerKey, target: Target) {
         let now = self.now;
+        let enforces_capacity = self.policy.enforces_capacity(&target.pool);
         let worker = self.worker_mut(key);
         if target.started_at > worker.target.started_at && worker.target.started_at > 0 {
+            worker.enforces_capacity = enforces_capacity;
             // Only the worker's own report tells which runs belong to the new incarnation.
             let incarnations = (worker.target.started_at, target.started_at);
             log::warn!(worker = target.name.as_str(), runs = worker.runs.len(), old = incarnations.0, new = incarnations.1; "the registry shows a restarted worker");
@@ -392,9 +459,18 @@
             worker.recorded = false;
         }
         if *worker.target != target {
+            let (old, new) = (worker.target.capacity, target.capacity);
+            if old != new {
+                log::info!(
+                    worker = target.name.as_str(), runs = worker.runs.len(), old:% = old, new:% = new,
+                    taken:% = worker.taken(), over = !new.covers(&worker.taken());
+                    "capacity of a worker has changed"
+                );
+            }
             let changed = worker.target.addr != target.addr
-                || worker.target.capacity != target.capacity
+                || old != new
                 || worker.target.started_at != target.started_at;
+            worker.enforces_capacity = enforces_capacity;
             worker.target = Arc::new(target);
             if changed {
                 worker.recorded = false;
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -1,5 +1,6 @@
 //! Workers, the orders sent to them and their responses.
 
+use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
@@ -63,6 +64,16 @@
         }
     }
 
+    /// Returns the lesser amount of each resource.
+    #[must_use]
+    pub fn at_most(&self, limit: &Self) -> Self {
+        Self {
+            cpu: self.cpu.min(limit.cpu),
+            mem: self.mem.min(limit.mem),
+            accels: self.accels.min(limit.accels),
+        }
+    }
+
     /// Returns the number of whole cores, with [`CORES_PER_ACCEL`] for each accelerator.
     #[must_use]
     pub const fn weighted_cores(&self) -> u64 {
@@ -79,6 +90,12 @@
     }
 }
 
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.cpu, self.mem, self.accels)
+    }
+}
+
 /// The most bytes that the texts of a worker take together: several times those of any fleet, and few
 /// enough that any worker fits on the stored list.
 pub const TEXT_LIMIT_BYTES: usize = 1 << 10;
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -9,12 +9,12 @@
 
 use marigoldglade::batch::advice::{self, AdviceResponse};
 use marigoldglade::batch::engine::{
-    Action, Batch, Bounds, CallId, CommitOutcome, Engine, Event, InboxBody, InboxItem,
+    Action, Batch, Bounds, CallId, CommitOutcome, Engine, Event, Heartbeat, InboxBody, InboxItem,
     InitialState, WorkerKey,
 };
 use marigoldglade::batch::id::{JobId, TaskId};
 use marigoldglade::batch::messages::{Call, JobStatus, Reply, Submission};
-use marigoldglade::batch::policy::{AdviceLatency, Policy, Queue, Workspace};
+use marigoldglade::batch::policy::{AdviceLatency, Policy, Pool, Queue, Workspace};
 use marigoldglade::batch::record::{Record, State};
 use marigoldglade::batch::spec::{JobSpec, Step};
 use marigoldglade::batch::worker::{
@@ -80,6 +80,23 @@
     pub workers: BTreeMap<String, SimWorker>,
     /// Workers that the registry lists.
     pub listed: BTreeSet<String>,
+    /// Whether workers write their registry entries in time; otherwise the entries show them as they
+    /// are at each [`Simulation::send_registry`].
+    pub heartbeats: bool,
+    /// The workers as their registry entries show them.
+    entries: BTreeMap<String, Target>,
+    /// Workers that can't write their registry entries.
+    pub lost_heartbeats: BTreeSet<String>,
+    /// Whether no owner can read the registry.
+    pub registry_lost: bool,
+    /// Whether an entry has changed that no owner has read.
+    unread: bool,
+    /// How much longer than usual orders are under way, in milliseconds.
+    pub order_ms: u64,
+    /// Workers that no stops reach.
+    pub lost_stops: BTreeSet<String>,
+    /// Earlier capacities of workers, and until when they were in force.
+    old_capacities: HashMap<String, Vec<(u64, Resources)>>,
     /// All owners so far, the newest last.
     pub owners: Vec<Owner>,
     /// The commit counter in the store.
@@ -144,6 +161,12 @@
 
 pub const POOL: &str = "pool";
 
+/// The time between two heartbeats of a worker, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_500;
+/// How long after it shrinks a worker's old capacity still counts, in milliseconds: the shortest time
+/// in touch of the platform, and a heartbeat.
+const SHRINK_DELAY_MS: u64 = 3_000 + HEARTBEAT_MS;
+
 pub fn queue(name: &str, priority: u32, slack: f64, target_ms: u64) -> Queue {
     Queue {
         name: name.to_owned(),
@@ -230,6 +253,14 @@
             policy: Arc::new(policy()),
             workers: BTreeMap::new(),
             listed: BTreeSet::new(),
+            heartbeats: false,
+            entries: BTreeMap::new(),
+            lost_heartbeats: BTreeSet::new(),
+            registry_lost: false,
+            unread: false,
+            order_ms: 0,
+            lost_stops: BTreeSet::new(),
+            old_capacities: HashMap::new(),
             owners: Vec::new(),
             seq: 0,
             term: 0,
@@ -340,14 +371,95 @@
     }
 
     pub fn send_registry(&mut self, owner: usize) {
-        let targets = self
-            .listed
-            .iter()
-            .map(|n| self.workers[n].target.clone())
-            .collect();
+        for name in &self.listed {
+            if !self.heartbeats || !self.entries.contains_key(name) {
+                let target = self.workers[name].target.clone();
+                self.entries.insert(name.clone(), target);
+            }
+        }
+        let targets = self.listed.iter().map(|n| self.entries[n].clone());
+        let targets = targets.collect();
         self.deliver(owner, Event::Registry(targets));
     }
 
+    /// Has no worker enforce its capacity, and the configuration say so.
+    pub fn stop_enforcing(&mut self) {
+        let mut policy = (*self.policy).clone();
+        policy.version += 1;
+        policy.pools = vec![Pool {
+            name: POOL.to_owned(),
+            enforces_capacity: false,
+        }];
+        self.policy = Arc::new(policy);
+        self.heartbeats = true;
+        for worker in self.workers.values_mut() {
+            worker.enforces_capacity = false;
+        }
+        for owner in 0..self.owners.len() {
+            self.deliver(owner, Event::Policy(Arc::clone(&self.policy)));
+        }
+    }
+
+    /// Changes a worker's capacity, which its registry entry shows with the next heartbeat.
+    pub fn resize(&mut self, name: &str, accels: u64) {
+        let worker = self.workers.get_mut(name).expect("known worker");
+        let old = worker.target.capacity;
+        worker.target.capacity = Resources {
+            cpu: 4_000 * accels,
+            mem: 16_384 * accels,
+            accels,
+        };
+        let old_capacities = self.old_capacities.entry(name.to_owned()).or_default();
+        old_capacities.push((self.now, old));
+    }
+
+    /// Has the workers write their registry entries whose turn has come since `before`.
+    fn send_heartbeats(&mut self, before: u64) {
+        let mut written = Vec::new();
+        for (i, name) in (0u64..).zip(&self.listed) {
+            let turns = |time: u64| (time + i * 370) / HEARTBEAT_MS;
+            let due = turns(self.now) > turns(before);
+            if due && !self.workers[name].exited && !self.lost_heartbeats.contains(name) {
+                written.push(name.clone());
+            }
+        }
+        for name in written {
+            let target = self.workers[&name].target.clone();
+            self.unread |= self.entries.get(&name) != Some(&target);
+            self.entries.insert(name.clone(), target.clone());
+            if self.registry_lost {
+                continue;
+            }
+            let changed = std::mem::take(&mut self.unread);
+            let heartbeat = Heartbeat {
+                worker: name,
+                started_at: target.started_at,
+                written_after: UnixMs(self.now),
+            };
+            for owner in 0..self.owners.len() {
+                if changed {
+                    self.send_registry(owner);
+                }
+                let heartbeats = Event::Heartbeats(vec![heartbeat.clone()]);
+                self.deliver(owner, heartbeats);
+            }
+        }
+    }
+
+    /// Returns the capacity that a worker's runs must not exceed: one that has shrunk counts after a
+    /// delay.
+    fn binding_capacity(&self, name: &str) -> Resources {
+        let now = self.now;
+        let capacity = self.workers[name].target.capacity;
+        let old = self.old_capacities.get(name).into_iter().flatten();
+        let recent = old.filter(|(until, _)| now < until + SHRINK_DELAY_MS);
+        recent.fold(capacity, |sum, (_, c)| Resources {
+            cpu: sum.cpu.max(c.cpu),
+            mem: sum.mem.max(c.mem),
+            accels: sum.accels.max(c.accels),
+        })
+    }
+
     pub fn deliver(&mut self, owner: usize, event: Event) {
         if !self.owners[owner].alive {
             return;
@@ -421,9 +533,13 @@
 
     fn send(&mut self, owner: usize, worker: WorkerKey, target: &Target, order: Order) {
         let roll = self.rng.random_range(0..100);
-        let delay = self.rng.random_range(1..4);
+        let delay = self.order_ms + self.rng.random_range(1..4);
         self.renewals += u32::from(matches!(order, Order::Renew(_)));
-        let cut = matches!(order, Order::Renew(_)) && self.lost_renewals.contains(&target.name);
+        let cut = match &order {
+            Order::Renew(_) => self.lost_renewals.contains(&target.name),
+            Order::Stop(_) => self.lost_stops.contains(&target.name),
+            Order::Start(_) | Order::SetPace(_) => false,
+        };
         let lost = cut || roll < self.faults.late + self.faults.unanswered;
         let late = roll < self.faults.late;
         let at = if late {
@@ -456,7 +572,8 @@
     /// Runs the simulation until a point in time.
     pub fn run_to(&mut self, end: u64) {
         while self.now < end {
-            let tick = (self.now + 10).min(end);
+            let before = self.now;
+            let tick = (before + 10).min(end);
             while let Some(Reverse((time, number))) = self.queue.peek().copied() {
                 if time > tick {
                     break;
@@ -474,6 +591,9 @@
                 }
             }
             self.advance_workers();
+            if self.heartbeats {
+                self.send_heartbeats(before);
+            }
             for owner in 0..self.owners.len() {
                 self.deliver(owner, Event::Tick);
             }
@@ -664,6 +784,7 @@
         let specs = self.specs();
         let spec = specs.get(&id.job).expect("a started job is stored");
         let live = self.live_runs.entry(id).or_default();
+        let worker = &self.workers[name];
         let others: Vec<&(String, u64)> = live
             .iter()
             .filter(|(n, _)| !self.workers[n].exited)
@@ -698,6 +819,11 @@
             );
         }
         live.push((name.to_owned(), run));
+        let (used, capacity) = (worker.used(), self.binding_capacity(name));
+        assert!(
+            worker.enforces_capacity || capacity.covers(&used),
+            "the start of run {run} of {id} brought {name} to {used}, over its capacity {capacity}"
+        );
     }
 
     /// Applies a commit to the store unless the store is down or a newer owner has written.
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -76,6 +76,8 @@
     pub fails_all: bool,
     /// Whether its runs make no progress.
     pub hung: bool,
+    /// Whether it refuses starts that don't fit into its capacity.
+    pub enforces_capacity: bool,
     /// Events that the test hasn't taken yet.
     pub events: Vec<WorkerEvent>,
 }
@@ -110,6 +112,7 @@
             exited: false,
             fails_all: false,
             hung: false,
+            enforces_capacity: true,
             events: Vec::new(),
         }
     }
@@ -120,14 +123,11 @@
         worker_clock(now - self.started_at) + 1
     }
 
-    /// Returns the resources that no run takes.
+    /// Returns the resources that its runs take, including those that are being stopped.
     #[must_use]
-    pub fn free(&self) -> Resources {
-        let used = self
-            .runs
-            .values()
-            .fold(Resources::default(), |sum, r| sum.plus(&r.resources));
-        self.target.capacity.minus(&used)
+    pub fn used(&self) -> Resources {
+        let runs = self.runs.values();
+        runs.fold(Resources::default(), |sum, r| sum.plus(&r.resources))
     }
 
     /// Restarts the worker's process at the same address; its runs are lost.
@@ -141,6 +141,7 @@
         let events = std::mem::take(&mut self.events);
         *self = Self {
             lease_limit_ms: self.lease_limit_ms,
+            enforces_capacity: self.enforces_capacity,
             ..Self::new(target, now)
         };
         self.events = events;
@@ -267,7 +268,8 @@
             return OrderResponse::Refused(Refusal::Late, Some(clock));
         }
         let (work_ms, resources, fails) = work(s);
-        if !self.free().covers(&resources) {
+        let fits = self.target.capacity.covers(&self.used().plus(&resources));
+        if self.enforces_capacity && !fits {
             return OrderResponse::Refused(Refusal::Full, Some(clock));
         }
         self.extend_leases(clock, s.deadline);
