Keep one value that isn't base64 from hiding a page or a watch

What it would do: the page or the watch is a fault as a whole, is asked for again without end, and after two such faults the store counts as lost.

Cause: the items of a response were decoded all or none.

Change: such an item of a list or a watch has an empty value, which every reader passes over as unreadable, so that pages still continue after their last key. The answer to a read of one key stays a fault. The platform's store encodes the values itself, so a writer alone can't cause this.

--- a/marigoldgladed/src/batch/live.rs
+++ b/marigoldgladed/src/batch/live.rs
@@ -123,7 +123,10 @@
             let changed = Some(pair.changed);
             self.set_owner(KnownOwner { owner, changed });
         } else if pair.key == SECRET_KEY {
-            self.peers.set_key(pair.value.clone());
+            // A value that can't be decoded is empty.
+            if !pair.value.is_empty() {
+                self.peers.set_key(pair.value.clone());
+            }
         } else if let Some(name) = pair.key.strip_prefix(DAEMON_PREFIX)
             && let Some(daemon) = decode::<Daemon>(pair)
         {
