Saturate what is computed from figures in workers' responses

What a worker's response near 2^64 did: a debug build's owner ended; a release build computed a lease or a start's deadline in the past, or a pace from a wrapped latency.

Cause: clock + lease, clock + the validity of a start, the drift of a lease and the tail's percentage overflowed.

Change: these sums and products saturate.

--- a/marigoldglade/src/batch/engine/pacing.rs
+++ b/marigoldglade/src/batch/engine/pacing.rs
@@ -37,7 +37,7 @@
         let tail_percents = report.running.iter().filter_map(|row| {
             let run = worker.runs.get(&row.task).filter(|r| r.run == row.run)?;
             let bound = self.step_of(&row.task, run)?.tail_ms;
-            (row.load? * 100).checked_div(bound)
+            row.load?.saturating_mul(100).checked_div(bound)
         });
         let worst = match tail_percents.max() {
             Some(worst) => worst,
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -66,7 +66,7 @@
             let end = worker
                 .clock(now)
                 .filter(|_| renews)
-                .map_or(0, |c| c + lease_ms);
+                .map_or(0, |c| c.saturating_add(lease_ms));
             worker.lease_expires_at = worker.lease_expires_at.max(end);
             worker.renewal_pending = true;
             worker.renew_at = now.after(RENEW_MS);
@@ -220,7 +220,7 @@
         }
         let worker = self.worker_mut(key);
         let reading = worker.clock_reading.map_or(0, |r| r.clock);
-        if report.clock + REORDER_LIMIT_MS < reading {
+        if report.clock.saturating_add(REORDER_LIMIT_MS) < reading {
             // The reading came from a response of an earlier incarnation that arrived after the
             // restart was known.
             log::warn!(worker = worker.target.name.as_str(), clock = report.clock, reading; "reading of the worker's clock dropped: it belongs to an earlier process");
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -87,7 +87,7 @@
         let Some(clock) = worker.clock(now) else {
             return;
         };
-        let end = clock + worker.start_valid_ms(now, START_VALID_MS);
+        let end = clock.saturating_add(worker.start_valid_ms(now, START_VALID_MS));
         worker.lease_expires_at = worker.lease_expires_at.max(end);
         let target = Arc::clone(&worker.target);
         let Some(run) = worker.runs.get_mut(id) else {
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -153,7 +153,7 @@
 /// Returns how long to wait for a lease with `left_ms` left on a worker's clock, on this process's
 /// clock.
 const fn longest_wait(left_ms: u64) -> u64 {
-    left_ms + left_ms * CLOCK_DRIFT_PERCENT / (100 - CLOCK_DRIFT_PERCENT) + EXPIRY_SLACK_MS
+    left_ms.saturating_mul(100) / (100 - CLOCK_DRIFT_PERCENT) + EXPIRY_SLACK_MS
 }
 
 impl Worker {
@@ -195,7 +195,8 @@
     pub fn clock(&self, now: UnixMs) -> Option<u64> {
         let reading = self.clock_reading?;
         let passed = now.since(reading.at);
-        Some(reading.clock + passed - passed * CLOCK_DRIFT_PERCENT / 100)
+        let drift = passed * CLOCK_DRIFT_PERCENT / 100;
+        Some(reading.clock.saturating_add(passed - drift))
     }
 
     /// Returns when all leases of the worker have certainly expired.
--- a/marigoldglade/tests/batch_odd_entries.rs
+++ b/marigoldglade/tests/batch_odd_entries.rs
@@ -4,11 +4,14 @@
 #[expect(dead_code, reason = "the simulation serves several test files")]
 mod simulation;
 
-use marigoldglade::batch::engine::Event;
-use marigoldglade::batch::worker::{Resources, Target};
+use marigoldglade::batch::engine::{Event, WorkerKey};
+use marigoldglade::batch::id::TaskId;
+use marigoldglade::batch::worker::{
+    ActiveRun, Order, OrderResponse, Renewal, Report, Resources, Target,
+};
 use rstest::rstest;
 use simulation::{Simulation, spec, step};
-use standin::batch_worker::SimWorker;
+use standin::batch_worker::{SimRun, SimWorker};
 
 /// Adds a worker to the registry that no order reaches.
 fn list_phantom(sim: &mut Simulation, change: impl FnOnce(&mut Target)) {
@@ -109,3 +112,50 @@
     let renewals = sim.renewals - before;
     assert!(renewals <= 50, "{renewals} renewals in 10 s");
 }
+
+/// Figures near 2^64 in a worker's responses overflowed the owner's computations.
+#[rstest]
+fn huge_figures_in_responses_do_not_overflow(
+    #[values(1 << 53, 1 << 62, u64::MAX - 1, u64::MAX)] figure: u64,
+    #[values(true, false)] first: bool,
+) {
+    let mut sim = Simulation::new(54, 1, 2);
+    let mut serving = step(1, 1, 900);
+    (serving.endless, serving.tail_ms) = (true, 50);
+    sim.submit(1, "sweep", "w0", spec(vec![serving]), 60_000);
+    let mut filler = step(2, 1, 60_000);
+    filler.filler = true;
+    sim.submit(2, "sweep", "w0", spec(vec![filler]), 60_000);
+    if !first {
+        sim.run_for(1_000);
+    }
+    let owner = sim.newest_owner();
+    let renewal = Renewal {
+        expires_at: 0,
+        acked: 0,
+        wait_ms: 0,
+        term: sim.term,
+    };
+    for (key, name) in [(0, "worker-0-0"), (1, "worker-0-1")] {
+        let runs = sim.workers[name].runs.iter();
+        let row = |(task, run): (&TaskId, &SimRun)| ActiveRun {
+            task: *task,
+            run: run.run,
+            checkpoint: String::new(),
+            percent: u32::MAX,
+            load: Some(figure),
+        };
+        let report = Report {
+            clock: figure,
+            started_at: 1_000,
+            running: runs.map(row).collect(),
+            completions: Vec::new(),
+        };
+        let response = OrderResponse::Report(report);
+        let event = Event::OrderResponse(WorkerKey(key), Order::Renew(renewal), response);
+        sim.deliver(owner, event);
+    }
+    sim.submit(3, "sweep", "w0", spec(vec![step(2, 1, 900)]), 900);
+    sim.run_for(4_000);
+    assert!(sim.all_done(3..4));
+}
