--- a/marigoldglade/tests/mesh.rs
+++ b/marigoldglade/tests/mesh.rs
@@ -1,5 +1,6 @@
 //! The mesh's handshake and frames with wrong keys, other versions, replays and malformed input.
 
+use marigoldglade::batch::record::Record;
 use marigoldglade::error::{Error, Kind};
 use marigoldglade::mesh::{
     self, ClientHandshake, FRAME_LIMIT_BYTES, Frame, FrameKind, HELLO_LIMIT_BYTES, Hello, Payload,
@@ -154,3 +155,15 @@
         prop_assert!(b.receiver.open(&sealed).is_ok());
     }
 }
+
+/// A peer's or the store's value that is nested too deeply is an error, and not the end of the process.
+#[rstest]
+fn a_deeply_nested_value_is_refused(
+    #[values(257, 1_000, 100_000)] levels: usize,
+    #[values(&[0x81], &[0xa1, 0x61, b'a'], &[0xc6], &[0x9f])] open: &[u8],
+) {
+    let bytes = open.repeat(levels);
+    assert!(mesh::decode::<Frame>(&bytes).is_err());
+    assert!(mesh::decode::<Hello>(&bytes).is_err());
+    assert!(Record::decode(&bytes).is_err());
+}
