Saturate what is computed from figures of callers and operators

What callers saw: after one submission with an estimate of 2^53 ms and more, or a queue's target near 2^64 ms, a debug build's owner ended, and each owner after it that loaded the job; a release build computed a wrong objective, rank or limit of preemption.

Cause: objectives, critical paths, remaining times, costs of preemption and guarantees overflowed.

Change: these sums and products saturate.

--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -80,7 +80,7 @@
         retry_after_ms(&Backlog {
             work: work.fold(0, u64::saturating_add),
             cores: cores.fold(0, u64::saturating_add),
-            useful_ms: objective * LATE_FACTOR,
+            useful_ms: objective.saturating_mul(LATE_FACTOR),
         })
     }
 
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -229,14 +229,19 @@
                     worker: key,
                     group,
                     resources: run.resources,
-                    cost: run.resources.weighted_cores().max(1) * (lost + STOP_COST_MS),
+                    cost: run
+                        .resources
+                        .weighted_cores()
+                        .max(1)
+                        .saturating_mul(lost + STOP_COST_MS),
                 });
                 members.push((group, key, *id));
             }
         }
         let mut totals: HashMap<u32, u64> = HashMap::new();
         for v in &victims {
-            *totals.entry(v.group).or_default() += v.cost;
+            let total = totals.entry(v.group).or_default();
+            *total = total.saturating_add(v.cost);
         }
         for v in &mut victims {
             v.cost = totals.get(&v.group).copied().unwrap_or(v.cost);
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -214,7 +214,7 @@
                 } else {
                     step.estimate_ms
                 };
-                ends.push(before.unwrap_or(0) + own);
+                ends.push(before.unwrap_or(0).saturating_add(own));
             }
             longest = longest.max(ends.into_iter().max().unwrap_or(0));
         }
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -93,7 +93,9 @@
 fn cost_limit(shape: &Shape, work: u64) -> Option<u64> {
     match (shape.guaranteed, shape.priority) {
         (true, _) => Some(u64::MAX),
-        (false, 0) => Some(URGENT_PREEMPT_COST + work * URGENT_PREEMPT_PERCENT / 100),
+        (false, 0) => Some(
+            URGENT_PREEMPT_COST.saturating_add(work.saturating_mul(URGENT_PREEMPT_PERCENT) / 100),
+        ),
         (false, _) => None,
     }
 }
@@ -184,7 +186,7 @@
             }
             let steps = job.record.spec.steps.iter();
             let demand = steps
-                .map(|s| s.resources.accels * u64::from(s.count))
+                .map(|s| s.resources.accels.saturating_mul(u64::from(s.count)))
                 .max()
                 .unwrap_or(0);
             let left = left
@@ -312,8 +314,10 @@
         let job = &self.jobs[&step_key.job];
         let queue = &job.record.queue;
         let waited_ms = self.now.since(job.accepted_at);
-        let near_wait_ms =
-            queue.objective_ms(job.record.spec.critical_path_ms()) * NEAR_PERCENT / 100;
+        let near_wait_ms = queue
+            .objective_ms(job.record.spec.critical_path_ms())
+            .saturating_mul(NEAR_PERCENT)
+            / 100;
         let near = Some(&step.near_rack).filter(|name| !name.is_empty());
         let near = near.and_then(|name| self.rack_of(name));
         let demand = Demand {
@@ -385,8 +389,12 @@
             pass.reserve(reservation);
             return None;
         }
-        let work =
-            demand.resources.weighted_cores().max(1) * step.estimate_ms * u64::from(shape.count);
+        let work = demand
+            .resources
+            .weighted_cores()
+            .max(1)
+            .saturating_mul(step.estimate_ms)
+            .saturating_mul(u64::from(shape.count));
         let limit = cost_limit(shape, work);
         if let Some(limit) = limit.filter(|_| !shape.near_only) {
             // Preemption frees capacity for a gang, or for one single task at a time.
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -298,7 +298,7 @@
         let limit_ms = |id: &TaskId, r: &Run| {
             let step = self.jobs.get(&r.job).and_then(|j| j.step(id));
             let estimate = step.map_or(STALL_MAX_MS, |s| s.estimate_ms);
-            (estimate * STALL_PERCENT / 100).clamp(STALL_MIN_MS, STALL_MAX_MS)
+            (estimate.saturating_mul(STALL_PERCENT) / 100).clamp(STALL_MIN_MS, STALL_MAX_MS)
         };
         let stalled = |id: &TaskId, r: &Run| {
             r.stage == Stage::Running && now.since(r.progress_at) > limit_ms(id, r)
--- a/marigoldglade/src/batch/policy.rs
+++ b/marigoldglade/src/batch/policy.rs
@@ -64,7 +64,7 @@
         reason = "milliseconds of a job are far below 2^52 and not negative"
     )]
     pub fn objective_ms(&self, chain_ms: u64) -> u64 {
-        (self.slack.max(0.0) * chain_ms as f64) as u64 + self.target_ms
+        ((self.slack.max(0.0) * chain_ms as f64) as u64).saturating_add(self.target_ms)
     }
 }
 
--- a/marigoldglade/src/batch/preempt.rs
+++ b/marigoldglade/src/batch/preempt.rs
@@ -89,7 +89,7 @@
             .find(|v| v.group == *group)
             .map_or(0, |v| v.cost)
     };
-    Some((groups.iter().map(cost).sum(), groups))
+    Some((groups.iter().map(cost).fold(0, u64::saturating_add), groups))
 }
 
 /// Returns the cheapest plan found on the given bins, whatever their racks.
@@ -114,7 +114,7 @@
             }
         }
         plan.groups.extend(groups);
-        plan.cost += cost;
+        plan.cost = plan.cost.saturating_add(cost);
         let bin = &mut bins[i];
         bin.used = bin.used.plus(&need.resources);
         bin.max_tasks -= 1;
--- a/marigoldglade/src/batch/rank.rs
+++ b/marigoldglade/src/batch/rank.rs
@@ -52,7 +52,11 @@
     let objective = inputs.finish_by.since(inputs.waiting_since);
     if finish <= inputs.finish_by {
         Outlook::InTime
-    } else if finish <= inputs.waiting_since.after(objective * LATE_FACTOR) {
+    } else if finish
+        <= inputs
+            .waiting_since
+            .after(objective.saturating_mul(LATE_FACTOR))
+    {
         Outlook::Late
     } else {
         Outlook::TooLate
--- a/marigoldglade/src/batch/spec.rs
+++ b/marigoldglade/src/batch/spec.rs
@@ -99,7 +99,12 @@
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let dependencies = step.depends_on.iter().map(|i| ends[usize::from(*i)]);
-            ends.push(dependencies.max().unwrap_or(0) + step.estimate_ms);
+            ends.push(
+                dependencies
+                    .max()
+                    .unwrap_or(0)
+                    .saturating_add(step.estimate_ms),
+            );
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/marigoldglade/tests/batch_odd_entries.rs
+++ b/marigoldglade/tests/batch_odd_entries.rs
@@ -4,8 +4,11 @@
 #[expect(dead_code, reason = "the simulation serves several test files")]
 mod simulation;
 
+use std::sync::Arc;
+
 use marigoldglade::batch::engine::{Event, WorkerKey};
 use marigoldglade::batch::id::TaskId;
+use marigoldglade::batch::spec::Step;
 use marigoldglade::batch::worker::{
     ActiveRun, Order, OrderResponse, Renewal, Report, Resources, Target,
 };
@@ -159,3 +162,38 @@
     sim.run_for(4_000);
     assert!(sim.all_done(3..4));
 }
+
+/// Figures near 2^64 in a submission or in a queue overflowed the owner's computations.
+#[rstest]
+fn huge_figures_of_callers_and_queues_do_not_overflow(
+    #[values(1 << 53, 1 << 62, u64::MAX)] figure: u64,
+    #[values("urgent", "sweep")] queue: &str,
+    #[values(true, false)] gang: bool,
+) {
+    let mut sim = Simulation::new(55, 2, 2);
+    let mut policy = simulation::policy();
+    for queue in &mut policy.queues {
+        queue.target_ms = figure;
+    }
+    let policy = Arc::new(policy);
+    sim.policy = Arc::clone(&policy);
+    let owner = sim.newest_owner();
+    sim.deliver(owner, Event::Policy(policy));
+    sim.submit(4, "sweep", "w1", spec(vec![step(4, 2, 900)]), 900);
+    for (n, accels, estimate) in [(1, figure, 900), (2, 2, figure), (3, figure, figure)] {
+        let first = Step {
+            gang,
+            ..step(3, accels, estimate)
+        };
+        let second = Step {
+            depends_on: vec![0],
+            ..step(3, 1, estimate)
+        };
+        sim.submit(n, queue, "w0", spec(vec![first, second]), 900);
+    }
+    sim.run_for(5_000);
+    assert!(sim.all_done(4..5));
+    sim.kill_newest_owner();
+    sim.elect();
+    sim.run_for(1_000);
+}
