Count no worker that has never answered as capacity, nor on the stored list

What callers saw, in a simulation: after a takeover, inherited work waited for five seconds for a worker that had never answered anyone, as an entry of another writer may name one; and work that couldn't be done in time was accepted, since its capacity counted.

Cause: every listed worker was on the stored list and counted for admission, whether or not it had ever answered.

Evidence: a_worker_that_never_answered_does_not_delay_a_new_owner and capacity_that_never_answered_does_not_count_for_admission failed before.

Change: a worker that hasn't answered this owner in three renewals, has no order of it and whose earlier leases have expired leaves the stored list, and doesn't count for admission. It is recorded again when it answers, before it gets work.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::batch::engine::orders::UNHEALTHY_PAUSE_MS;
-use crate::batch::engine::workers::{ClockReading, LEASE_MS, Run, Stage};
+use crate::batch::engine::workers::{ClockReading, LEASE_MS, Run, SILENT_THRESHOLD, Stage};
 use crate::batch::engine::{Action, Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::worker::{
@@ -184,7 +184,8 @@
             OrderResponse::Lost | OrderResponse::Accepted(_) => {
                 worker.failed_renewals += 1;
                 let busy = !worker.runs.is_empty();
-                let pause = if busy || worker.failed_renewals < 3 {
+                let leaves = worker.recorded && !worker.concerns_successor(now);
+                let pause = if busy || worker.failed_renewals < SILENT_THRESHOLD {
                     RENEWAL_RETRY_MS
                 } else {
                     IDLE_RETRY_MS
@@ -197,6 +198,7 @@
                         "worker doesn't answer renewals"
                     );
                 }
+                self.workers_dirty |= leaves;
                 self.replan = true;
             }
         }
@@ -252,7 +254,9 @@
             if has_predecessors {
                 worker.foreign_until = worker.foreign_until.max(foreign_until);
             }
+            let missing = !worker.recorded;
             log::info!(worker = worker.target.name.as_str(), runs = worker.runs.len(), clock = report.clock; "worker answered the owner");
+            self.workers_dirty |= missing;
             self.replan = true;
         }
     }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -30,6 +30,8 @@
 const SHRINK_DELAY_MS: u64 = 4_500;
 /// For how much longer a worker's capacity must count when a start is sent, in milliseconds.
 const CAPACITY_MARGIN_MS: u64 = 500;
+/// The number of failed renewals in a row after which a worker that hasn't answered counts as silent.
+pub(super) const SILENT_THRESHOLD: u32 = 3;
 
 /// How long a start may be under way to a worker, in milliseconds: twice an order's timeout.
 const START_TRANSIT_MS: u64 = 1_000;
@@ -285,10 +287,20 @@
         !self.listed || !self.answered || self.target.draining || self.failed_renewals > 0
     }
 
+    /// Returns whether the worker has never answered this owner although it was asked several times, and can
+    /// have no order of it: there may be no such worker.
+    pub fn is_silent(&self) -> bool {
+        !self.answered
+            && self.failed_renewals >= SILENT_THRESHOLD
+            && self.runs.is_empty()
+            && self.lost_starts.is_empty()
+            && self.stale_starts.is_empty()
+    }
+
     /// Returns whether a new owner must hear from the worker before it may start tasks again: the
     /// worker may run something, or holds completions that aren't durable.
     pub fn concerns_successor(&self, now: UnixMs) -> bool {
-        self.listed
+        (self.listed && !self.is_silent())
             || !self.runs.is_empty()
             || self.acks.is_pending()
             || !self.uncertain_until.passed(now)
@@ -477,7 +489,7 @@
                 worker.recorded = false;
             }
         }
-        if !worker.recorded {
+        if !worker.recorded && worker.concerns_successor(now) {
             self.workers_dirty = true;
         }
     }
--- a/marigoldglade/tests/batch_odd_entries.rs
+++ b/marigoldglade/tests/batch_odd_entries.rs
@@ -8,7 +8,7 @@
 
 use marigoldglade::batch::engine::{Event, WorkerKey};
 use marigoldglade::batch::id::TaskId;
-use marigoldglade::batch::messages::JobStatus;
+use marigoldglade::batch::messages::{JobStatus, Reply};
 use marigoldglade::batch::spec::Step;
 use marigoldglade::batch::worker::{
     ActiveRun, Order, OrderResponse, Renewal, Report, Resources, Target,
@@ -230,3 +230,52 @@
     assert_eq!(sim.status(1), Some(JobStatus::Done));
     assert_eq!(sim.starts, 2);
 }
+/// Each new owner waited for the leases of a worker that had never answered anyone.
+#[test]
+fn a_worker_that_never_answered_does_not_delay_a_new_owner() {
+    let mut sim = Simulation::new(57, 1, 2);
+    list_phantom(&mut sim, |_| {});
+    sim.run_for(10_000);
+    let steps = vec![
+        step(2, 2, 900),
+        Step {
+            depends_on: vec![0],
+            ..step(2, 2, 900)
+        },
+    ];
+    sim.submit(1, "urgent", "w0", spec(steps), 900);
+    sim.run_for(500);
+    sim.kill_newest_owner();
+    sim.predecessors_ended = true;
+    sim.elect();
+    sim.run_for(3_000);
+    assert!(sim.all_done(1..2));
+    // Once it answers it is recorded and used like any other.
+    sim.workers.get_mut("worker-0-odd").unwrap().unreachable = false;
+    sim.submit(2, "sweep", "w0", spec(vec![step(3, 8, 5_000)]), 5_000);
+    sim.run_for(4_000);
+    assert_eq!(sim.workers["worker-0-odd"].runs.len(), 1);
+    assert_eq!(sim.stored_workers.len(), 3);
+}
+
+/// A worker that had never answered counted as capacity, and work was accepted that couldn't be done in
+/// time.
+#[test]
+fn capacity_that_never_answered_does_not_count_for_admission() {
+    let mut sim = Simulation::new(58, 1, 1);
+    list_phantom(&mut sim, |target| {
+        target.capacity = Resources {
+            cpu: 1 << 31,
+            mem: 1 << 31,
+            accels: 1 << 31,
+        };
+    });
+    sim.run_for(10_000);
+    let mut calls = Vec::new();
+    for n in 0..200 {
+        calls.push(sim.submit(n, "sweep", "w0", spec(vec![step(8, 1, 2_000)]), 2_000));
+    }
+    sim.run_for(500);
+    let refused = |call| matches!(sim.replies.get(call), Some(Reply::Refused(_)));
+    assert!(calls.iter().any(refused));
+}
