Count leases of earlier owners once for each process of a worker

A worker that falls silent under a later owner and answers again has refused earlier owners since its first answer, so their leases can't be longer than they were counted then. Before, each return renewed the wait: its runs were given up after up to the longest lease, and not after this owner's own.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -251,9 +251,10 @@
         let worker = self.worker_mut(key);
         if !worker.answered {
             worker.answered = true;
-            if has_predecessors {
+            if has_predecessors && !worker.fenced {
                 worker.foreign_until = worker.foreign_until.max(foreign_until);
             }
+            worker.fenced = true;
             let missing = !worker.recorded;
             log::info!(worker = worker.target.name.as_str(), runs = worker.runs.len(), clock = report.clock; "worker answered the owner");
             self.workers_dirty |= missing;
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -104,6 +104,8 @@
     pub recorded: bool,
     /// Whether this incarnation has answered this owner.
     pub answered: bool,
+    /// Whether this incarnation has ever answered this owner, and so refuses earlier owners.
+    pub fenced: bool,
     /// Whether the worker comes from an earlier owner's list and hasn't restarted since.
     pub inherited: bool,
     /// Until when the worker may have runs that this owner doesn't know of, unless it answers
@@ -168,6 +170,7 @@
             listed: false,
             recorded: false,
             answered: false,
+            fenced: false,
             inherited: false,
             uncertain_until: now,
             clock_reading: None,
@@ -329,6 +332,7 @@
         }
         self.clock_reading = None;
         self.answered = false;
+        self.fenced = false;
         self.inherited = false;
         self.recorded = false;
         self.lease_expires_at = 0;
