Count starts that an earlier process of a worker left behind

Cause: a start without a response may be carried out late, and by the worker's next process, whose clock started anew, in spite of its deadline. The owner has such runs stopped, but counted nothing for them: until the stop arrives the run may begin, and after that it goes on until it has stopped.

Change: such a start keeps its size and counts as taken until a report made after the stop was obeyed; a run that had begun is listed there and counts as an unwanted one. Reports are asked for until then. Starts that can't be carried out any more are dropped from the list.

Open: a late start that arrives before the owner knows of the restart.

--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::batch::engine::workers::Stage;
+use crate::batch::engine::workers::{LostStart, Stage};
 use crate::batch::engine::{Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::worker::{OrderResponse, Refusal, Start, Stop};
@@ -35,10 +35,15 @@
             OrderResponse::Refused(_, clock) => self.record_clock(key, *clock),
             OrderResponse::Report(_) => {}
             OrderResponse::Lost => {
+                let charge = self.charge(&start.task);
                 let worker = self.worker_mut(key);
-                worker
-                    .lost_starts
-                    .push((start.task, start.run, now.after(LATE_ORDER_MS)));
+                worker.lost_starts.push(LostStart {
+                    task: start.task,
+                    run: start.run,
+                    resources: charge.unwrap_or(worker.target.capacity),
+                    expires_at: now.after(LATE_ORDER_MS),
+                    stopped_clock: None,
+                });
             }
         }
         let worker = self.worker_mut(key);
@@ -171,10 +176,9 @@
         };
         self.record_clock(key, clock);
         let worker = self.worker_mut(key);
-        if clock.is_some() {
-            worker
-                .stale_starts
-                .retain(|(task, run)| (*task, *run) != (stop.task, stop.run));
+        let same = |s: &&mut LostStart| (s.task, s.run) == (stop.task, stop.run);
+        for start in worker.stale_starts.iter_mut().filter(same) {
+            start.stopped_clock = start.stopped_clock.or(clock);
         }
         let Some(run) = worker
             .runs
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::batch::engine::orders::UNHEALTHY_PAUSE_MS;
-use crate::batch::engine::workers::{ClockReading, LEASE_MS, Run, Stage};
+use crate::batch::engine::workers::{ClockReading, LEASE_MS, LostStart, Run, Stage};
 use crate::batch::engine::{Action, Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::worker::{
@@ -44,9 +44,10 @@
             let silent = !worker.answered && (worker.listed || !worker.uncertain_until.passed(now));
             let unacked = worker.acks.is_unacked();
             let busy = !worker.runs.is_empty();
-            // An unwanted run is stopped again unless the next report shows its end.
+            // An unwanted run is stopped again unless the next report shows its end, and only a report
+            // shows whether one began before its stop.
             let stopping = worker.answered
-                && !worker.unwanted.is_empty()
+                && !(worker.unwanted.is_empty() && worker.stale_starts.is_empty())
                 && (worker.listed || worker.failed_renewals == 0);
             // A worker with unacknowledged completions answers at once instead of waiting, so until
             // they are durable its renewals are spaced by `renew_at`.
@@ -230,6 +231,9 @@
             self.apply_running(key, row, report.clock, out);
         }
         self.remove_missing(key, &report);
+        let worker = self.worker_mut(key);
+        let ruled_out = |s: &LostStart| s.stopped_clock.is_some_and(|c| c < report.clock);
+        worker.stale_starts.retain(|s| !ruled_out(s));
         self.check_stalls(key);
         self.update_pace(key, &report, out);
         let worker = self.worker_mut(key);
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::batch::engine::workers::{Run, Stage};
+use crate::batch::engine::workers::{LostStart, Run, Stage};
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::pace::FULL_PERCENT;
@@ -167,15 +167,17 @@
     fn stop_stale_starts(&mut self, key: WorkerKey, out: &mut Vec<Action>) {
         let (now, term) = (self.now, self.term);
         let worker = self.worker_mut(key);
-        worker.lost_starts.retain(|(_, _, end)| !end.passed(now));
+        worker.lost_starts.retain(|s| !s.expires_at.passed(now));
+        worker.stale_starts.retain(|s| !s.expires_at.passed(now));
         if worker.stale_starts.is_empty() || !worker.stale_resend_at.passed(now) {
             return;
         }
         worker.stale_resend_at = now.after(STOP_RESEND_MS);
-        for (task, run) in &worker.stale_starts {
+        let unstopped = |s: &&LostStart| s.stopped_clock.is_none();
+        for start in worker.stale_starts.iter().filter(unstopped) {
             let stop = Stop {
-                task: *task,
-                run: *run,
+                task: start.task,
+                run: start.run,
                 term,
             };
             out.push(Action::Order(
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -42,6 +42,19 @@
     pub at: UnixMs,
 }
 
+/// A start without a response, which may be carried out late.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LostStart {
+    pub task: TaskId,
+    pub run: u64,
+    pub resources: Resources,
+    /// Until when it may be carried out.
+    pub expires_at: UnixMs,
+    /// The clock of the worker's next process when that obeyed the stop of the run; the run may have
+    /// begun before.
+    pub stopped_clock: Option<u64>,
+}
+
 /// The stage of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -129,12 +142,11 @@
     pub health: Health,
     /// The pace of the fillers on the worker.
     pub pace: Pace,
-    /// Starts that got no response: the task, the run, and until when they may still be carried
-    /// out.
-    pub lost_starts: Vec<(TaskId, u64, UnixMs)>,
+    /// Starts that got no response.
+    pub lost_starts: Vec<LostStart>,
     /// Runs that this incarnation must not begin: their starts were sent to an earlier incarnation,
     /// and their deadlines are on its clock.
-    pub stale_starts: Vec<(TaskId, u64)>,
+    pub stale_starts: Vec<LostStart>,
     /// When the stops for stale starts are sent again.
     pub stale_resend_at: UnixMs,
 }
@@ -188,10 +200,11 @@
         )
     }
 
-    /// Returns what is taken of the worker's capacity by all that runs there.
+    /// Returns what is taken of the worker's capacity by all that runs, or may begin, there.
     pub fn taken(&self) -> Resources {
-        let unwanted = self.unwanted.iter();
-        unwanted.fold(self.used, |sum, r| sum.plus(r))
+        let stale = self.stale_starts.iter().map(|s| &s.resources);
+        let others = self.unwanted.iter().chain(stale);
+        others.fold(self.used, |sum, r| sum.plus(r))
     }
 
     /// Returns until when starts may be based on the capacity that the registry shows; `None` if it
@@ -273,11 +286,7 @@
         self.failed_renewals = 0;
         self.health = Health::default();
         self.pace = Pace::default();
-        self.stale_starts = self
-            .lost_starts
-            .drain(..)
-            .map(|(task, run, _)| (task, run))
-            .collect();
+        self.stale_starts = std::mem::take(&mut self.lost_starts);
     }
 }
 
@@ -448,7 +457,7 @@
             !fresh && !report.lists(task, run.run)
         };
         let tasks: Vec<TaskId> = worker.runs.iter().filter(lost).map(|(t, _)| *t).collect();
-        worker.lost_starts.retain(|(_, _, end)| !end.passed(now));
+        worker.lost_starts.retain(|s| !s.expires_at.passed(now));
         let mut target = (*worker.target).clone();
         target.started_at = started_at;
         worker.target = Arc::new(target);
--- a/marigoldglade/tests/batch_capacity.rs
+++ b/marigoldglade/tests/batch_capacity.rs
@@ -210,6 +210,28 @@
     assert_eq!(sim.workers[WORKER].runs.len(), 2);
 }
 
+/// Guards against starts beyond a worker's capacity: a start meant for the worker's earlier process
+/// was carried out by the next one before it obeyed the stop, and its size wasn't counted.
+#[test]
+fn a_start_meant_for_an_earlier_process_takes_capacity_until_it_is_ruled_out() {
+    let mut sim = unenforced(11, 1);
+    sim.reuse_ids = true;
+    sim.faults.late = 100;
+    sim.submit(1, "sweep", "w0", spec(vec![step(1, 8, 20_000)]), 20_000);
+    sim.run_for(30);
+    sim.faults.late = 0;
+    sim.cancel(1);
+    sim.run_for(1_500);
+    let now = sim.now;
+    sim.workers.get_mut(WORKER).unwrap().restart(now);
+    sim.lost_stops.insert(WORKER.to_owned());
+    sim.submit(2, "sweep", "w0", spec(vec![step(1, 8, 1_000)]), 15_000);
+    sim.run_for(15_000);
+    sim.lost_stops.clear();
+    sim.run_for(20_000);
+    assert_eq!(sim.status(2), Some(JobStatus::Done));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, rng_seed: RngSeed::Fixed(20_261_205), ..ProptestConfig::default() })]
 
