Keep blocking a lost start in later processes of its worker

Operators: a worker begins a run of a cancelled job (UNASKED), or of a task that is done (TWICE), after it has restarted more than once.

Cause: a start without a response may be carried out up to 12 s later, also by a process that started meanwhile. The owner had it stopped in the next process only; a second restart within that time forgot the stop, and the list of such starts had been emptied at the first.

Evidence: on the code before, batch::a_lost_start_is_blocked_in_all_later_incarnations_of_its_worker saw the cancelled task started once.

Change: the list of lost starts is kept until they can't be carried out any more, and each new process is asked to rule them out.

--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -286,7 +286,8 @@
         self.failed_renewals = 0;
         self.health = Health::default();
         self.pace = Pace::default();
-        self.stale_starts = std::mem::take(&mut self.lost_starts);
+        // They stay lost: the next incarnation must not begin them either.
+        self.stale_starts.clone_from(&self.lost_starts);
     }
 }
 
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -170,6 +170,30 @@
     assert_eq!(sim.starts, 1);
 }
 
+/// Guards against a start of a task that nobody wants any more: a start that was lost before a worker
+/// restarted was ruled out in its next process only, and the one after that carried it out.
+#[test]
+fn a_lost_start_is_blocked_in_all_later_incarnations_of_its_worker() {
+    let mut sim = Simulation::new(36, 1, 1);
+    sim.reuse_ids = true;
+    sim.run_for(500);
+    sim.faults.late = 100;
+    sim.submit(1, "sweep", "w0", spec(vec![step(1, 8, 9_000)]), 9_000);
+    sim.run_for(30);
+    sim.faults.late = 0;
+    sim.cancel(1);
+    sim.run_for(1_000);
+    for _ in 0..2 {
+        let now = sim.now;
+        sim.workers.values_mut().for_each(|x| x.restart(now));
+        let owner = sim.newest_owner();
+        sim.send_registry(owner);
+        sim.run_for(200);
+    }
+    sim.run_for(15_000);
+    assert_eq!(sim.starts, 0);
+}
+
 #[rstest]
 #[case::nothing_ran_there(false)]
 #[case::runs_expired_there(true)]
