Log and count the runs that end with their worker's process

Change: one line for each run that ended with its worker's process and for each that was given up with a silent worker, with the task and whether a report had listed the run; the metric `engine_events` counts the former as `crashed`.

Result: no decision changes.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -175,6 +175,8 @@
     pub full: u64,
     /// Runs that failed.
     pub failed: u64,
+    /// Runs that ended with their worker's process.
+    pub crashed: u64,
     /// Orders that got no response.
     pub lost: u64,
     /// Jobs that were accepted.
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -243,6 +243,7 @@
         let worker = self.worker_mut(key);
         if let Some(run) = worker.runs.get_mut(&row.task).filter(|r| r.run == row.run) {
             run.confirmed_clock = run.confirmed_clock.max(clock);
+            run.listed = true;
             match run.stage {
                 Stage::Starting => {
                     run.stage = Stage::Running;
@@ -316,6 +317,7 @@
             deadline: 0,
             percent: row.percent,
             progress_at: now,
+            listed: true,
             cannot_start: false,
             pace: None,
         };
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -55,6 +55,7 @@
             deadline: 0,
             percent: 0,
             progress_at: now,
+            listed: false,
             cannot_start: false,
             pace: Some(FULL_PERCENT),
         };
@@ -260,7 +261,13 @@
         );
         let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
         for id in tasks {
-            self.remove_run(key, &id);
+            if let Some(run) = self.remove_run(key, &id) {
+                log::warn!(
+                    task:% = id, run = run.run, listed = run.listed, ran_ms = self.now.since(run.started_at),
+                    worker = self.worker(key).target.name.as_str();
+                    "run given up with a silent worker"
+                );
+            }
         }
         self.worker_mut(key).answered = false;
     }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -72,6 +72,8 @@
     pub percent: u32,
     /// When the progress last rose.
     pub progress_at: UnixMs,
+    /// Whether a report of the worker has listed the run.
+    pub listed: bool,
     /// Whether the run can't begin any more: the worker obeyed a stop, or refused the start as
     /// superseded.
     pub cannot_start: bool,
@@ -380,7 +382,14 @@
         worker.reset_incarnation(report.map_or(0, |r| r.clock));
         worker.renewal_after = now;
         for task in tasks {
-            self.remove_run(key, &task);
+            if let Some(run) = self.remove_run(key, &task) {
+                self.counts.crashed += 1;
+                log::warn!(
+                    task:% = task, run = run.run, listed = run.listed, ran_ms = now.since(run.started_at),
+                    worker = self.worker(key).target.name.as_str(), started_at;
+                    "run ended with its worker's process"
+                );
+            }
         }
         let worker = self.worker_mut(key);
         // A worker cuts the deadline of a start meant for another incarnation to the longest lease.
--- a/marigoldgladed/src/batch/metrics.rs
+++ b/marigoldgladed/src/batch/metrics.rs
@@ -167,6 +167,7 @@
             ("preempted", counts.preempted, last_counts.preempted),
             ("full", counts.full, last_counts.full),
             ("failed", counts.failed, last_counts.failed),
+            ("crashed", counts.crashed, last_counts.crashed),
             ("lost", counts.lost, last_counts.lost),
             ("accepted", counts.accepted, last_counts.accepted),
             ("refused", counts.refused, last_counts.refused),
