Give up tasks that crash the workers that start them

Cause: a run that ends with its worker left no trace in its task; only reported failures counted against the queue's attempts, so the task was started again as soon as the crash was noticed.

Change: a task keeps the crashes under its runs in the job's record. Blamed are the runs that no report had listed when the process ended, or else all. A suspect's next run is the only new one on its worker, so that its second crash is almost certainly the task's; then its job is failed. Runs on silent workers are remembered until it is known whether the process ended, also by the next owner.

New test tasks_that_crash_.. carries late orders only where workers get new names: under kept names a late renewal of the process before acknowledges completions of the new one, which is a fault of its own.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -11,6 +11,7 @@
 mod capacity;
 mod commit;
 mod completions;
+mod crashes;
 mod job;
 mod orders;
 mod pacing;
@@ -20,6 +21,7 @@
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::batch::advice::{Advice, AdviceResponse};
@@ -202,6 +204,8 @@
     deletes: Vec<JobId>,
     /// Keys of inbox entries that have been applied and are still to be deleted from the store.
     handled: BTreeSet<String>,
+    /// Runs given up with silent workers that haven't answered since, by the worker's address.
+    silent_runs: HashMap<SocketAddr, Vec<crashes::SilentRun>>,
     /// Whether the list of workers in the store is out of date.
     workers_dirty: bool,
     /// The commit under way.
@@ -271,6 +275,7 @@
             dirty_jobs: BTreeSet::new(),
             deletes: Vec::new(),
             handled: BTreeSet::new(),
+            silent_runs: HashMap::new(),
             workers_dirty: true,
             pending: None,
             last_commit: 0,
--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -101,7 +101,8 @@
         let mut job = Job::new(record, UnixMs(self.now.0.saturating_sub(age)), inherited);
         job.durable_state = Some(state);
         job.durable_changes = job.changes;
-        self.add_job(job);
+        let key = self.add_job(job);
+        self.inherit_lost_runs(key);
     }
 
     /// Cancels a job; the reply waits for the commit of its record.
@@ -221,6 +222,7 @@
                 self.deletes.push(job.record.id);
             }
         }
+        self.forget_silent_runs();
         self.runs_due = true;
         self.replan |= self.plan_after.after(PLAN_LIMIT_MS).passed(self.now);
     }
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -96,7 +96,11 @@
             let target = &worker.target;
             let fits = target.pool == shape.pool
                 && (shape.label.is_empty() || target.labels.contains(&shape.label));
-            if !fits || !worker.is_usable(now) || avoid.contains(&key) {
+            if !fits
+                || !worker.is_usable(now)
+                || avoid.contains(&key)
+                || !worker.may_start_beside(shape.isolated)
+            {
                 continue;
             }
             let grade = worker.health.grade(now);
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -3,7 +3,7 @@
 use crate::batch::engine::{CallId, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::messages::JobStatus;
-use crate::batch::record::{Record, State, TaskProgress};
+use crate::batch::record::{Crash, LostRun, Record, State, TaskProgress};
 use crate::batch::spec::Step;
 use crate::time::UnixMs;
 
@@ -16,6 +16,16 @@
     pub done: bool,
     /// The numbers of its failed runs.
     pub failed_runs: Vec<u64>,
+    /// The workers that crashed under it.
+    pub crashes: Vec<Crash>,
+    /// Its runs on workers that fell silent before they listed the run, and may have crashed.
+    pub lost_runs: Vec<LostRun>,
+    /// Until when it waits for an answer of these workers.
+    pub answer_by: UnixMs,
+    /// Until when each new run of it must be the only new one on its worker.
+    pub isolated_until: UnixMs,
+    /// The number of the job's changes that must be durable before it is started again.
+    pub start_after: u64,
     /// The newest checkpoint; empty for none.
     pub checkpoint: String,
     /// The highest run number that this owner has given it or seen.
@@ -70,6 +80,15 @@
 }
 
 impl Task {
+    /// Returns whether there is anything to record about the task.
+    const fn has_progress(&self) -> bool {
+        self.done
+            || !self.failed_runs.is_empty()
+            || !self.crashes.is_empty()
+            || !self.lost_runs.is_empty()
+            || !self.checkpoint.is_empty()
+    }
+
     /// Avoids a worker where the task failed or stalled; only the last few are avoided.
     pub fn avoid(&mut self, worker: WorkerKey) {
         if self.avoid.len() >= AVOIDED_LIMIT {
@@ -99,6 +118,8 @@
             if let Some(task) = find_task(&mut rounds, entry.round, entry.step, entry.index) {
                 task.done = entry.done;
                 task.failed_runs = entry.failed_runs;
+                task.crashes = entry.crashes;
+                task.lost_runs = entry.lost_runs;
                 task.checkpoint = entry.checkpoint;
             }
         }
@@ -133,6 +154,15 @@
         self.is_open() && self.durable_state.is_some()
     }
 
+    /// Returns whether a task can be started now: it isn't done, has no run and needn't wait.
+    pub fn is_idle(&self, task: &Task, now: UnixMs) -> bool {
+        !task.done
+            && task.worker.is_none()
+            && task.retry_at.passed(now)
+            && task.start_after <= self.durable_changes
+            && !task.awaits_answer(now)
+    }
+
     /// Returns the specification of a task's step.
     pub fn step(&self, id: &TaskId) -> Option<&Step> {
         self.record.spec.steps.get(usize::from(id.step))
@@ -176,13 +206,15 @@
         for (round, r) in rounds {
             for (step, s) in (0u16..).zip(&r.steps) {
                 for (index, task) in (0u32..).zip(&s.tasks) {
-                    if task.done || !task.failed_runs.is_empty() || !task.checkpoint.is_empty() {
+                    if task.has_progress() {
                         record.tasks.push(TaskProgress {
                             round,
                             step,
                             index,
                             done: task.done,
                             failed_runs: task.failed_runs.clone(),
+                            crashes: task.crashes.clone(),
+                            lost_runs: task.lost_runs.clone(),
                             checkpoint: if task.done {
                                 String::new()
                             } else {
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use crate::batch::engine::job::{Job, Task};
+use crate::batch::engine::job::Job;
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::pack::{Bin, Demand, RackKey, count_fitting, place_gang, place_some};
@@ -98,6 +98,18 @@
     }
 }
 
+/// Tasks of a step that are placed together.
+#[derive(Debug, Default)]
+struct TaskGroup {
+    indices: Vec<u32>,
+    /// How often the task that failed most has failed.
+    fails: usize,
+    /// Workers to avoid because tasks of the group failed or stalled there.
+    avoid: Vec<WorkerKey>,
+    /// Whether a task of the group may crash workers.
+    isolated: bool,
+}
+
 /// A request to place a gang or some single tasks of a step.
 struct PlacementRequest {
     demand: Demand,
@@ -128,6 +140,8 @@
     pub advised: Option<StepKey>,
     /// Whether only workers near the step's data are considered for now.
     pub near_only: bool,
+    /// Whether the tasks may crash workers, so that they start only where no other run is new.
+    pub isolated: bool,
 }
 
 impl Engine {
@@ -237,9 +251,9 @@
                     }
                     let mut tasks = state.tasks.iter();
                     let ready = if step.gang {
-                        tasks.all(|t| self.is_idle(t))
+                        tasks.all(|t| job.is_idle(t, self.now))
                     } else {
-                        tasks.any(|t| self.is_idle(t))
+                        tasks.any(|t| job.is_idle(t, self.now))
                     };
                     if !ready {
                         continue;
@@ -258,11 +272,6 @@
         steps
     }
 
-    /// Returns whether a task can be started now: it isn't done, has no run and needn't wait.
-    fn is_idle(&self, task: &Task) -> bool {
-        !task.done && task.worker.is_none() && task.retry_at.passed(self.now)
-    }
-
     /// Starts a step's gang, or as many of its single tasks as fit.
     fn place_step(&mut self, step_key: StepKey, pass: &mut Pass, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&step_key.job) else {
@@ -271,28 +280,40 @@
         let step = job.record.spec.steps[usize::from(step_key.step)].clone();
         let round = &job.rounds[usize::try_from(step_key.round).unwrap_or(0)];
         let tasks = &round.steps[usize::from(step_key.step)].tasks;
-        let idle = |(_, t): &(u32, &Task)| self.is_idle(t);
-        let mut groups: Vec<(Vec<u32>, usize, Vec<WorkerKey>)> = Vec::new();
+        let now = self.now;
+        let mut groups: Vec<TaskGroup> = Vec::new();
         if step.gang {
-            let fails = tasks.iter().map(|t| t.failed_runs.len()).max().unwrap_or(0);
-            let avoid = tasks.iter().flat_map(|t| t.avoid.iter().copied()).collect();
-            groups.push(((0..step.count).collect(), fails, avoid));
+            groups.push(TaskGroup {
+                indices: (0..step.count).collect(),
+                fails: tasks.iter().map(|t| t.failed_runs.len()).max().unwrap_or(0),
+                avoid: tasks.iter().flat_map(|t| t.avoid.iter().copied()).collect(),
+                isolated: tasks.iter().any(|t| t.is_isolated(now)),
+            });
         } else {
-            // Tasks that failed or stalled have workers to avoid, so each is placed by itself.
-            let (failed, fresh): (Vec<_>, Vec<_>) = (0u32..)
+            // Tasks that failed or stalled have workers to avoid, and those that may crash workers are
+            // isolated, so each is placed by itself.
+            let (single, others): (Vec<_>, Vec<_>) = (0u32..)
                 .zip(tasks)
-                .filter(idle)
-                .partition(|(_, t)| !t.avoid.is_empty());
-            for (index, task) in failed {
-                groups.push((vec![index], task.failed_runs.len(), task.avoid.clone()));
+                .filter(|(_, t)| job.is_idle(t, now))
+                .partition(|(_, t)| !t.avoid.is_empty() || t.is_isolated(now));
+            for (index, task) in single {
+                groups.push(TaskGroup {
+                    indices: vec![index],
+                    fails: task.failed_runs.len(),
+                    avoid: task.avoid.clone(),
+                    isolated: task.is_isolated(now),
+                });
             }
-            if !fresh.is_empty() {
-                groups.push((fresh.iter().map(|(i, _)| *i).collect(), 0, Vec::new()));
+            if !others.is_empty() {
+                groups.push(TaskGroup {
+                    indices: others.iter().map(|(i, _)| *i).collect(),
+                    ..TaskGroup::default()
+                });
             }
         }
-        for (indices, fails, avoid) in groups {
-            let count = u32::try_from(indices.len()).unwrap_or(u32::MAX);
-            let request = self.make_request(step_key, &step, count, fails, avoid);
+        for group in groups {
+            let request = self.make_request(step_key, &step, &group);
+            let indices = group.indices;
             if let Some(workers) = self.find_workers(step_key, &step, &request, pass, out) {
                 let assignments = indices.into_iter().zip(workers).collect();
                 self.start_step(step_key, assignments, &request.demand, pass, out);
@@ -300,15 +321,10 @@
         }
     }
 
-    /// Returns the request to place `count` tasks of a step that have failed `fails` times.
-    fn make_request(
-        &self,
-        step_key: StepKey,
-        step: &Step,
-        count: u32,
-        fails: usize,
-        avoid: Vec<WorkerKey>,
-    ) -> PlacementRequest {
+    /// Returns the request to place tasks of a step.
+    fn make_request(&self, step_key: StepKey, step: &Step, group: &TaskGroup) -> PlacementRequest {
+        let count = u32::try_from(group.indices.len()).unwrap_or(u32::MAX);
+        let fails = group.fails;
         let job = &self.jobs[&step_key.job];
         let queue = &job.record.queue;
         let waited_ms = self.now.since(job.accepted_at);
@@ -335,11 +351,12 @@
             prefer_healthy: fails > 0 && fails + 1 >= attempts,
             near_only: near.is_some() && waited_ms < near_wait_ms,
             advised: queue.advice.map(|_| step_key),
+            isolated: group.isolated,
         };
         PlacementRequest {
             demand,
             shape,
-            avoid,
+            avoid: group.avoid.clone(),
             waited_ms,
         }
     }
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -200,6 +200,8 @@
                 "its report shows a new process",
             );
         }
+        let target = Arc::clone(&self.worker(key).target);
+        self.settle_silent_runs(&target, true);
         let worker = self.worker_mut(key);
         let reading = worker.clock_reading.map_or(0, |r| r.clock);
         if report.clock + REORDER_LIMIT_MS < reading {
@@ -243,7 +245,7 @@
         let worker = self.worker_mut(key);
         if let Some(run) = worker.runs.get_mut(&row.task).filter(|r| r.run == row.run) {
             run.confirmed_clock = run.confirmed_clock.max(clock);
-            run.listed = true;
+            let first_listed = !std::mem::replace(&mut run.listed, true);
             match run.stage {
                 Stage::Starting => {
                     run.stage = Stage::Running;
@@ -270,6 +272,9 @@
                 run.percent = row.percent;
                 run.progress_at = now;
             }
+            if first_listed {
+                self.clear_early_crashes(&row.task);
+            }
             return;
         }
         if !self.adopt(key, row, clock) {
@@ -318,6 +323,8 @@
             percent: row.percent,
             progress_at: now,
             listed: true,
+            isolated: false,
+            restarted: false,
             cannot_start: false,
             pace: None,
         };
@@ -359,6 +366,11 @@
             if stage != Stage::Abandoned {
                 log::warn!(task:% = task, worker = self.worker(key).target.name.as_str(); "run missing from the worker's report");
             }
+            let restarted = |r: &Run| r.restarted && !r.listed;
+            if self.worker(key).runs.get(&task).is_some_and(restarted) {
+                let runs = self.ended_with_process(key, &[task]);
+                self.blame(&runs);
+            }
             self.remove_run(key, &task);
         }
     }
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -39,9 +39,11 @@
         let Some(resources) = job.step(&id).map(|s| s.charge()) else {
             return;
         };
+        let mut isolated = false;
         if let Some(task) = job.task(&id) {
             task.worker = Some(key);
             task.last_run = run;
+            isolated = task.is_isolated(now);
         }
         let run = Run {
             job: job_key,
@@ -56,6 +58,8 @@
             percent: 0,
             progress_at: now,
             listed: false,
+            isolated,
+            restarted: false,
             cannot_start: false,
             pace: Some(FULL_PERCENT),
         };
@@ -260,6 +264,7 @@
             "leases of a silent worker have expired"
         );
         let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
+        self.remember_silent_runs(key);
         for id in tasks {
             if let Some(run) = self.remove_run(key, &id) {
                 log::warn!(
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -74,6 +74,10 @@
     pub progress_at: UnixMs,
     /// Whether a report of the worker has listed the run.
     pub listed: bool,
+    /// Whether it may crash its worker, so that nothing else starts there until a report lists it.
+    pub isolated: bool,
+    /// Whether the worker has restarted since the start was sent, and may have the run or not.
+    pub restarted: bool,
     /// Whether the run can't begin any more: the worker obeyed a stop, or refused the start as
     /// superseded.
     pub cannot_start: bool,
@@ -218,6 +222,7 @@
         for run in self.runs.values_mut() {
             // Both were on the previous incarnation's clock.
             (run.confirmed_clock, run.deadline) = (clock, 0);
+            run.restarted = true;
         }
         self.clock_reading = None;
         self.answered = false;
@@ -290,6 +295,7 @@
                 None => self.add_worker(target.clone()),
             };
             listed.insert(key);
+            self.settle_silent_runs(&target, false);
             self.update_worker(key, target);
         }
         for key in self.worker_keys() {
@@ -375,6 +381,8 @@
             !fresh && !report.lists(task, run.run)
         };
         let tasks: Vec<TaskId> = worker.runs.iter().filter(lost).map(|(t, _)| *t).collect();
+        let ended = self.ended_with_process(key, &tasks);
+        let worker = self.worker_mut(key);
         worker.lost_starts.retain(|(_, _, end)| !end.passed(now));
         let mut target = (*worker.target).clone();
         target.started_at = started_at;
@@ -382,15 +390,9 @@
         worker.reset_incarnation(report.map_or(0, |r| r.clock));
         worker.renewal_after = now;
         for task in tasks {
-            if let Some(run) = self.remove_run(key, &task) {
-                self.counts.crashed += 1;
-                log::warn!(
-                    task:% = task, run = run.run, listed = run.listed, ran_ms = now.since(run.started_at),
-                    worker = self.worker(key).target.name.as_str(), started_at;
-                    "run ended with its worker's process"
-                );
-            }
+            self.remove_run(key, &task);
         }
+        self.blame(&ended);
         let worker = self.worker_mut(key);
         // A worker cuts the deadline of a start meant for another incarnation to the longest lease.
         let left = if worker.runs.is_empty() {
@@ -414,6 +416,8 @@
             None,
             "another process answers at its address",
         );
+        let target = Arc::clone(&self.worker(key).target);
+        self.blame_silent_runs(target.addr, &target.name);
     }
 
     /// Returns whether an unknown run may be on a worker that hasn't answered.
--- a/marigoldglade/src/batch/record.rs
+++ b/marigoldglade/src/batch/record.rs
@@ -1,5 +1,7 @@
 //! The stored record of a job, from which a new owner continues it.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
 
@@ -30,13 +32,42 @@
     Open,
     /// All its tasks are done.
     Done,
-    /// A task failed as often as the queue allows.
+    /// A task failed as often as the queue allows, or workers crashed under it.
     Failed,
     /// The caller cancelled the job.
     Cancelled,
 }
 
-/// The progress of a task: whether it is done, its failed runs and its checkpoint.
+/// The end of a worker's process under a run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The number of the run.
+    pub run: u64,
+    /// The worker's name.
+    pub worker: String,
+    /// How strongly it counts against the task.
+    pub weight: u32,
+    /// Whether the process ended before any report listed the run.
+    pub early: bool,
+}
+
+/// A run that was given up with a silent worker before any report listed it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostRun {
+    /// The number of the run.
+    pub run: u64,
+    /// The worker's name.
+    pub worker: String,
+    /// The worker's address.
+    pub addr: SocketAddr,
+    /// When the worker's process started, in milliseconds since the Unix epoch.
+    #[serde(rename = "born")]
+    pub started_at: u64,
+    /// How strongly the worker's crash would count against the task.
+    pub weight: u32,
+}
+
+/// The progress of a task: whether it is done, its failed and crashed runs and its checkpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskProgress {
     /// The round of the task.
@@ -50,6 +81,12 @@
     /// The numbers of the runs that failed.
     #[serde(rename = "failed")]
     pub failed_runs: Vec<u64>,
+    /// The workers that crashed under the task.
+    #[serde(rename = "crashed", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Crash>,
+    /// The runs whose workers may have crashed.
+    #[serde(rename = "lost", default, skip_serializing_if = "Vec::is_empty")]
+    pub lost_runs: Vec<LostRun>,
     /// The newest checkpoint; empty for none.
     #[serde(rename = "saved")]
     pub checkpoint: String,
@@ -74,7 +111,7 @@
     /// When the job ended, in milliseconds since the Unix epoch; zero while open.
     #[serde(rename = "ended")]
     pub ended_at: u64,
-    /// The tasks that are done, have failed runs or have a checkpoint.
+    /// The tasks that are done, or have failed, crashed or lost runs or a checkpoint.
     pub tasks: Vec<TaskProgress>,
 }
 
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -499,3 +499,184 @@
     assert_eq!(sim.status(2), Some(JobStatus::Done));
     assert_eq!(sim.starts, 4, "the task was to be started again elsewhere");
 }
+
+/// Returns the first task of a step of a job without rounds.
+fn task_id(n: u64, step: u16, index: u32) -> TaskId {
+    TaskId {
+        job: job_id(n),
+        round: 0,
+        step,
+        index,
+    }
+}
+
+/// Guards against a task that crashes one worker after another, each of them under all other work
+/// there.
+#[rstest]
+#[case::workers_keep_their_names(false)]
+#[case::workers_get_new_names(true)]
+fn a_task_under_which_workers_crash_is_given_up(#[case] new_names: bool) {
+    for seed in 40..48 {
+        let mut sim = Simulation::new(seed, 2, 4);
+        (sim.reuse_ids, sim.new_names) = (true, new_names);
+        sim.deadly.insert(task_id(1, 0, 0));
+        for n in 0..12 {
+            sim.submit(n, "sweep", "w0", spec(vec![step(1, 2, 3_000)]), 3_000);
+        }
+        sim.run_for(60_000);
+        assert_eq!(sim.status(1), Some(JobStatus::Failed), "seed {seed}");
+        assert!(sim.all_done((0..12).filter(|n| *n != 1)), "seed {seed}");
+    }
+}
+
+/// Guards against innocent work being given up for the workers that others crash under it.
+#[test]
+fn a_long_task_beside_tasks_that_crash_its_workers_is_done() {
+    for seed in 50..58 {
+        let mut sim = Simulation::new(seed, 1, 3);
+        sim.reuse_ids = true;
+        sim.away_ms = (2_000, 3_000);
+        let mut long = step(6, 2, 9_000);
+        long.checkpoints = true;
+        sim.submit(0, "sweep", "w0", spec(vec![long]), 9_000);
+        sim.run_for(2_000);
+        for n in 1..7 {
+            sim.deadly.insert(task_id(n, 0, 0));
+            sim.submit(n, "sweep", "w0", spec(vec![step(1, 1, 2_000)]), 2_000);
+            sim.run_for(700);
+        }
+        sim.run_for(120_000);
+        for n in 1..7 {
+            assert_eq!(sim.status(n), Some(JobStatus::Failed), "seed {seed}");
+        }
+        assert_eq!(sim.status(0), Some(JobStatus::Done), "seed {seed}");
+    }
+}
+
+/// Guards against crashes that are forgotten with the owner that noticed them, or whose owner is lost
+/// between the crash and the worker's return.
+#[rstest]
+#[case::workers_keep_their_names(false)]
+#[case::workers_get_new_names(true)]
+fn crashes_count_across_owners(#[case] new_names: bool) {
+    for seed in 60..76 {
+        let mut sim = Simulation::new(seed, 2, 4);
+        (sim.reuse_ids, sim.new_names) = (true, new_names);
+        sim.deadly.insert(task_id(1, 0, 0));
+        sim.submit(1, "sweep", "w0", spec(vec![step(1, 2, 3_000)]), 3_000);
+        for owners in 1..3 {
+            while sim.deadly_starts.get(&task_id(1, 0, 0)) < Some(&owners) && sim.now < 1_030_000 {
+                sim.run_for(10);
+            }
+            sim.run_for(300 + 100 * (seed - 60));
+            sim.kill_newest_owner();
+            sim.run_for(1_000);
+            sim.elect();
+        }
+        sim.run_for(60_000);
+        assert_eq!(sim.status(1), Some(JobStatus::Failed), "seed {seed}");
+    }
+}
+
+#[rstest]
+#[case::gang(true)]
+#[case::endless(false)]
+fn gangs_and_endless_tasks_that_crash_their_workers_are_given_up(#[case] gang: bool) {
+    let mut sim = Simulation::new(80, 2, 4);
+    sim.reuse_ids = true;
+    let mut steps = step(3, 4, 3_000);
+    (steps.gang, steps.endless) = (gang, !gang);
+    sim.deadly.insert(task_id(1, 0, 1));
+    // The simulation ends endless tasks as well when their time is over.
+    sim.submit(1, "sweep", "w0", spec(vec![steps]), 300_000);
+    sim.submit(2, "sweep", "w0", spec(vec![step(4, 1, 900)]), 900);
+    sim.run_for(60_000);
+    assert_eq!(sim.status(1), Some(JobStatus::Failed));
+    assert_eq!(sim.status(2), Some(JobStatus::Done));
+}
+
+/// Guards against giving up a task that was interrupted by workers which were merely cut off.
+#[test]
+fn workers_that_were_only_silent_are_not_held_against_their_tasks() {
+    let mut sim = Simulation::new(81, 1, 3);
+    sim.submit(1, "sweep", "w0", spec(vec![step(1, 8, 12_000)]), 12_000);
+    sim.run_for(60);
+    for cut in 0..4 {
+        let busy = sim.workers.values().find(|x| !x.runs.is_empty()).unwrap();
+        let name = busy.target.name.clone();
+        sim.workers.get_mut(&name).unwrap().unreachable = true;
+        let (starts, end) = (sim.starts, sim.now + 20_000);
+        while sim.starts == starts && sim.now < end {
+            sim.run_for(10);
+        }
+        assert!(
+            sim.starts > starts,
+            "the task wasn't started again after cut {cut}"
+        );
+        sim.workers.get_mut(&name).unwrap().unreachable = false;
+    }
+    sim.run_for(15_000);
+    assert_eq!(sim.status(1), Some(JobStatus::Done));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, rng_seed: RngSeed::Fixed(20_261_205), ..ProptestConfig::default() })]
+
+    /// The world checks how often a task is started that crashes its workers.
+    #[test]
+    fn tasks_that_crash_their_workers_are_given_up_under_faults(
+        seed in any::<u64>(),
+        late in 0u32..8,
+        unanswered in 0u32..8,
+        new_names in any::<bool>(),
+        faults in proptest::collection::vec((0u32..6, 500u64..5_000), 3..8),
+    ) {
+        let mut sim = Simulation::new(seed, 2, 6);
+        (sim.reuse_ids, sim.new_names) = (true, new_names);
+        // A process under its former name may carry out a renewal that acknowledges the completions of
+        // the process before.
+        sim.faults = Faults { late: if new_names { late } else { 0 }, unanswered };
+        let (mut n, mut owners) = (0u64, 1);
+        let mut accepted = Vec::new();
+        for (fault, pause) in faults {
+            for _ in 0..3 {
+                n += 1;
+                let queue = ["urgent", "sweep", "survey"][usize::try_from(n % 3).unwrap()];
+                if n.is_multiple_of(4) {
+                    sim.deadly.insert(task_id(n, 0, 0));
+                }
+                let steps = vec![step(u32::try_from(n % 3).unwrap() + 1, 1 + n % 4, 1_500)];
+                accepted.push((sim.submit(n, queue, "w1", spec(steps), 800 + 300 * (n % 9)), n));
+            }
+            sim.run_for(60);
+            let name = format!("worker-{}-{}", n % 2, n % 6);
+            match fault {
+                // Each change of owners may lose one crash that isn't known yet.
+                0 if owners < 4 => {
+                    owners += 1;
+                    sim.kill_newest_owner();
+                    sim.run_for(2_200);
+                    sim.elect();
+                }
+                // A worker that was renamed since stays as it is.
+                1 => sim.workers.get_mut(&name).unwrap().unreachable = true,
+                2 => sim.workers.values_mut().for_each(|x| x.unreachable = false),
+                3 => { sim.store_down = true; sim.run_for(pause); sim.store_down = false; }
+                _ => {}
+            }
+            sim.run_for(pause);
+        }
+        sim.faults = Faults::default();
+        sim.workers.values_mut().for_each(|x| x.unreachable = false);
+        if !sim.owners[sim.newest_owner()].alive {
+            sim.elect();
+        }
+        sim.run_for(60_000);
+        for (call_id, n) in accepted {
+            if sim.replies.get(&call_id) == Some(&Reply::Accepted) {
+                let expected = if n.is_multiple_of(4) { JobStatus::Failed } else { JobStatus::Done };
+                prop_assert_eq!(sim.status(n), Some(expected), "job {}", job_id(n));
+            }
+        }
+    }
+}
