--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -39,9 +39,11 @@
         let Some(resources) = job.step(&id).map(|s| s.charge()) else {
             return;
         };
+        let mut isolated = false;
         if let Some(task) = job.task(&id) {
             task.worker = Some(key);
             task.last_run = run;
+            isolated = task.is_isolated(now);
         }
         let run = Run {
             job: job_key,
@@ -55,6 +57,9 @@
             deadline: 0,
             percent: 0,
             progress_at: now,
+            listed: false,
+            isolated,
+            restarted: false,
             cannot_start: false,
             pace: Some(FULL_PERCENT),
         };
@@ -284,8 +289,15 @@
             "leases of a silent worker have expired"
         );
         let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
+        self.remember_silent_runs(key);
         for id in tasks {
-            self.remove_run(key, &id);
+            if let Some(run) = self.remove_run(key, &id) {
+                log::warn!(
+                    task:% = id, run = run.run, listed = run.listed, ran_ms = self.now.since(run.started_at),
+                    worker = self.worker(key).target.name.as_str();
+                    "run given up with a silent worker"
+                );
+            }
         }
         self.worker_mut(key).answered = false;
     }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -94,6 +94,12 @@
     pub percent: u32,
     /// When the progress last rose.
     pub progress_at: UnixMs,
+    /// Whether a report of the worker has listed the run.
+    pub listed: bool,
+    /// Whether it may crash its worker, so that nothing else starts there until a report lists it.
+    pub isolated: bool,
+    /// Whether the worker has restarted since the start was sent, and may have the run or not.
+    pub restarted: bool,
     /// Whether the run can't begin any more: the worker obeyed a stop, or refused the start as
     /// superseded.
     pub cannot_start: bool,
@@ -342,6 +348,7 @@
         for run in self.runs.values_mut() {
             // Both were on the previous incarnation's clock.
             (run.confirmed_clock, run.deadline) = (clock, 0);
+            run.restarted = true;
         }
         self.clock_reading = None;
         self.answered = false;
@@ -419,6 +426,7 @@
                 None => self.add_worker(target.clone()),
             };
             listed.insert(key);
+            self.settle_silent_runs(&target, false);
             self.update_worker(key, target);
         }
         for key in self.worker_keys() {
@@ -532,6 +540,8 @@
             !fresh && !report.lists(task, run.run)
         };
         let tasks: Vec<TaskId> = worker.runs.iter().filter(lost).map(|(t, _)| *t).collect();
+        let ended = self.ended_with_process(key, &tasks);
+        let worker = self.worker_mut(key);
         worker.lost_starts.retain(|s| !s.expires_at.passed(now));
         let mut target = (*worker.target).clone();
         target.started_at = started_at;
@@ -541,6 +551,7 @@
         for task in tasks {
             self.remove_run(key, &task);
         }
+        self.blame(&ended);
         let worker = self.worker_mut(key);
         // Orders to the earlier incarnation may have reached this one, or may do so later.
         worker.foreign_until = worker.late_until.max(now).after(longest_wait(lease));
@@ -567,6 +578,8 @@
             None,
             "another process answers at its address",
         );
+        let target = Arc::clone(&self.worker(key).target);
+        self.blame_silent_runs(target.addr, &target.name);
     }
 
     /// Returns whether an unknown run may be on a worker that hasn't answered.
