Give a task up only for crashes of workers that certainly had its run

What callers would see: a job shown as failed under whose tasks fewer than two workers crashed.

Cause: a start without an answer counted as a crash under its task when the worker turned out to have restarted, though the start may have come after the process had ended under another task. Two such starts and one crash under an isolated run made up the weight.

Change: a crash says whether the run was certainly on the worker: a report listed it, the worker accepted the start, or it was the only new run there. Two such crashes are needed.

--- a/marigoldglade/src/batch/engine/crashes.rs
+++ b/marigoldglade/src/batch/engine/crashes.rs
@@ -17,6 +17,8 @@
 
 /// The weight of crashes at which a task is given up.
 const CRASH_LIMIT: u32 = 4;
+/// The number of crashes that a task is given up for at least, of workers that certainly had its run.
+const CERTAIN_CRASHES: usize = 2;
 /// The weight of a crash that the task's start has almost certainly caused.
 const CERTAIN_WEIGHT: u32 = 2;
 /// The weight of a crash that another run may have caused.
@@ -83,10 +85,10 @@
             return Vec::new();
         }
         let new_runs = self.runs.values().filter(|r| !r.listed).count();
+        // A start without an answer may have been sent to a process that had already ended.
+        let accepted = |run: &Run| matches!(run.stage, Stage::Running | Stage::Stopping);
         let weight = |run: &Run| {
-            // A start without an answer may have been sent to a process that had already ended.
-            let accepted = matches!(run.stage, Stage::Running | Stage::Stopping);
-            if !run.listed && (run.isolated || (accepted && new_runs == 1)) {
+            if !run.listed && (run.isolated || (accepted(run) && new_runs == 1)) {
                 CERTAIN_WEIGHT
             } else {
                 POSSIBLE_WEIGHT
@@ -100,6 +102,7 @@
                 addr: self.target.addr,
                 started_at: self.target.started_at,
                 weight: weight(run),
+                certain: run.listed || run.isolated || accepted(run),
             },
             listed: run.listed,
             expires_at: now.after(LOST_RUN_LIMIT_MS),
@@ -256,6 +259,7 @@
                 run: run.lost.run,
                 worker: run.lost.worker.clone(),
                 weight: run.lost.weight,
+                certain: run.lost.certain,
                 early: !run.listed,
             };
             // Over its life an endless task sees any number of workers end for other reasons.
@@ -308,7 +312,8 @@
         let Some(task) = job.task(id) else {
             return;
         };
-        if task.crash_weight() < CRASH_LIMIT {
+        let certain = task.crashes.iter().filter(|c| c.certain).count();
+        if task.crash_weight() < CRASH_LIMIT || certain < CERTAIN_CRASHES {
             return;
         }
         let runs: Vec<u64> = task.crashes.iter().map(|c| c.run).collect();
--- a/marigoldglade/src/batch/record.rs
+++ b/marigoldglade/src/batch/record.rs
@@ -47,6 +47,9 @@
     pub worker: String,
     /// How strongly it counts against the task.
     pub weight: u32,
+    /// Whether the run was certainly on the worker.
+    #[serde(default)]
+    pub certain: bool,
     /// Whether the process ended before any report listed the run.
     pub early: bool,
 }
@@ -65,6 +68,9 @@
     pub started_at: u64,
     /// How strongly the worker's crash would count against the task.
     pub weight: u32,
+    /// Whether the run was certainly on the worker.
+    #[serde(default)]
+    pub certain: bool,
 }
 
 /// The progress of a task: whether it is done, its failed and crashed runs and its checkpoint.
