Renew idle workers until they answer after a lost renewal

Cause: the new process answers the renewal that the registry's news triggers; the loss of the renewal to the earlier process is noticed after that and counts as a failed renewal. A worker with failed renewals gets no work, and an idle one gets no renewals.

Evidence: batch::a_worker_that_restarted_during_a_renewal_is_used_again failed on the code before: the job was still queued after 30 s.

Change: a listed worker with failed renewals is renewed, at the usual pause, until it answers.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -39,7 +39,9 @@
             if worker.renewal_pending || !worker.renewal_after.passed(now) {
                 continue;
             }
-            let silent = !worker.answered && (worker.listed || !worker.uncertain_until.passed(now));
+            // The loss of a renewal to an earlier process may come after the new one's answer.
+            let unheard = !worker.answered || worker.failed_renewals > 0;
+            let silent = unheard && (worker.listed || !worker.uncertain_until.passed(now));
             let unacked = worker.acks.is_unacked();
             let busy = !worker.runs.is_empty();
             // A worker with unacknowledged completions answers at once instead of waiting, so until
--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -680,3 +680,29 @@
         }
     }
 }
+
+/// Guards against an idle worker that gets no work any more: a renewal to its earlier process is found
+/// lost after the new one has answered.
+#[test]
+fn a_worker_that_restarted_during_a_renewal_is_used_again() {
+    for seed in 90..98 {
+        let mut sim = Simulation::new(seed, 1, 1);
+        sim.reuse_ids = true;
+        sim.submit(1, "sweep", "w0", spec(vec![step(8, 1, 900)]), 900);
+        sim.run_for(100);
+        while sim.records[&job_id(1)].state != State::Done {
+            sim.run_for(1);
+        }
+        sim.faults.late = 100;
+        sim.run_for(60);
+        sim.faults.late = 0;
+        let now = sim.now;
+        sim.workers.values_mut().for_each(|x| x.restart(now));
+        let owner = sim.newest_owner();
+        sim.send_registry(owner);
+        sim.store_ms = 300;
+        sim.submit(2, "sweep", "w0", spec(vec![step(60, 1, 900)]), 900);
+        sim.run_for(30_000);
+        assert_eq!(sim.status(2), Some(JobStatus::Done));
+    }
+}
