Reproduce a completion acknowledged by a late renewal to an earlier process

A worker restarts under its name, and a renewal that was sent to its earlier process is carried out seconds later by the new one. It acknowledges completions by number, and the new process counts from one again, so it forgets completions that aren't durable: their tasks would run again after a change of owners.

--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -323,7 +323,7 @@
         faults in proptest::collection::vec((0u32..9, 200u64..4_000), 3..14),
     ) {
         let mut sim = Simulation::new(seed, 2, 4);
-        sim.faults = Faults { late, unanswered };
+        sim.faults = Faults { late, unanswered, ..Faults::default() };
         let mut n = 0;
         let mut accepted = Vec::new();
         for (fault, pause) in faults {
@@ -635,7 +635,7 @@
         (sim.reuse_ids, sim.new_names) = (true, new_names);
         // A process under its former name may carry out a renewal that acknowledges the completions of
         // the process before.
-        sim.faults = Faults { late: if new_names { late } else { 0 }, unanswered };
+        sim.faults = Faults { late: if new_names { late } else { 0 }, unanswered, ..Faults::default() };
         let (mut n, mut owners) = (0u64, 1);
         let mut accepted = Vec::new();
         for (fault, pause) in faults {
@@ -706,3 +706,23 @@
         assert_eq!(sim.status(2), Some(JobStatus::Done));
     }
 }
+
+/// Guards against a lost end: a renewal to a worker's earlier process is carried out late, by the new
+/// process under the same name, and acknowledges completions of it that aren't durable.
+#[test]
+fn a_late_renewal_acknowledges_nothing_of_the_next_process() {
+    for seed in 100..130 {
+        let mut sim = Simulation::new(seed, 2, 3);
+        sim.reuse_ids = true;
+        sim.store_ms = 200;
+        sim.faults.late_renewals = 10;
+        for n in 0..40 {
+            if n % 4 == 0 {
+                sim.deadly.insert(task_id(n, 0, 0));
+            }
+            sim.submit(n, "sweep", "w0", spec(vec![step(3, 1, 900)]), 900);
+            sim.run_for(500);
+        }
+        sim.run_for(20_000);
+    }
+}
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -49,6 +49,8 @@
     pub late: u32,
     /// Orders that are carried out and whose response is lost.
     pub unanswered: u32,
+    /// Renewals that are carried out seconds later, without a response.
+    pub late_renewals: u32,
 }
 
 /// An owner and its engine.
@@ -436,8 +438,9 @@
         let roll = self.rng.random_range(0..100);
         let delay = self.rng.random_range(1..4);
         let cut = matches!(order, Order::Renew(_)) && self.lost_renewals.contains(&target.name);
-        let lost = cut || roll < self.faults.late + self.faults.unanswered;
-        let late = roll < self.faults.late;
+        let late_renewal = matches!(order, Order::Renew(_)) && roll < self.faults.late_renewals;
+        let late = late_renewal || roll < self.faults.late;
+        let lost = cut || late || roll < self.faults.late + self.faults.unanswered;
         let at = if late {
             self.now + self.rng.random_range(2_000..12_000)
         } else {
