--- a/marigoldglade/tests/batch.rs
+++ b/marigoldglade/tests/batch.rs
@@ -349,7 +349,7 @@
         faults in proptest::collection::vec((0u32..9, 200u64..4_000), 3..14),
     ) {
         let mut sim = Simulation::new(seed, 2, 4);
-        sim.faults = Faults { late, unanswered };
+        sim.faults = Faults { late, unanswered, ..Faults::default() };
         let mut n = 0;
         let mut accepted = Vec::new();
         for (fault, pause) in faults {
@@ -832,7 +832,7 @@
     ) {
         let mut sim = Simulation::new(seed, 2, 6);
         (sim.reuse_ids, sim.new_names) = (true, new_names);
-        sim.faults = Faults { late, unanswered };
+        sim.faults = Faults { late, unanswered, ..Faults::default() };
         let (mut n, mut owners) = (0u64, 1);
         let mut accepted = Vec::new();
         for (fault, pause) in faults {
@@ -877,3 +877,49 @@
         }
     }
 }
+
+/// Guards against an idle worker that gets no work any more: a renewal to its earlier process is found
+/// lost after the new one has answered.
+#[test]
+fn a_worker_that_restarted_during_a_renewal_is_used_again() {
+    for seed in 90..98 {
+        let mut sim = Simulation::new(seed, 1, 1);
+        sim.reuse_ids = true;
+        sim.submit(1, "sweep", "w0", spec(vec![step(8, 1, 900)]), 900);
+        sim.run_for(100);
+        while sim.records[&job_id(1)].state != State::Done {
+            sim.run_for(1);
+        }
+        sim.faults.late = 100;
+        sim.run_for(60);
+        sim.faults.late = 0;
+        let now = sim.now;
+        sim.workers.values_mut().for_each(|x| x.restart(now));
+        let owner = sim.newest_owner();
+        sim.send_registry(owner);
+        sim.store_ms = 300;
+        sim.submit(2, "sweep", "w0", spec(vec![step(60, 1, 900)]), 900);
+        sim.run_for(30_000);
+        assert_eq!(sim.status(2), Some(JobStatus::Done));
+    }
+}
+
+/// Guards against a lost end: a renewal to a worker's earlier process is carried out late, by the new
+/// process under the same name, and acknowledges completions of it that aren't durable.
+#[test]
+fn a_late_renewal_acknowledges_nothing_of_the_next_process() {
+    for seed in 100..130 {
+        let mut sim = Simulation::new(seed, 2, 3);
+        sim.reuse_ids = true;
+        sim.store_ms = 200;
+        sim.faults.late_renewals = 10;
+        for n in 0..40 {
+            if n % 4 == 0 {
+                sim.deadly.insert(task_id(n, 0, 0));
+            }
+            sim.submit(n, "sweep", "w0", spec(vec![step(3, 1, 900)]), 900);
+            sim.run_for(500);
+        }
+        sim.run_for(20_000);
+    }
+}
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -53,6 +53,8 @@
     pub late: u32,
     /// Orders that are carried out and whose response is lost.
     pub unanswered: u32,
+    /// Renewals that are carried out seconds later, without a response.
+    pub late_renewals: u32,
 }
 
 /// An owner and its engine.
@@ -563,8 +565,9 @@
             Order::Stop(_) => self.lost_stops.contains(&target.name),
             Order::Start(_) | Order::SetPace(_) => false,
         };
-        let lost = cut || roll < self.faults.late + self.faults.unanswered;
-        let late = roll < self.faults.late;
+        let late_renewal = matches!(order, Order::Renew(_)) && roll < self.faults.late_renewals;
+        let late = late_renewal || roll < self.faults.late;
+        let lost = cut || late || roll < self.faults.late + self.faults.unanswered;
         let at = if late {
             self.now + self.rng.random_range(self.late_ms.clone())
         } else {
--- a/marigoldglade/tests/batch_capacity.rs
+++ b/marigoldglade/tests/batch_capacity.rs
@@ -244,7 +244,7 @@
     ) {
         let mut sim = Simulation::new(seed, 2, 4);
         sim.stop_enforcing();
-        sim.faults = Faults { late, unanswered };
+        sim.faults = Faults { late, unanswered, ..Faults::default() };
         let mut n = 0;
         let mut accepted = Vec::new();
         for (fault, pause) in faults {
