Read the keys again when the changes are too large for one response

What a daemon did, with the stand-in: after another writer had rewritten an entry of 1 MiB eight times during an outage, it asked for the same changes again without end, and workers that joined got no work.

Cause: a response above 8 MiB is dropped, and the watch was made again from the same revision until the store dropped that history.

Evidence: more_changes_than_a_response_may_have_are_passed_over failed before (no completion within 40 s).

Change: such a watch counts as one whose history is gone, and the keys are read again, which come in pages.

Result: the test passes, in 1.3 s.

--- a/marigoldgladed/src/batch/client.rs
+++ b/marigoldgladed/src/batch/client.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use marigoldglade::time::UnixMs;
@@ -34,6 +34,8 @@
     NotSent,
     /// The request may have reached the peer.
     Unknown,
+    /// The response is larger than a response may be.
+    TooLarge,
 }
 
 struct Conn {
@@ -90,7 +92,14 @@
         let body = Limited::new(response.into_body(), RESPONSE_LIMIT_BYTES)
             .collect()
             .await;
-        let body = body.map_err(|_| Failure::Unknown)?.to_bytes();
+        let body = body.map_err(|e| {
+            if e.is::<LengthLimitError>() {
+                Failure::TooLarge
+            } else {
+                Failure::Unknown
+            }
+        })?;
+        let body = body.to_bytes();
         self.keep_idle(addr, conn);
         Ok(Response { status, body })
     }
--- a/marigoldgladed/src/batch/orders.rs
+++ b/marigoldgladed/src/batch/orders.rs
@@ -83,6 +83,6 @@
             node.metrics.record_order(order, clock::now().since(began));
             platform::worker::decode(order, &response)
         }
-        Err(Failure::NotSent | Failure::Unknown) => OrderResponse::Lost,
+        Err(Failure::NotSent | Failure::Unknown | Failure::TooLarge) => OrderResponse::Lost,
     }
 }
--- a/marigoldgladed/src/batch/store.rs
+++ b/marigoldgladed/src/batch/store.rs
@@ -99,7 +99,15 @@
         let outcome = match sent {
             Ok(response) => platform::store::decode(call, &response),
             Err(Failure::NotSent) => Err(Fault::NotSent),
-            Err(Failure::Unknown) => Err(Fault::Unknown),
+            // The watch would find the same changes again; the keys themselves come in pages.
+            Err(Failure::TooLarge) if call.is_watch() => {
+                log::warn!("the changes since the last watch are too large for one response");
+                Ok(Reply {
+                    revision: 0,
+                    body: Body::Compacted,
+                })
+            }
+            Err(Failure::Unknown | Failure::TooLarge) => Err(Fault::Unknown),
         };
         self.record_outcome(call, &outcome);
         outcome
--- a/marigoldgladed/tests/odd_entries.rs
+++ b/marigoldgladed/tests/odd_entries.rs
@@ -5,7 +5,7 @@
 mod cluster;
 
 use cluster::{Cluster, POOL, job, wait_until};
-use platform_standin::store::Store;
+use platform_standin::store::{Behaviour, Store};
 use platform_standin::worker::Worker;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -131,3 +131,23 @@
         wait_until("completion", || c.daemons[0].state(id) == "completed");
     }
 }
+
+/// Another writer rewrites an entry of the largest size while a daemon can't watch: the changes take more than
+/// a response may have, and the daemon asked for the same ones again without end.
+#[test]
+fn more_changes_than_a_response_may_have_are_passed_over() {
+    let c = Cluster::new(0, 1);
+    let daemon = &c.daemons[0];
+    daemon.endpoint.set(Behaviour::Unavailable);
+    let large = vec![b'x'; 1 << 20];
+    for _ in 0..8 {
+        c.store.put("servers/i-odd", &large);
+    }
+    let worker = Worker::start(&c.store, "i-joined", POOL, "r1").expect("a port is free");
+    daemon.endpoint.set(Behaviour::Normal);
+    wait_until("acceptance", || {
+        daemon.submit(1, &job("run_ms=100", 1)) == 200
+    });
+    wait_until("completion", || daemon.state(1) == "completed");
+    assert_eq!(worker.started_runs().len(), 1);
+}
