--- a/marigoldgladed/tests/odd_entries.rs
+++ b/marigoldgladed/tests/odd_entries.rs
@@ -151,3 +151,30 @@
     wait_until("completion", || daemon.state(1) == "completed");
     assert_eq!(worker.started_runs().len(), 1);
 }
+
+#[rstest]
+#[case::nesting("[".repeat(100_000))]
+#[case::range("{\"version\":1e400}".to_owned())]
+#[case::missing("{\"version\":99}".to_owned())]
+#[case::empty(String::new())]
+fn a_configuration_that_cannot_be_read_leaves_the_old_one_in_force(#[case] odd: String) {
+    let mut c = Cluster::new(1, 2);
+    c.store.put("op/config", odd.as_bytes());
+    assert_eq!(c.daemons[0].submit(1, &job("run_ms=100", 1)), 200);
+    wait_until("completion", || c.daemons[1].state(1) == "completed");
+    wait_until("the line in the log", || {
+        c.daemons.iter().all(|d| {
+            !d.logged(
+                "message",
+                "can't decode the configuration; the old one stays in force",
+            )
+            .is_empty()
+        })
+    });
+    c.configure("other");
+    for daemon in &c.daemons {
+        wait_until("the next configuration", || {
+            daemon.call("GET", "/sweep/", "other", None).0 == 200
+        });
+    }
+}
