Reproduce done tasks that start again when a report lists 500 completions

What callers would see: tasks that are done run again (TWICE).

Suspected cause: a report lists 500 completions at most. A run whose completion comes after them is in neither list, and `remove_missing` takes it off the books.

Evidence: the simulated worker now has the platform's limit, and the test fails on: task 500 of 1,000 small ones is started again.

--- a/marigoldglade/tests/batch_takeover.rs
+++ b/marigoldglade/tests/batch_takeover.rs
@@ -175,3 +175,16 @@
     assert_eq!(sim.status(1), Some(JobStatus::Done));
     assert_eq!(sim.starts, 1);
 }
+
+/// Guards against a done task that is started again: a worker has more completions than one report
+/// lists.
+#[test]
+fn completions_beyond_one_report_are_not_missing_runs() {
+    let mut sim = Simulation::new(50, 1, 1);
+    let mut small = step(1_000, 0, 1_500);
+    (small.resources.cpu, small.resources.mem) = (30, 10);
+    sim.submit(1, "sweep", "w0", spec(vec![small]), 1_500);
+    sim.run_for(20_000);
+    assert_eq!(sim.status(1), Some(JobStatus::Done));
+    assert_eq!(sim.starts, 1_000);
+}
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -12,6 +12,8 @@
 
 /// The longest lease that a worker holds, in milliseconds.
 pub const LEASE_LIMIT_MS: u64 = 10_000;
+/// The most completions in one report.
+pub const REPORTED_COMPLETIONS: usize = 500;
 
 /// A run on a simulated worker.
 #[derive(Clone, Debug)]
@@ -348,7 +350,12 @@
             clock,
             started_at: self.target.started_at,
             running: running.collect(),
-            completions: self.completions.clone(),
+            completions: self
+                .completions
+                .iter()
+                .take(REPORTED_COMPLETIONS)
+                .cloned()
+                .collect(),
         })
     }
 }
