Reproduce workers that get no work after a restart under their ids

Suspected cause: `update_worker` returns before it marks a restarted worker as listed. A worker that wasn't listed (its entry had expired, or a new owner knows it only from the stored list) stays so. If its wait has passed as well, it is never asked for a report, so no later entry helps.

--- a/marigoldglade/tests/batch_takeover.rs
+++ b/marigoldglade/tests/batch_takeover.rs
@@ -188,3 +188,50 @@
     assert_eq!(sim.status(1), Some(JobStatus::Done));
     assert_eq!(sim.starts, 1_000);
 }
+
+/// Guards against a worker that gets no work: its entry expired after a crash, and its next process
+/// registers under the same id.
+#[rstest]
+#[case::before_the_entry_expired(false)]
+#[case::after_the_entry_expired(true)]
+fn a_worker_that_restarts_under_its_id_gets_work(#[case] expired: bool) {
+    let mut sim = Simulation::new(51, 1, 1);
+    sim.reuse_ids = true;
+    sim.run_for(300);
+    let owner = sim.newest_owner();
+    sim.workers.get_mut("worker-0-0").unwrap().unreachable = true;
+    if expired {
+        let listed = std::mem::take(&mut sim.listed);
+        sim.send_registry(owner);
+        sim.run_for(1_000);
+        sim.listed = listed;
+    }
+    let now = sim.now;
+    let worker = sim.workers.get_mut("worker-0-0").unwrap();
+    worker.restart(now);
+    worker.unreachable = false;
+    sim.send_registry(owner);
+    sim.run_for(300);
+    sim.send_registry(owner);
+    sim.submit(1, "sweep", "w0", spec(vec![step(1, 8, 900)]), 900);
+    sim.run_for(20_000);
+    assert_eq!(sim.status(1), Some(JobStatus::Done));
+}
+
+/// Guards against a worker that gets no work: it restarted under its id while there was no owner, and
+/// nothing else changes in the registry.
+#[test]
+fn a_worker_that_restarted_before_the_election_gets_work() {
+    let mut sim = Simulation::new(49, 1, 1);
+    sim.reuse_ids = true;
+    sim.run_for(300);
+    sim.kill_newest_owner();
+    let now = sim.now;
+    sim.workers.get_mut("worker-0-0").unwrap().restart(now);
+    sim.run_for(1_500);
+    sim.elect();
+    sim.run_for(2_000);
+    sim.submit(1, "sweep", "w0", spec(vec![step(1, 8, 900)]), 900);
+    sim.run_for(8_000);
+    assert_eq!(sim.status(1), Some(JobStatus::Done));
+}
