Reproduce completions of a restarted worker that are never acknowledged

What callers would see: nothing at once; the worker keeps the completions and reports them again (Acks).

Suspected cause: two changes of the registry within a round trip send two renewals to a restarted worker, both with the number of its earlier process. The first report resets the acknowledgements; the response to the second one records the old number as acknowledged.

Evidence: the test fails on: one completion is still there 5 s after the job was done.

--- a/marigoldglade/tests/batch_takeover.rs
+++ b/marigoldglade/tests/batch_takeover.rs
@@ -235,3 +235,32 @@
     sim.run_for(8_000);
     assert_eq!(sim.status(1), Some(JobStatus::Done));
 }
+
+/// Guards against completions that are never acknowledged: two renewals with an acknowledgement for
+/// the earlier process are answered by the next one.
+#[test]
+fn completions_of_a_restarted_worker_are_acknowledged() {
+    let mut sim = Simulation::new(45, 1, 1);
+    sim.reuse_ids = true;
+    sim.submit(1, "sweep", "w0", spec(vec![step(3, 2, 300)]), 300);
+    sim.run_for(250);
+    let sent = sim.done.len();
+    assert_eq!(sent, 0);
+    while sim.done.len() < 3 {
+        sim.run_for(1);
+    }
+    sim.run_for(8);
+    sim.lost_renewals.insert("worker-0-0".to_owned());
+    sim.run_for(700);
+    sim.lost_renewals.clear();
+    let now = sim.now;
+    sim.workers.get_mut("worker-0-0").unwrap().restart(now);
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.send_registry(owner);
+    sim.run_for(15_000);
+    sim.submit(2, "sweep", "w0", spec(vec![step(2, 2, 300)]), 300);
+    sim.run_for(5_000);
+    assert_eq!(sim.status(2), Some(JobStatus::Done));
+    assert_eq!(sim.workers["worker-0-0"].completions, []);
+}
