Reproduce a worker that gets no work after a renewal to its earlier process is lost

What callers would see: queued jobs that don't start although a worker is free (LOST, RECLAIM).

Suspected cause: the loss of a renewal to the earlier process comes after the next one has reported, and raises `failed_renewals`. The worker isn't usable then, and as an idle one that has answered it gets no renewal that could show otherwise.

--- a/marigoldglade/tests/batch_takeover.rs
+++ b/marigoldglade/tests/batch_takeover.rs
@@ -413,3 +413,14 @@
     sim.run_for(60_000);
     assert_eq!(sim.status(2), Some(JobStatus::Done));
 }
+
+/// Guards against a worker that gets no work: the loss of a renewal that was sent to its earlier
+/// process counts against the next one, which is idle and is asked nothing more.
+#[test]
+fn a_lost_renewal_to_an_earlier_process_does_not_silence_the_next() {
+    let mut sim = Simulation::new(54, 1, 2);
+    restart_during_renewal(&mut sim);
+    sim.submit(2, "sweep", "w0", spec(vec![step(1, 8, 900)]), 900);
+    sim.run_for(20_000);
+    assert_eq!(sim.status(2), Some(JobStatus::Done));
+}
