Play elections, restarts and lost orders more densely in a property test

`guarantees_hold_under_faults` seldom starts work within seconds of an election on a worker that falls silent. This test mixes elections (the former owner killed or still alive), lost renewals, late and unanswered orders, cut, restarted and draining workers, expired entries and a store that refuses commits, on four workers with tasks of 6 s and of 700 ms. It plays 60 cases, or those that `PROPTEST_CASES` gives.

--- a/marigoldglade/tests/batch_takeover.rs
+++ b/marigoldglade/tests/batch_takeover.rs
@@ -6,10 +6,12 @@
 
 use marigoldglade::batch::engine::{Event, WorkerKey};
 use marigoldglade::batch::id::TaskId;
-use marigoldglade::batch::messages::JobStatus;
+use marigoldglade::batch::messages::{JobStatus, Reply};
 use marigoldglade::batch::worker::{Order, OrderResponse, Refusal, Renewal, Start, Stop};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
-use simulation::{Simulation, spec, step};
+use simulation::{Faults, Simulation, spec, step};
 
 /// Returns a worker with a run.
 fn busy_worker(sim: &Simulation) -> String {
@@ -424,3 +426,180 @@
     sim.run_for(20_000);
     assert_eq!(sim.status(2), Some(JobStatus::Done));
 }
+
+/// Something that happens to the simulated platform; most of it happens around elections.
+#[derive(Clone, Copy, Debug)]
+enum Disturbance {
+    /// The owner loses its process, and a new one is elected after a while.
+    OwnerKilled,
+    /// A new owner is elected while the former one continues until something fences it.
+    OwnerReplaced,
+    /// No renewals reach a worker.
+    RenewalsLost,
+    /// Nothing reaches a worker.
+    WorkerCut,
+    /// All workers are reached again.
+    Healed,
+    /// A worker restarts under its id, and the registry shows it later.
+    WorkerRestarted,
+    /// A worker drains, leaves, and registers again under its id.
+    WorkerDrained,
+    /// A worker's entry expires and is back.
+    EntryExpired,
+    /// Many orders get no response and are carried out late.
+    OrdersLate,
+    /// Many orders are carried out and get no response.
+    ResponsesLost,
+    /// The store refuses commits.
+    StoreDown,
+}
+
+impl Disturbance {
+    fn happen(self, sim: &mut Simulation, worker: &str, pause: u64) {
+        let owner = sim.newest_owner();
+        match self {
+            Self::OwnerKilled => {
+                sim.kill_newest_owner();
+                sim.run_for(200 + pause);
+                sim.predecessors_ended = sim.owners.iter().all(|o| !o.alive);
+                sim.elect();
+            }
+            Self::OwnerReplaced => {
+                sim.predecessors_ended = false;
+                sim.elect();
+            }
+            Self::RenewalsLost => {
+                sim.lost_renewals.insert(worker.to_owned());
+            }
+            Self::WorkerCut => {
+                let process = sim.workers.get_mut(worker).expect("known worker");
+                process.unreachable = true;
+            }
+            Self::Healed => heal(sim),
+            Self::WorkerRestarted => {
+                let now = sim.now;
+                sim.workers
+                    .get_mut(worker)
+                    .expect("known worker")
+                    .restart(now);
+                sim.run_for(pause);
+                sim.send_registry(owner);
+            }
+            Self::WorkerDrained => {
+                sim.workers
+                    .get_mut(worker)
+                    .expect("known worker")
+                    .target
+                    .draining = true;
+                sim.send_registry(owner);
+                sim.run_for(pause);
+                sim.listed.remove(worker);
+                sim.send_registry(owner);
+                let now = sim.now;
+                let process = sim.workers.get_mut(worker).expect("known worker");
+                process.restart(now);
+                process.target.draining = false;
+                sim.run_for(200);
+                sim.listed.insert(worker.to_owned());
+                sim.send_registry(owner);
+            }
+            Self::EntryExpired => {
+                sim.listed.remove(worker);
+                sim.send_registry(owner);
+                sim.run_for(pause);
+                sim.listed.insert(worker.to_owned());
+                sim.send_registry(owner);
+            }
+            Self::OrdersLate | Self::ResponsesLost => {
+                let share = if matches!(self, Self::OrdersLate) {
+                    (60, 0)
+                } else {
+                    (0, 60)
+                };
+                (sim.faults.late, sim.faults.unanswered) = share;
+                sim.run_for(pause / 2);
+                sim.faults = Faults::default();
+            }
+            Self::StoreDown => {
+                sim.store_down = true;
+                sim.run_for(pause);
+                sim.store_down = false;
+            }
+        }
+    }
+}
+
+fn heal(sim: &mut Simulation) {
+    sim.lost_renewals.clear();
+    sim.workers.values_mut().for_each(|w| w.unreachable = false);
+}
+
+/// Plays disturbances, each with the number of a worker and a pause, while short and long tasks run.
+/// The simulation checks the guarantees; at the end all jobs must be done.
+fn play(seed: u64, disturbances: &[(Disturbance, u64, u64)]) {
+    let mut sim = Simulation::new(seed, 2, 2);
+    sim.reuse_ids = true;
+    sim.run_for(300);
+    let mut accepted = Vec::new();
+    for (n, (disturbance, worker, pause)) in (1u64..).zip(disturbances) {
+        let long = spec(vec![step(1, 8, 6_000)]);
+        let short = spec(vec![step(2, 1 + n % 8, 700)]);
+        accepted.push((sim.submit(2 * n, "sweep", "w0", long, 6_000), 2 * n));
+        accepted.push((sim.submit(2 * n + 1, "urgent", "w1", short, 700), 2 * n + 1));
+        sim.run_for(60);
+        let name = format!("worker-{}-{}", worker / 2 % 2, worker % 2);
+        disturbance.happen(&mut sim, &name, *pause);
+        sim.run_for(*pause / 2);
+    }
+    heal(&mut sim);
+    let owner = sim.newest_owner();
+    if !sim.owners[owner].alive {
+        sim.predecessors_ended = false;
+        sim.elect();
+    }
+    accepted.retain(|(call_id, _)| sim.replies.get(call_id) == Some(&Reply::Accepted));
+    let end = sim.now + 90_000;
+    while sim.now < end && !sim.all_done(accepted.iter().map(|(_, n)| *n)) {
+        sim.run_for(1_000);
+    }
+    for (_, n) in accepted {
+        assert_eq!(sim.status(n), Some(JobStatus::Done), "job {n}");
+    }
+}
+
+const DISTURBANCES: [(u32, Disturbance); 11] = [
+    (5, Disturbance::OwnerKilled),
+    (2, Disturbance::OwnerReplaced),
+    (4, Disturbance::RenewalsLost),
+    (1, Disturbance::WorkerCut),
+    (2, Disturbance::Healed),
+    (3, Disturbance::WorkerRestarted),
+    (2, Disturbance::WorkerDrained),
+    (2, Disturbance::EntryExpired),
+    (3, Disturbance::OrdersLate),
+    (2, Disturbance::ResponsesLost),
+    (1, Disturbance::StoreDown),
+];
+
+fn any_disturbance() -> impl Strategy<Value = Disturbance> {
+    let weighted = DISTURBANCES.map(|(weight, d)| (weight, Just(d)));
+    proptest::strategy::Union::new_weighted(weighted.to_vec())
+}
+
+/// Returns how many cases to play: `PROPTEST_CASES`, or those of a short run.
+fn case_count() -> u32 {
+    let cases = std::env::var("PROPTEST_CASES");
+    cases.ok().and_then(|c| c.parse().ok()).unwrap_or(60)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: case_count(), failure_persistence: None, rng_seed: RngSeed::Fixed(20_261_205), ..ProptestConfig::default() })]
+
+    #[test]
+    fn guarantees_hold_around_elections(
+        seed in any::<u64>(),
+        disturbances in proptest::collection::vec((any_disturbance(), 0u64..4, 100u64..2_500), 4..16),
+    ) {
+        play(seed, &disturbances);
+    }
+}
