--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -75,6 +75,8 @@
     pub late_ms: Range<u64>,
     /// Workers that no renewals reach.
     pub lost_renewals: BTreeSet<String>,
+    /// Workers that no orders besides renewals reach.
+    pub lost_orders: BTreeSet<String>,
     /// Whether a restarted worker keeps its id and obeys orders meant for its earlier process.
     pub reuse_ids: bool,
     /// Whether a crashed worker comes back under another name at the same address.
@@ -264,6 +266,7 @@
             faults: Faults::default(),
             late_ms: 2_000..12_000,
             lost_renewals: BTreeSet::new(),
+            lost_orders: BTreeSet::new(),
             reuse_ids: false,
             new_names: false,
             replaced: BTreeSet::new(),
@@ -562,8 +565,10 @@
         self.renewals += u32::from(matches!(order, Order::Renew(_)));
         let cut = match &order {
             Order::Renew(_) => self.lost_renewals.contains(&target.name),
-            Order::Stop(_) => self.lost_stops.contains(&target.name),
-            Order::Start(_) | Order::SetPace(_) => false,
+            Order::Stop(_) if self.lost_stops.contains(&target.name) => true,
+            Order::Start(_) | Order::Stop(_) | Order::SetPace(_) => {
+                self.lost_orders.contains(&target.name)
+            }
         };
         let late_renewal = matches!(order, Order::Renew(_)) && roll < self.faults.late_renewals;
         let late = late_renewal || roll < self.faults.late;
