Keep the bound on a worker's leases over a second restart

Found in review.

Cause: a restart set the bound anew, also to an earlier time than the loss of a renewal to a process before had set.

Evidence: batch_takeover::a_late_lease_is_waited_for_after_another_restart failed before. Change: the bound only rises. Result: the test passes.

--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -554,7 +554,8 @@
         self.blame(&ended);
         let worker = self.worker_mut(key);
         // Orders to the earlier incarnation may have reached this one, or may do so later.
-        worker.foreign_until = worker.late_until.max(now).after(longest_wait(lease));
+        let foreign_until = worker.late_until.max(now).after(longest_wait(lease));
+        worker.foreign_until = worker.foreign_until.max(foreign_until);
         worker.idle_until = worker.idle_until.max(worker.late_ack_until);
         // A worker cuts the deadline of a start meant for another incarnation to the longest lease.
         let left = if worker.runs.is_empty() {
