Take no run as missing from a report that may list only part of the completions

What callers would see: a done task that starts again (TWICE), on a worker where more than 500 runs end before an acknowledgement, as in an outage of the store. Found in review.

Cause: a report lists at most 500 completions. A run whose completion comes later was neither running nor ended, and counted as missing.

Evidence: batch_takeover::completions_beyond_one_report_are_not_missing_runs failed before. Change: runs are looked for only in reports with fewer completions; the rest follows once those are acknowledged. Result: the test passes.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -248,7 +248,9 @@
         for row in &report.running {
             self.apply_running(key, row, report.clock, out);
         }
-        self.remove_missing(key, &report);
+        if !report.is_partial() {
+            self.remove_missing(key, &report);
+        }
         let worker = self.worker_mut(key);
         let ruled_out = |s: &LostStart| s.stopped_clock.is_some_and(|c| c < report.clock);
         worker.stale_starts.retain(|s| !ruled_out(s));
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -280,6 +280,9 @@
     pub checkpoint: String,
 }
 
+/// The most completions that a report lists; later ones follow once these are acknowledged.
+pub const REPORTED_COMPLETIONS: usize = 500;
+
 /// A worker's response to a [`Renewal`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -294,6 +297,12 @@
 }
 
 impl Report {
+    /// Returns whether there may be completions that the report doesn't list.
+    #[must_use]
+    pub const fn is_partial(&self) -> bool {
+        self.completions.len() >= REPORTED_COMPLETIONS
+    }
+
     /// Returns whether a run is listed, in progress or completed.
     #[must_use]
     pub fn lists(&self, task: &TaskId, run: u64) -> bool {
