List a worker whose restart the registry shows

What callers would see: work that waits beside a free worker. Found in review.

Cause: an entry with a newer start time only asked for a report, and the worker wasn't marked as listed. One that wasn't listed before, after its entry had expired or in the list of an earlier owner, was never asked and got no work until its entry changed otherwise.

Evidence: batch_takeover::a_worker_that_restarts_under_its_id_gets_work (after its entry expired) and a_worker_that_restarted_before_the_election_gets_work failed before. Change: the entry lists the worker. Result: both pass.

--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -473,6 +473,7 @@
                 started_at: incarnations.0,
                 ..target
             });
+            worker.listed = true;
             worker.answered = false;
             worker.recorded = false;
             worker.renewal_pending = false;
