Count no acknowledgement of an earlier process as the next one's

What operators would see: a worker that keeps completions for good, and is asked again and again. Found in review.

Cause: the answer to a renewal that carried a number of the worker's earlier process set the next one's acknowledged number, so its own completions up to that number counted as acknowledged.

Evidence: batch_takeover::completions_of_a_restarted_worker_are_acknowledged failed before. Change: only a number that this process has made durable is taken. Result: the test passes.

--- a/marigoldglade/src/batch/engine/acks.rs
+++ b/marigoldglade/src/batch/engine/acks.rs
@@ -54,8 +54,11 @@
         self.durable > self.acked
     }
 
-    /// Notes that the worker answered an acknowledgement.
+    /// Notes that the worker answered an acknowledgement. A number that isn't durable was meant for an
+    /// earlier process.
     pub fn acknowledge(&mut self, number: u64) {
-        self.acked = self.acked.max(number);
+        if number <= self.durable {
+            self.acked = self.acked.max(number);
+        }
     }
 }
