Drop responses that an earlier process of a worker sent

What callers would see: a task that is never started again after its worker has gone, or whose start the worker's next process never got. Found in review, with responses delivered by hand.

Cause: a response that arrives after a restart was noticed counted as the next process's. Its clock, far ahead, stretched the bound on the leases, or confirmed a run for a time that no report reaches.

Evidence: batch_takeover::a_stale_clock_of_an_earlier_process_extends_no_leases and both cases of a_late_response_of_an_earlier_process_confirms_no_run failed before. Change: a clock that reads more than time allows since the last reading shows an earlier process, as that one started before; the response counts as lost.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -125,6 +125,17 @@
             out.push(Action::StepDown);
             return;
         }
+        let clock = match &response {
+            OrderResponse::Accepted(clock) => Some(*clock),
+            OrderResponse::Refused(_, clock) => *clock,
+            OrderResponse::Report(_) | OrderResponse::Lost => None,
+        };
+        let response = if clock.is_some_and(|c| !self.is_plausible(key, c)) {
+            log::warn!(worker = self.worker(key).target.name.as_str(), clock; "response of a worker dropped: it belongs to an earlier process");
+            OrderResponse::Lost
+        } else {
+            response
+        };
         let lost = matches!(response, OrderResponse::Lost);
         self.counts.lost += u64::from(lost);
         match order {
@@ -143,6 +154,15 @@
         }
     }
 
+    /// Returns whether a worker's process can have read its clock like this: it started later than each
+    /// earlier one, so its clock reads less than theirs would.
+    fn is_plausible(&self, key: WorkerKey, clock: u64) -> bool {
+        self.worker(key).clock_reading.is_none_or(|r| {
+            let passed = self.now.since(r.at);
+            clock <= r.clock.saturating_add(passed + REORDER_LIMIT_MS)
+        })
+    }
+
     /// Records a reading of a worker's clock unless it is older than the last one.
     pub(super) fn record_clock(&mut self, key: WorkerKey, clock: Option<u64>) {
         let now = self.now;
