Record two cases of late orders that break a guarantee after restarts

What callers would see: a done task starts again, or a completion is forgotten before it is durable (TWICE).

Cause: not traced. In both cases orders are carried out late around restarts of workers under their ids, as in the lost starts that are reproduced beside them.

--- a/marigoldglade/tests/batch_takeover.rs
+++ b/marigoldglade/tests/batch_takeover.rs
@@ -603,3 +603,29 @@
         play(seed, &disturbances);
     }
 }
+
+/// Guards against done tasks that start again, and against completions that are acknowledged before
+/// they are durable, with late orders to workers that restart.
+#[rstest]
+#[case::done_task_starts_again(5_882, &[
+    (Disturbance::WorkerCut, 3, 1_773),
+    (Disturbance::OwnerKilled, 3, 1_606),
+    (Disturbance::WorkerRestarted, 3, 725),
+    (Disturbance::OrdersLate, 3, 1_660),
+    (Disturbance::WorkerDrained, 1, 2_278),
+])]
+#[case::completion_acknowledged_too_early(2_456, &[
+    (Disturbance::WorkerDrained, 1, 506),
+    (Disturbance::OrdersLate, 0, 595),
+    (Disturbance::EntryExpired, 0, 562),
+    (Disturbance::OwnerKilled, 0, 1_642),
+    (Disturbance::ResponsesLost, 0, 433),
+    (Disturbance::WorkerRestarted, 2, 1_415),
+    (Disturbance::WorkerDrained, 3, 1_327),
+])]
+fn late_orders_do_no_harm_after_restarts(
+    #[case] seed: u64,
+    #[case] disturbances: &[(Disturbance, u64, u64)],
+) {
+    play(seed, disturbances);
+}
