Move the accounting of leases out of the list of workers

What decides until when a worker may hold leases is in leases.rs; the check for responses of an earlier process or address is one function. No decision changes.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -13,6 +13,7 @@
 mod completions;
 mod crashes;
 mod job;
+mod leases;
 mod orders;
 mod pacing;
 mod plan;
@@ -36,7 +37,7 @@
 use advise::AdviceRequest;
 use commit::PendingCommit;
 use job::Job;
-pub use workers::UNCONFIRMED_LIMIT_MS;
+pub use leases::UNCONFIRMED_LIMIT_MS;
 use workers::Worker;
 
 /// Identifies a job within this process.
--- /dev/null
+++ b/marigoldglade/src/batch/engine/leases.rs
@@ -0,0 +1,140 @@
+//! Leases on workers: until when a worker may hold them, also those that this owner didn't renew.
+//!
+//! All leases on a worker end together and never shorten. An owner that gives up a silent worker's runs
+//! too early has them run twice, so the bound covers what earlier owners renewed and what orders to an
+//! earlier process of the worker extend.
+
+use crate::batch::engine::Engine;
+use crate::batch::engine::orders::LATE_ORDER_MS;
+use crate::batch::engine::workers::Worker;
+use crate::batch::worker::Target;
+use crate::time::UnixMs;
+
+/// The length of a renewed lease, in milliseconds. It outlasts a takeover (the owner's lease and
+/// the loading of all records) and is far below the platform's longest lease.
+pub const LEASE_MS: u64 = 5_000;
+/// How long an owner may continue while the store doesn't confirm its ownership, in milliseconds.
+/// It bridges an outage of the store. A new owner relies on the old one to renew no leases after it.
+pub const UNCONFIRMED_LIMIT_MS: u64 = 10_000;
+/// How much slower than this process's clock a worker's clock may run, in percent; the platform
+/// guarantees this bound.
+pub(super) const CLOCK_DRIFT_PERCENT: u64 = 2;
+/// A margin added to each computed expiry for responses under way, in milliseconds.
+const EXPIRY_SLACK_MS: u64 = 300;
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClockReading {
+    /// The time on the worker's clock, in milliseconds.
+    pub clock: u64,
+    /// When the response with it arrived.
+    pub at: UnixMs,
+}
+
+/// Returns how long to wait for a lease with `left_ms` left on a worker's clock, on this process's
+/// clock.
+pub(super) const fn longest_wait(left_ms: u64) -> u64 {
+    left_ms.saturating_mul(100) / (100 - CLOCK_DRIFT_PERCENT) + EXPIRY_SLACK_MS
+}
+
+impl Worker {
+    /// Returns a lower bound of the worker's clock at `now`.
+    pub fn clock(&self, now: UnixMs) -> Option<u64> {
+        let reading = self.clock_reading?;
+        let passed = now.since(reading.at);
+        let drift = passed * CLOCK_DRIFT_PERCENT / 100;
+        Some(reading.clock.saturating_add(passed - drift))
+    }
+
+    /// Returns when all leases of the worker have certainly expired.
+    pub fn all_leases_expired_at(&self) -> UnixMs {
+        let Some(reading) = self.clock_reading else {
+            return self.uncertain_until.max(self.foreign_until);
+        };
+        let left = self.lease_expires_at.saturating_sub(reading.clock);
+        reading.at.after(longest_wait(left)).max(self.foreign_until)
+    }
+
+    /// Notes the response to an order that extends leases to `expires_at`, or its loss.
+    ///
+    /// An expiry beyond all that were sent to the worker's process was meant for an earlier one, whose
+    /// clock read later: this process then holds its leases for `lease_limit_ms`.
+    pub fn note_expiry(&mut self, now: UnixMs, expires_at: u64, lost: bool, lease_limit_ms: u64) {
+        let late_until = now.after(if lost { LATE_ORDER_MS } else { 0 });
+        if expires_at > self.lease_expires_at {
+            let end = late_until.after(longest_wait(lease_limit_ms));
+            self.foreign_until = self.foreign_until.max(end);
+        } else if expires_at > 0 {
+            self.late_until = self.late_until.max(late_until);
+        }
+    }
+
+    /// Notes that the worker's process has answered this owner and so refuses earlier ones, whose leases
+    /// last for `foreign_ms` from now on at most; `None` if there were none.
+    pub fn fence(&mut self, now: UnixMs, foreign_ms: Option<u64>) {
+        if let Some(ms) = foreign_ms.filter(|_| !self.fenced) {
+            self.foreign_until = self.foreign_until.max(now.after(ms));
+        }
+        self.fenced = true;
+    }
+
+    /// Notes that orders to the worker's earlier process may have reached the present one, or may do so
+    /// later.
+    pub fn expect_late_orders(&mut self, now: UnixMs, lease_limit_ms: u64) {
+        let last = self.late_until.max(now);
+        let end = last.after(longest_wait(lease_limit_ms));
+        self.foreign_until = self.foreign_until.max(end);
+        self.idle_until = self.idle_until.max(self.late_ack_until);
+    }
+
+    /// Notes that an acknowledgement of completions up to `number` got no response.
+    ///
+    /// One beyond what this process has made durable was meant for an earlier process.
+    pub fn note_lost_ack(&mut self, now: UnixMs, number: u64) {
+        let late_until = now.after(LATE_ORDER_MS);
+        if number > self.acks.ackable() {
+            self.idle_until = self.idle_until.max(late_until);
+        } else if number > 0 {
+            self.late_ack_until = self.late_ack_until.max(late_until);
+        }
+    }
+}
+
+impl Engine {
+    /// Adds a worker that may run tasks of an earlier owner.
+    pub(super) fn inherit_worker(&mut self, target: Target, predecessors_ended: bool) {
+        let unconfirmed_ms = if predecessors_ended {
+            0
+        } else {
+            UNCONFIRMED_LIMIT_MS
+        };
+        let uncertain_until = self.now.after(unconfirmed_ms + self.inherited_lease_ms());
+        let key = self.add_worker(target);
+        let worker = self.worker_mut(key);
+        worker.inherited = true;
+        worker.uncertain_until = uncertain_until;
+    }
+
+    /// Returns how long a lease that an earlier owner renews now can last, on this process's clock.
+    fn inherited_lease_ms(&self) -> u64 {
+        longest_wait(self.bounds.lease_limit_ms.min(LEASE_MS))
+    }
+
+    /// Returns how long a lease can last that isn't known to this owner, on this process's clock.
+    pub(super) fn foreign_lease_ms(&self) -> u64 {
+        longest_wait(self.bounds.lease_limit_ms)
+    }
+
+    /// Shortens the wait for silent workers now that no earlier owner renews leases any more.
+    pub(super) fn limit_inherited_leases(&mut self) {
+        let end = self.now.after(self.inherited_lease_ms());
+        let mut silent = 0;
+        for worker in &mut self.workers {
+            if worker.inherited && !worker.answered {
+                worker.uncertain_until = worker.uncertain_until.min(end);
+                silent += 1;
+            }
+        }
+        log::info!(term = self.term, silent; "earlier owners have ended; their leases expire");
+    }
+}
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -3,10 +3,9 @@
 
 use std::sync::Arc;
 
+use crate::batch::engine::leases::{ClockReading, LEASE_MS};
 use crate::batch::engine::orders::UNHEALTHY_PAUSE_MS;
-use crate::batch::engine::workers::{
-    ClockReading, LEASE_MS, LostStart, Run, SILENT_THRESHOLD, Stage,
-};
+use crate::batch::engine::workers::{LostStart, Run, SILENT_THRESHOLD, Stage};
 use crate::batch::engine::{Action, Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::worker::{
@@ -125,16 +124,7 @@
             out.push(Action::StepDown);
             return;
         }
-        let clock = match &response {
-            OrderResponse::Accepted(clock) => Some(*clock),
-            OrderResponse::Refused(_, clock) => *clock,
-            OrderResponse::Report(_) | OrderResponse::Lost => None,
-        };
-        // Another process may use an address that the worker has left.
-        let moved = matches!(response, OrderResponse::Refused(Refusal::Reborn, _))
-            && !self.worker(key).moved_until.passed(self.now);
-        let response = if moved || clock.is_some_and(|c| !self.is_plausible(key, c)) {
-            log::warn!(worker = self.worker(key).target.name.as_str(), clock, moved; "response of a worker dropped: it belongs to an earlier process or address");
+        let response = if self.is_foreign(key, &response) {
             OrderResponse::Lost
         } else {
             response
@@ -157,13 +147,26 @@
         }
     }
 
-    /// Returns whether a worker's process can have read its clock like this: it started later than each
-    /// earlier one, so its clock reads less than theirs would.
-    fn is_plausible(&self, key: WorkerKey, clock: u64) -> bool {
-        self.worker(key).clock_reading.is_none_or(|r| {
+    /// Returns whether a response comes from an earlier process of a worker, or from another one at an
+    /// address that the worker has left.
+    fn is_foreign(&self, key: WorkerKey, response: &OrderResponse) -> bool {
+        let worker = self.worker(key);
+        let clock = match response {
+            OrderResponse::Accepted(clock) => Some(*clock),
+            OrderResponse::Refused(_, clock) => *clock,
+            OrderResponse::Report(_) | OrderResponse::Lost => None,
+        };
+        // A process started later than each earlier one, so its clock reads less than theirs would.
+        let ahead = worker.clock_reading.is_some_and(|r| {
             let passed = self.now.since(r.at);
-            clock <= r.clock.saturating_add(passed + REORDER_LIMIT_MS)
-        })
+            clock > Some(r.clock.saturating_add(passed + REORDER_LIMIT_MS))
+        });
+        let reborn = matches!(response, OrderResponse::Refused(Refusal::Reborn, _));
+        let moved = reborn && !worker.moved_until.passed(self.now);
+        if ahead || moved {
+            log::warn!(worker = worker.target.name.as_str(), clock, moved; "response dropped: it comes from an earlier process or address of a worker");
+        }
+        ahead || moved
     }
 
     /// Records a reading of a worker's clock unless it is older than the last one.
@@ -279,17 +282,12 @@
         worker.stale_starts.retain(|s| !ruled_out(s));
         self.check_stalls(key);
         self.update_pace(key, &report, out);
-        // Leases never shorten, so those of an earlier owner also hold the runs that this one starts.
-        // The report was made under this owner's term, and the worker refuses earlier owners since.
-        let foreign_until = self.now.after(self.foreign_lease_ms());
-        let has_predecessors = self.has_predecessors;
+        let now = self.now;
+        let foreign_ms = self.has_predecessors.then(|| self.foreign_lease_ms());
         let worker = self.worker_mut(key);
         if !worker.answered {
             worker.answered = true;
-            if has_predecessors && !worker.fenced {
-                worker.foreign_until = worker.foreign_until.max(foreign_until);
-            }
-            worker.fenced = true;
+            worker.fence(now, foreign_ms);
             let missing = !worker.recorded;
             log::info!(worker = worker.target.name.as_str(), runs = worker.runs.len(), clock = report.clock; "worker answered the owner");
             self.workers_dirty |= missing;
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::batch::engine::acks::Acks;
-use crate::batch::engine::orders::LATE_ORDER_MS;
+use crate::batch::engine::leases::{CLOCK_DRIFT_PERCENT, ClockReading};
 use crate::batch::engine::reports::REORDER_LIMIT_MS;
 use crate::batch::engine::{Engine, Heartbeat, JobKey, WorkerKey};
 use crate::batch::health::Health;
@@ -14,18 +14,6 @@
 use crate::batch::worker::{Report, Resources, Target};
 use crate::time::UnixMs;
 
-/// The length of a renewed lease, in milliseconds. It outlasts a takeover (the owner's lease and
-/// the loading of all records) and is far below the platform's longest lease.
-pub const LEASE_MS: u64 = 5_000;
-/// How long an owner may continue while the store doesn't confirm its ownership, in milliseconds.
-/// It bridges an outage of the store. A new owner relies on the old one to renew no leases after it.
-pub const UNCONFIRMED_LIMIT_MS: u64 = 10_000;
-/// How much slower than this process's clock a worker's clock may run, in percent; the platform
-/// guarantees this bound.
-const CLOCK_DRIFT_PERCENT: u64 = 2;
-/// A margin added to each computed expiry for responses under way, in milliseconds.
-const EXPIRY_SLACK_MS: u64 = 300;
-
 /// How long after it shrinks a worker's old capacity may still be used, in milliseconds: the shortest
 /// time in touch of the platform, and a heartbeat.
 const SHRINK_DELAY_MS: u64 = 4_500;
@@ -37,15 +25,6 @@
 /// How long a start may be under way to a worker, in milliseconds: twice an order's timeout.
 const START_TRANSIT_MS: u64 = 1_000;
 
-/// A reading of a worker's clock.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ClockReading {
-    /// The time on the worker's clock, in milliseconds.
-    pub clock: u64,
-    /// When the response with it arrived.
-    pub at: UnixMs,
-}
-
 /// A start without a response, which may be carried out late.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LostStart {
@@ -175,12 +154,6 @@
     pub stale_resend_at: UnixMs,
 }
 
-/// Returns how long to wait for a lease with `left_ms` left on a worker's clock, on this process's
-/// clock.
-const fn longest_wait(left_ms: u64) -> u64 {
-    left_ms.saturating_mul(100) / (100 - CLOCK_DRIFT_PERCENT) + EXPIRY_SLACK_MS
-}
-
 impl Worker {
     fn new(target: Target, rack: RackKey, now: UnixMs) -> Self {
         Self {
@@ -218,49 +191,6 @@
         }
     }
 
-    /// Returns a lower bound of the worker's clock at `now`.
-    pub fn clock(&self, now: UnixMs) -> Option<u64> {
-        let reading = self.clock_reading?;
-        let passed = now.since(reading.at);
-        let drift = passed * CLOCK_DRIFT_PERCENT / 100;
-        Some(reading.clock.saturating_add(passed - drift))
-    }
-
-    /// Returns when all leases of the worker have certainly expired.
-    pub fn all_leases_expired_at(&self) -> UnixMs {
-        let Some(reading) = self.clock_reading else {
-            return self.uncertain_until.max(self.foreign_until);
-        };
-        let left = self.lease_expires_at.saturating_sub(reading.clock);
-        reading.at.after(longest_wait(left)).max(self.foreign_until)
-    }
-
-    /// Notes the response to an order that extends leases to `expires_at`, or its loss.
-    ///
-    /// An expiry beyond all that were sent to the worker's process was meant for an earlier one, whose
-    /// clock read later: this process then holds its leases for `lease_limit_ms`.
-    pub fn note_expiry(&mut self, now: UnixMs, expires_at: u64, lost: bool, lease_limit_ms: u64) {
-        let late_until = now.after(if lost { LATE_ORDER_MS } else { 0 });
-        if expires_at > self.lease_expires_at {
-            let end = late_until.after(longest_wait(lease_limit_ms));
-            self.foreign_until = self.foreign_until.max(end);
-        } else if expires_at > 0 {
-            self.late_until = self.late_until.max(late_until);
-        }
-    }
-
-    /// Notes that an acknowledgement of completions up to `number` got no response.
-    ///
-    /// One beyond what this process has made durable was meant for an earlier process.
-    pub fn note_lost_ack(&mut self, now: UnixMs, number: u64) {
-        let late_until = now.after(LATE_ORDER_MS);
-        if number > self.acks.ackable() {
-            self.idle_until = self.idle_until.max(late_until);
-        } else if number > 0 {
-            self.late_ack_until = self.late_ack_until.max(late_until);
-        }
-    }
-
     /// Returns what is taken of the worker's capacity by all that runs, or may begin, there.
     pub fn taken(&self) -> Resources {
         let stale = self.stale_starts.iter().map(|s| &s.resources);
@@ -371,44 +301,7 @@
 }
 
 impl Engine {
-    /// Adds a worker that may run tasks of an earlier owner.
-    pub(super) fn inherit_worker(&mut self, target: Target, predecessors_ended: bool) {
-        let unconfirmed_ms = if predecessors_ended {
-            0
-        } else {
-            UNCONFIRMED_LIMIT_MS
-        };
-        let uncertain_until = self.now.after(unconfirmed_ms + self.inherited_lease_ms());
-        let key = self.add_worker(target);
-        let worker = self.worker_mut(key);
-        worker.inherited = true;
-        worker.uncertain_until = uncertain_until;
-    }
-
-    /// Returns how long a lease that an earlier owner renews now can last, on this process's clock.
-    fn inherited_lease_ms(&self) -> u64 {
-        longest_wait(self.bounds.lease_limit_ms.min(LEASE_MS))
-    }
-
-    /// Returns how long a lease can last that isn't known to this owner, on this process's clock.
-    pub(super) fn foreign_lease_ms(&self) -> u64 {
-        longest_wait(self.bounds.lease_limit_ms)
-    }
-
-    /// Shortens the wait for silent workers now that no earlier owner renews leases any more.
-    pub(super) fn limit_inherited_leases(&mut self) {
-        let end = self.now.after(self.inherited_lease_ms());
-        let mut silent = 0;
-        for worker in &mut self.workers {
-            if worker.inherited && !worker.answered {
-                worker.uncertain_until = worker.uncertain_until.min(end);
-                silent += 1;
-            }
-        }
-        log::info!(term = self.term, silent; "earlier owners have ended; their leases expire");
-    }
-
-    fn add_worker(&mut self, target: Target) -> WorkerKey {
+    pub(super) fn add_worker(&mut self, target: Target) -> WorkerKey {
         let next = u16::try_from(self.racks.len()).unwrap_or(u16::MAX);
         let rack_name = (target.dc.clone(), target.rack().to_owned());
         let rack = *self.racks.entry(rack_name).or_insert(RackKey(next));
@@ -561,10 +454,7 @@
         }
         self.blame(&ended);
         let worker = self.worker_mut(key);
-        // Orders to the earlier incarnation may have reached this one, or may do so later.
-        let foreign_until = worker.late_until.max(now).after(longest_wait(lease));
-        worker.foreign_until = worker.foreign_until.max(foreign_until);
-        worker.idle_until = worker.idle_until.max(worker.late_ack_until);
+        worker.expect_late_orders(now, lease);
         // A worker cuts the deadline of a start meant for another incarnation to the longest lease.
         let left = if worker.runs.is_empty() {
             0
