--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 
 mod crash;
 mod http;
+mod late_start;
 mod overlap;
 mod refused;
 mod starve;
@@ -33,6 +34,7 @@
         "overlap" => overlap::run,
         "refused" => refused::run,
         "crash" => crash::run,
+        "late-start" => late_start::run,
         "starve" => starve::run,
         _ => {
             eprintln!("there is no case {case}");
--- a/review/standin/src/overlap.rs
+++ b/review/standin/src/overlap.rs
@@ -98,7 +98,7 @@
 }
 
 /// Returns two runs of one task that went on at the same time.
-fn find_overlap(runs: &[RunSpan]) -> Option<String> {
+pub fn find_overlap(runs: &[RunSpan]) -> Option<String> {
     let end = |r: &RunSpan| r.ended.map_or(u64::MAX, |(at, _)| at);
     for (i, a) in runs.iter().enumerate() {
         for b in runs[i + 1..].iter().filter(|b| b.task == a.task) {
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -68,6 +68,16 @@
     }
 }
 
+/// A worker's entry in the registry.
+pub struct Entry {
+    pub name: String,
+    pub addr: SocketAddr,
+    pub rack: String,
+    pub state: &'static str,
+    pub started_at: u64,
+    pub seq: u64,
+}
+
 /// A run of a task, on the clock of the record.
 pub struct RunSpan {
     pub task: TaskId,
@@ -127,7 +137,8 @@
         let worker = |i| Worker::start(&store, &format!("i-{i}"), POOL, &format!("rack-{i}")).ok();
         let workers: Vec<Worker> = (0..workers).map(worker).collect::<Option<_>>()?;
         // A worker tells its address only in its registry entry.
-        let addrs = read_addrs(&store, workers.len())?;
+        let addr = |i| read_addr(&store, &format!("i-{i}"));
+        let addrs: Vec<SocketAddr> = (0..workers.len()).map(addr).collect::<Option<_>>()?;
         let id = std::process::id();
         let temporary = std::env::temp_dir().join(format!("marigoldglade-review-{id}"));
         std::fs::create_dir_all(&temporary).ok()?;
@@ -212,16 +223,38 @@
 
     /// Shows a worker as draining in the registry.
     pub fn drain(&self, i: usize) {
-        let key = format!("servers/i-{i}");
+        self.register(&Entry {
+            name: format!("i-{i}"),
+            addr: self.addrs[i],
+            rack: format!("rack-{i}"),
+            state: "draining",
+            started_at: 1_000,
+            seq: 2,
+        });
+    }
+
+    /// Writes a registry entry.
+    pub fn register(&self, e: &Entry) {
         let entry = json!({
-            "service": POOL, "address": self.addrs[i].to_string(), "zone": "dc-a", "version": "v1", "slots": 8,
-            "state": "draining", "cold_remaining_ms": 0, "remaining_ms": 2000,
+            "service": POOL, "address": e.addr.to_string(), "zone": "dc-a", "version": "v1", "slots": 8,
+            "state": e.state, "cold_remaining_ms": 0, "remaining_ms": 2000,
             "capacity": {"cpu": 32_000, "mem_mb": 131_072, "gpu": 8},
-            "labels": ["a", format!("rack-{i}")], "born": 1_000, "seq": 2,
+            "labels": ["a", e.rack], "born": e.started_at, "seq": e.seq,
         });
+        let key = format!("servers/{}", e.name);
         self.store.put(&key, entry.to_string().as_bytes());
     }
 
+    /// Removes a registry entry.
+    pub fn unregister(&self, name: &str) {
+        self.store.delete(&format!("servers/{name}"));
+    }
+
+    /// Returns the address of a worker that has registered in a store.
+    pub fn registered(&self, store: &Store, name: &str) -> Option<SocketAddr> {
+        read_addr(store, name)
+    }
+
     /// Ends the last worker's process and removes its registry entry.
     pub fn remove_last_worker(&mut self) {
         if self.workers.pop().is_some() {
@@ -338,23 +371,22 @@
     }]})
 }
 
-/// Returns the addresses in the workers' registry entries.
-fn read_addrs(store: &Store, workers: usize) -> Option<Vec<SocketAddr>> {
+/// Returns the address in a worker's registry entry.
+fn read_addr(store: &Store, name: &str) -> Option<SocketAddr> {
     let endpoint = store.open_endpoint().ok()?;
-    let url = "/kv-range?prefix=servers/";
+    let url = format!("/kv-key?key=servers/{name}");
     let headers = [("Host", "store")];
-    let response = http::send(endpoint.served.addr, "GET", url, &headers, b"", START_LIMIT)?;
-    let list: Value = serde_json::from_slice(&response.body).ok()?;
-    let items = list["items"].as_array()?;
-    let addr = |i: usize| {
-        let key = format!("servers/i-{i}");
-        let item = items
-            .iter()
-            .find(|item| item["key"].as_str() == Some(key.as_str()))?;
-        let entry: Value = serde_json::from_slice(&decode_base64(item["value"].as_str()?)?).ok()?;
-        entry["address"].as_str()?.parse().ok()
-    };
-    (0..workers).map(addr).collect()
+    let response = http::send(
+        endpoint.served.addr,
+        "GET",
+        &url,
+        &headers,
+        b"",
+        START_LIMIT,
+    )?;
+    let item: Value = serde_json::from_slice(&response.body).ok()?;
+    let entry: Value = serde_json::from_slice(&decode_base64(item["value"].as_str()?)?).ok()?;
+    entry["address"].as_str()?.parse().ok()
 }
 
 fn decode_base64(text: &str) -> Option<Vec<u8>> {
