--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,6 @@
 # Builds every stand-in that the scripts start, into target/review.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-CARGO_TARGET_DIR=../../target/review cargo build --release --offline --locked
+export CARGO_TARGET_DIR=../../target/review
+# What the deploy file builds has fetched all libraries.
+cargo build --release --offline --locked || cargo build --release --locked
--- a/review/standin/src/late_start.rs
+++ b/review/standin/src/late_start.rs
@@ -26,8 +26,10 @@
 /// How long the task runs, in milliseconds.
 const RUN_MS: u64 = 8_000;
 /// How late the start is carried out, and how long the worker is cut off.
-const LATE: Duration = Duration::from_millis(4_700);
+const LATE: Duration = Duration::from_millis(4_500);
 const CUT: Duration = Duration::from_millis(5_500);
+/// How long after the start the cut begins.
+const CUT_DELAY: Duration = Duration::from_millis(300);
 /// When the worker crashes, and when its registry entry is removed (three heartbeats of 1,500 ms), after the
 /// cut begins.
 const CRASH: Duration = Duration::from_millis(500);
@@ -37,35 +39,45 @@
 
 #[derive(Default)]
 struct Link {
-    /// Whether the next start is lost, and the worker cut off with it.
+    /// Whether the next start is lost, and the worker cut off soon after.
     armed: bool,
+    /// When the cut begins.
     cut_at: Option<Instant>,
     late_start: Option<Vec<u8>>,
 }
 
+impl Link {
+    fn is_cut(&self) -> bool {
+        let now = Instant::now();
+        self.cut_at.is_some_and(|at| at <= now && now < at + CUT)
+    }
+}
+
 /// Passes orders on to the worker unless it is cut off.
 fn pass(worker: SocketAddr, link: &Mutex<Link>, record: &Record, request: Request) {
     let (url, body) = (request.url().to_owned(), request.body().to_vec());
-    {
+    let lost = {
         let mut link = link.lock().expect("no panic");
-        if link.armed && url == "/run-start" {
+        let lost = link.armed && url == "/run-start";
+        if lost {
             link.armed = false;
-            link.cut_at = Some(Instant::now());
+            link.cut_at = Some(Instant::now() + CUT_DELAY);
             link.late_start = Some(body.clone());
             let text = String::from_utf8_lossy(&body).into_owned();
-            record.note(&format!("{CUT_WORKER} gets {url} {text} and is cut off"));
-        }
-        if link.cut_at.is_some_and(|at| at.elapsed() < CUT) {
-            drop(link);
-            std::thread::sleep(CUT);
-            return;
+            record.note(&format!(
+                "{CUT_WORKER} leaves {url} {text} without an answer"
+            ));
         }
+        lost || link.is_cut()
+    };
+    if lost {
+        std::thread::sleep(CUT);
+        return;
     }
     let headers = [("Host", "worker"), ("Content-Type", "application/json")];
     let limit = Duration::from_secs(5);
     let response = http::send(worker, "POST", &url, &headers, &body, limit);
-    let cut = |link: &Link| link.cut_at.is_some_and(|at| at.elapsed() < CUT);
-    if cut(&link.lock().expect("no panic")) {
+    if link.lock().expect("no panic").is_cut() {
         std::thread::sleep(CUT);
         return;
     }
@@ -151,6 +163,8 @@
         let wait = |after: Duration| {
             std::thread::sleep((cut_at + after).saturating_duration_since(Instant::now()));
         };
+        wait(Duration::ZERO);
+        world.record.note(&format!("{CUT_WORKER} is cut off"));
         wait(CRASH);
         worker.restart();
         world.record.note(&format!(
