Log why an owner doesn't want a run, and a takeover in few lines

The log couldn't tell the hypotheses apart: a takeover writes some hundred lines in 10 ms, one for each worker that joins and answers and each run that is adopted, and the lines after them were missing.

Those lines are debug lines now, with one line for all workers that the registry lists and one when the last worker of the earlier owner has answered. A run that isn't wanted is logged with the reason and whether the worker's first report listed it; a submission taken from the inbox and placed work with the number of workers that haven't answered.

No logic has changed.

--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -159,7 +159,7 @@
                 InboxBody::Submit(record) => {
                     let id = record.id;
                     if !self.job_ids.contains_key(&id) {
-                        log::info!(job = id.as_str(); "submission taken from the inbox");
+                        log::info!(job = id.as_str(), term = self.term, unanswered = self.count_unknown(); "submission taken from the inbox");
                         // An earlier owner may have started the job without moving it out of the
                         // inbox.
                         self.load_record(*record, self.term > 1);
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -235,7 +235,7 @@
     /// Returns all steps with tasks that may start now, with their ranks.
     fn ready_steps(&mut self) -> Vec<(Rank, StepKey)> {
         self.guaranteed_jobs = self.find_guaranteed_jobs();
-        let unknown_runs = self.has_unknown_runs();
+        let unknown_runs = self.count_unknown() > 0;
         let mut steps = Vec::new();
         for (key, job) in &self.jobs {
             if !job.is_active() || (job.inherited && unknown_runs) {
@@ -481,7 +481,8 @@
             job = id.job.as_str(), round = step_key.round, step = step_key.step,
             run = runs.first().copied().unwrap_or(0), first = assignments.first().map_or(0, |(i, _)| *i),
             tasks = assignments.len(), waited_ms = self.now.since(job.accepted_at), policy = self.policy.version,
-            priority = job.record.queue.priority, guaranteed = self.guaranteed_jobs.contains(&step_key.job);
+            priority = job.record.queue.priority, guaranteed = self.guaranteed_jobs.contains(&step_key.job),
+            unanswered = self.count_unknown();
             "work placed"
         );
         if gang {
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -289,9 +289,23 @@
             worker.answered = true;
             worker.fence(now, foreign_ms);
             let missing = !worker.recorded;
-            log::info!(worker = worker.target.name.as_str(), runs = worker.runs.len(), clock = report.clock; "worker answered the owner");
+            log::debug!(worker = worker.target.name.as_str(), runs = worker.runs.len(), clock = report.clock; "worker answered the owner");
             self.workers_dirty |= missing;
             self.replan = true;
+            self.log_first_answers(key);
+        }
+    }
+
+    /// Logs that an inherited worker has answered, if it is the last one, in one line for all of them: a
+    /// takeover would fill the log otherwise.
+    fn log_first_answers(&self, key: WorkerKey) {
+        if !self.worker(key).inherited {
+            return;
+        }
+        let inherited = || self.workers.iter().filter(|w| w.inherited);
+        if inherited().all(|w| w.answered) {
+            let runs: usize = inherited().map(|w| w.runs.len()).sum();
+            log::info!(term = self.term, workers = inherited().count(), runs, last = self.worker(key).target.name.as_str(); "all workers of the earlier owner have answered");
         }
     }
 
@@ -339,8 +353,9 @@
             }
             return;
         }
-        if !self.adopt(key, row, clock) {
-            log::warn!(task:% = row.task, run = row.run, worker = self.worker(key).target.name.as_str(); "stopping a run that isn't wanted");
+        if let Err(why) = self.adopt(key, row, clock) {
+            let worker = self.worker(key);
+            log::warn!(task:% = row.task, run = row.run, worker = worker.target.name.as_str(), why, clock, first_report = !worker.answered; "stopping a run that isn't wanted");
             let stop = Stop {
                 task: row.task,
                 run: row.run,
@@ -359,23 +374,36 @@
         Some(job.step(id)?.charge())
     }
 
-    /// Adopts a run of an earlier owner; returns false if the run isn't wanted.
-    fn adopt(&mut self, key: WorkerKey, row: &ActiveRun, clock: u64) -> bool {
+    /// Adopts a run of an earlier owner.
+    ///
+    /// # Errors
+    ///
+    /// Why the run isn't wanted.
+    fn adopt(&mut self, key: WorkerKey, row: &ActiveRun, clock: u64) -> Result<(), &'static str> {
         let now = self.now;
         let Some((job_key, job)) = self.job_mut(row.task.job) else {
-            return false;
+            return Err("unknown job");
         };
+        if !job.is_open() {
+            return Err("ended job");
+        }
         if !job.is_active() || !job.inherited {
-            return false;
+            return Err("no earlier owner has had the job");
         }
         let Some(resources) = job.step(&row.task).map(|s| s.charge()) else {
-            return false;
+            return Err("unknown step");
         };
         let Some(task) = job.task(&row.task) else {
-            return false;
+            return Err("unknown task");
         };
-        if task.done || task.worker.is_some() || task.last_run > row.run {
-            return false;
+        if task.done {
+            return Err("done task");
+        }
+        if task.worker.is_some() {
+            return Err("another run of the task");
+        }
+        if task.last_run > row.run {
+            return Err("later run of the task");
         }
         task.worker = Some(key);
         task.last_run = row.run;
@@ -399,8 +427,8 @@
             pace: None,
         };
         self.worker_mut(key).insert(row.task, run);
-        log::info!(task:% = row.task, run = row.run, worker = self.worker(key).target.name.as_str(); "run of an earlier owner adopted");
-        true
+        log::debug!(task:% = row.task, run = row.run, worker = self.worker(key).target.name.as_str(); "run of an earlier owner adopted");
+        Ok(())
     }
 
     /// Removes the runs that a report should contain but doesn't.
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -316,6 +316,10 @@
     /// Applies the registry's list of workers.
     pub(super) fn update_registry(&mut self, targets: Vec<Target>) {
         let now = self.now;
+        let first = !self.workers.iter().any(|w| w.listed);
+        if first {
+            log::info!(workers = targets.len(), inherited = self.workers.len(), term = self.term; "workers read from the registry");
+        }
         let mut listed = HashSet::new();
         for target in targets {
             let key = match self.worker_names.get(&target.name) {
@@ -324,7 +328,7 @@
             };
             listed.insert(key);
             self.settle_silent_runs(&target, false);
-            self.update_worker(key, target);
+            self.update_worker(key, target, first);
         }
         for key in self.worker_keys() {
             let worker = self.worker_mut(key);
@@ -357,7 +361,9 @@
     }
 
     /// Applies a worker's registry entry.
-    fn update_worker(&mut self, key: WorkerKey, target: Target) {
+    ///
+    /// The workers of the `first` list are logged together.
+    fn update_worker(&mut self, key: WorkerKey, target: Target, first: bool) {
         let now = self.now;
         let enforces_capacity = self.policy.enforces_capacity(&target.pool);
         let worker = self.worker_mut(key);
@@ -386,7 +392,12 @@
             return;
         }
         if !worker.listed {
-            log::info!(worker = target.name.as_str(), pool = target.pool.as_str(); "worker joined the registry");
+            let level = if first {
+                log::Level::Debug
+            } else {
+                log::Level::Info
+            };
+            log::log!(level, worker = target.name.as_str(), pool = target.pool.as_str(); "worker joined the registry");
             worker.listed = true;
         }
         if target.draining && !worker.target.draining {
@@ -481,9 +492,9 @@
         self.blame_silent_runs(target.addr, &target.name);
     }
 
-    /// Returns whether an unknown run may be on a worker that hasn't answered.
-    pub(super) fn has_unknown_runs(&self) -> bool {
-        let unknown = |w: &Worker| !w.answered && !w.uncertain_until.passed(self.now);
-        self.workers.iter().any(unknown)
+    /// Returns how many workers haven't answered and may have runs that this owner doesn't know.
+    pub(super) fn count_unknown(&self) -> usize {
+        let unknown = |w: &&Worker| !w.answered && !w.uncertain_until.passed(self.now);
+        self.workers.iter().filter(unknown).count()
     }
 }
