Start a submission from the inbox once its record is committed

Cause: an entry in the inbox is durable, so the owner that read it started its tasks at once. Nothing in that tells an owner that it has been replaced: every other job is started only after a commit, which the store refuses as soon as a newer owner has claimed the ownership. The newer owner loads the records before the entry is written. If a worker's first report comes before the entry, it lists a run of an unknown job, which is stopped and forgotten; the entry then starts the task elsewhere while the first run still goes on.

Change: a job may start once a commit of an owner contains it. The commit is conditional on the ownership, so a job that a new owner doesn't find among the records has never been started. Such records go first in a commit, beside those that callers wait for. Entries still count as inherited, since an owner of an older release may have started them.

Two tests relied on a start without a commit. a_job_still_in_the_inbox_survives_the_death_of_its_owner now requires that nothing starts while the store refuses commits, and as before that both tasks run once. a_submission_that_comes_before_the_inbox_waits_for_earlier_runs plays the owner of an older release by removing the record; it fails without the line that it guards.

--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -97,13 +97,19 @@
         if self.job_ids.contains_key(&record.id) {
             return;
         }
+        let mut job = self.stored_job(record, inherited);
+        job.durable_changes = job.changes;
+        let key = self.add_job(job);
+        self.inherit_lost_runs(key);
+    }
+
+    /// Returns a job whose acceptance is durable.
+    fn stored_job(&self, record: Record, inherited: bool) -> Job {
         let age = self.wall_ms.saturating_sub(record.accepted_at);
         let state = record.state;
         let mut job = Job::new(record, UnixMs(self.now.0.saturating_sub(age)), inherited);
         job.durable_state = Some(state);
-        job.durable_changes = job.changes;
-        let key = self.add_job(job);
-        self.inherit_lost_runs(key);
+        job
     }
 
     /// Cancels a job; the reply waits for the commit of its record.
@@ -160,13 +166,11 @@
                     let id = record.id;
                     if !self.job_ids.contains_key(&id) {
                         log::info!(job = id.as_str(), term = self.term, unanswered = self.count_unknown(); "submission taken from the inbox");
-                        // An earlier owner may have started the job without moving it out of the
-                        // inbox.
-                        self.load_record(*record, self.term > 1);
-                        if let Some((key, job)) = self.job_mut(id) {
-                            job.changes += 1;
-                            self.dirty_jobs.insert(key);
-                        }
+                        // An earlier owner of an older release may have started the job without
+                        // moving it out of the inbox.
+                        let job = self.stored_job(*record, self.term > 1);
+                        let key = self.add_job(job);
+                        self.dirty_jobs.insert(key);
                     } else {
                         self.merge_inbox_submission(id);
                     }
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -52,7 +52,8 @@
         };
         let reason = if job.reporters.iter().any(may_be_gone) {
             Reason::OnlyCopy
-        } else if !job.submit_calls.is_empty() || !job.cancel_calls.is_empty() {
+        } else if !job.submit_calls.is_empty() || !job.cancel_calls.is_empty() || !job.is_recorded()
+        {
             Reason::Caller
         } else if job.is_open() {
             Reason::Progress
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -153,11 +153,19 @@
         self.record.state == State::Open
     }
 
-    /// Returns whether tasks may be started: the job is open and its acceptance durable.
+    /// Returns whether the job is open and its acceptance durable.
     pub fn is_active(&self) -> bool {
         self.is_open() && self.durable_state.is_some()
     }
 
+    /// Returns whether an owner's commit contains the job, so that tasks may be started.
+    ///
+    /// Only the commit proves that no newer owner had loaded the state before: one that doesn't know the job
+    /// would start it again. A submission in the inbox is durable, but not recorded.
+    pub const fn is_recorded(&self) -> bool {
+        self.durable_changes > 0
+    }
+
     /// Returns whether a task can be started now: it isn't done, has no run and needn't wait.
     pub fn is_idle(&self, task: &Task, now: UnixMs) -> bool {
         !task.done
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -238,7 +238,8 @@
         let unknown_runs = self.count_unknown() > 0;
         let mut steps = Vec::new();
         for (key, job) in &self.jobs {
-            if !job.is_active() || (job.inherited && unknown_runs) {
+            let starts = job.is_active() && job.is_recorded();
+            if !starts || (job.inherited && unknown_runs) {
                 continue;
             }
             for (r, round) in job.rounds.iter().enumerate() {
