Step down as soon as a newer owner is known

Cause: the owner looked at the known term every 100 ms, and a look that was due competed at random with inputs of the engine. So inputs were also processed, and orders sent, after a freeze that had outlasted the ownership.

Changed: a change of the view wakes the check, and the driver repeats the check before each step of the engine, whose actions follow without waiting. This also covers an expired lease and the time without a confirmation.

The order after a freeze is known from the code only.

--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -37,6 +37,9 @@
 const STEP_DOWN_AFTER_MS: u64 = UNCONFIRMED_LIMIT_MS - ORDER_MARGIN_MS;
 /// The longest time that an order is under way, in milliseconds: twice its timeout.
 const ORDER_MARGIN_MS: u64 = 1_000;
+/// The time between two checks whether the ownership has ended, in milliseconds; a newer owner and the
+/// daemon's stop are noticed at once.
+const ENDED_CHECK_MS: u64 = 100;
 /// The delay before a claim for each daemon that is preferred to this one as the owner, in
 /// milliseconds.
 const RANK_DELAY_MS: u64 = 40;
@@ -345,24 +348,34 @@
         }
     }
 
-    /// Waits until the daemon stops, the lease has expired, ownership hasn't been confirmed for too
-    /// long, a newer owner is known, or the ownership is better given to a daemon on a larger VM.
+    /// Returns whether another daemon is, or may be, the owner: the lease has expired, ownership hasn't
+    /// been confirmed for too long, or a newer owner is known.
+    fn has_lost(&self, ownership: &Ownership) -> bool {
+        let Some(confirmed) = ownership.confirmed.get() else {
+            return true;
+        };
+        let unconfirmed_ms = boot_ms().saturating_sub(confirmed);
+        if unconfirmed_ms > STEP_DOWN_AFTER_MS {
+            log::warn!(term = ownership.term, blind_ms = unconfirmed_ms; "the ownership hasn't been confirmed for too long");
+            return true;
+        }
+        if self.known_term() > ownership.term {
+            log::warn!(term = ownership.term; "another daemon has become the owner");
+            return true;
+        }
+        false
+    }
+
+    /// Waits until the daemon stops, the ownership is lost, or it is better given to a daemon on a
+    /// larger VM.
     async fn wait_ended(&self, ownership: &Ownership) -> Ending {
         let settled_at = clock::now().after(HANDOVER_AFTER_MS);
+        let mut view = self.view.subscribe();
         loop {
             if self.stop.is_stopping() {
                 return Ending::Planned;
             }
-            let Some(confirmed) = ownership.confirmed.get() else {
-                return Ending::Lost;
-            };
-            let unconfirmed_ms = boot_ms().saturating_sub(confirmed);
-            if unconfirmed_ms > STEP_DOWN_AFTER_MS {
-                log::warn!(term = ownership.term, blind_ms = unconfirmed_ms; "the ownership hasn't been confirmed for too long");
-                return Ending::Lost;
-            }
-            if self.known_term() > ownership.term {
-                log::warn!(term = ownership.term; "another daemon has become the owner");
+            if self.has_lost(ownership) {
                 return Ending::Lost;
             }
             let now = clock::now();
@@ -377,7 +390,8 @@
             }
             tokio::select! {
                 () = self.stop.wait_begun() => {}
-                () = tokio::time::sleep(Duration::from_millis(100)) => {}
+                _ = view.changed() => {}
+                () = tokio::time::sleep(Duration::from_millis(ENDED_CHECK_MS)) => {}
             }
         }
     }
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -64,6 +64,11 @@
                     continue;
                 }
             };
+            // The inputs may have been taken before the end of the ownership was noticed, as after a
+            // freeze of the process. The engine's step and its actions don't wait for anything.
+            if self.has_lost(ownership) {
+                return;
+            }
             let mut events = Vec::new();
             let mut next = input;
             while let Some(input) = next {
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -278,6 +278,11 @@
         self.child.wait().expect("it ends")
     }
 
+    /// Returns the log lines after the first one, in order.
+    pub fn log_lines(&self) -> Vec<Value> {
+        self.log.lock().expect("no panic").clone()
+    }
+
     /// Returns the messages of the log lines whose field has this value.
     pub fn logged(&self, field: &str, value: &str) -> Vec<String> {
         let log = self.log.lock().expect("no panic");
