Send no order after its owner's term or its margin

Callers could see two runs of one task after a takeover: orders of a replaced owner went out after its ownership had ended.

Cause: each order has its own task, which waits for one of two slots of its worker, up to half a second for each order before it, and then for a connection. Nothing ended these tasks with the ownership, and nothing bounded the wait, though later owners count on a margin of 1 s. A relay compared the term only before the wait.

Changed: an order has a permit (term and latest time to send it), which is checked when there is a connection, right before the request is handed to it. The time since boot is used, as for the confirmation of the ownership, since it includes a suspension of the VM. The daemon's term is unset before the ownership is released instead of after, as nothing is sent under it any more. An order that isn't sent counts as lost, or as refused when a newer owner is known. A relay has 0.6 s of the margin.

--- a/marigoldglade/src/batch/succession.rs
+++ b/marigoldglade/src/batch/succession.rs
@@ -1,4 +1,5 @@
-//! Earlier owners that may still act when a daemon becomes the owner.
+//! How one owner follows another: which earlier owners may still act, and how long their orders may be
+//! sent.
 
 use crate::batch::messages::Owner;
 
@@ -7,6 +8,33 @@
 /// a jump of the wall clock.
 pub const MAX_ACTIVE_MS: u64 = 20_000;
 
+/// The longest time between the engine's step that gives an order and its sending to the worker, in
+/// milliseconds: twice an order's timeout. Later owners wait for it.
+pub const ORDER_MARGIN_MS: u64 = 1_000;
+/// The part of [`ORDER_MARGIN_MS`] for a relay, counted from its receipt of the order, in milliseconds.
+pub const RELAY_SEND_MS: u64 = 600;
+
+/// Whose order may be sent, and until when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Permit {
+    /// The term of the owner that gave the order.
+    pub term: u64,
+    /// Whether this daemon sends the order for another one.
+    pub relayed: bool,
+    /// The latest time to send it, in milliseconds since boot.
+    pub send_by: u64,
+}
+
+impl Permit {
+    /// Returns whether the order may be sent at `now` by a daemon that owns the term `own_term` and
+    /// knows an owner of `known_term`.
+    #[must_use]
+    pub fn allows(&self, now: u64, own_term: Option<u64>, known_term: u64) -> bool {
+        let owned = self.relayed || own_term == Some(self.term);
+        owned && known_term <= self.term && now <= self.send_by
+    }
+}
+
 /// Returns the owners that may still act when the daemon `name` claims the ownership at the wall-clock
 /// time `wall`, in milliseconds since the Unix epoch.
 ///
--- a/marigoldgladed/src/batch/client.rs
+++ b/marigoldgladed/src/batch/client.rs
@@ -63,8 +63,20 @@
         request: Request,
         deadline: UnixMs,
     ) -> Result<Response, Failure> {
-        let outcome =
-            tokio::time::timeout(clock::until(deadline), self.exchange(addr, request)).await;
+        self.send_if(addr, request, deadline, || true).await
+    }
+
+    /// Sends a request as [`Client::send`] does, but only if `may_send` holds once there is a
+    /// connection.
+    pub(super) async fn send_if(
+        &self,
+        addr: SocketAddr,
+        request: Request,
+        deadline: UnixMs,
+        may_send: impl Fn() -> bool,
+    ) -> Result<Response, Failure> {
+        let exchange = self.exchange(addr, request, may_send);
+        let outcome = tokio::time::timeout(clock::until(deadline), exchange).await;
         let outcome = outcome.unwrap_or(Err(Failure::Unknown));
         if outcome.is_err() {
             self.idle.borrow_mut().remove(&addr);
@@ -72,18 +84,29 @@
         outcome
     }
 
-    async fn exchange(&self, addr: SocketAddr, request: Request) -> Result<Response, Failure> {
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: Request,
+        may_send: impl Fn() -> bool,
+    ) -> Result<Response, Failure> {
         let request = request.map(Full::new);
         let mut conn = match self.take_idle(addr) {
             Some(conn) => conn,
             None => connect(addr).await?,
         };
+        if !may_send() {
+            return Err(Failure::NotSent);
+        }
         let response = match conn.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut e) => {
                 // The peer had closed the kept connection; the request comes back unsent.
                 let request = e.take_message().ok_or(Failure::Unknown)?;
                 conn = connect(addr).await?;
+                if !may_send() {
+                    return Err(Failure::NotSent);
+                }
                 let sent = conn.sender.send_request(request).await;
                 sent.map_err(|_| Failure::Unknown)?
             }
--- a/marigoldgladed/src/batch/orders.rs
+++ b/marigoldgladed/src/batch/orders.rs
@@ -5,11 +5,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use marigoldglade::batch::worker::{Order, OrderResponse};
+use marigoldglade::batch::succession::Permit;
+use marigoldglade::batch::worker::{Order, OrderResponse, Refusal};
 use tokio::sync::Semaphore;
 
 use crate::batch::client::Failure;
-use crate::batch::{Node, clock};
+use crate::batch::{Node, boot_ms, clock};
 
 /// The longest time that a worker may take to respond to a start, a stop or a change of pace, in
 /// milliseconds: many times what it usually takes. Three such times fit into the time that gangs wait
@@ -49,26 +50,37 @@
     }
 }
 
-/// Sends an order to a worker and waits for its response.
+/// Sends an order to a worker, if it is still permitted then, and waits for its response.
 pub(super) async fn send_order(
     node: &Node,
     worker: &str,
     addr: SocketAddr,
     order: &Order,
+    permit: Permit,
 ) -> OrderResponse {
     if matches!(order, Order::Renew(_)) {
-        return exchange(node, worker, addr, order).await;
+        return exchange(node, worker, addr, order, permit).await;
     }
     let slots = node.slots.get(addr);
     let slot = slots.acquire().await;
-    let response = exchange(node, worker, addr, order).await;
+    let response = exchange(node, worker, addr, order, permit).await;
     drop(slot);
     drop(slots);
     node.slots.tidy(addr);
     response
 }
 
-async fn exchange(node: &Node, worker: &str, addr: SocketAddr, order: &Order) -> OrderResponse {
+async fn exchange(
+    node: &Node,
+    worker: &str,
+    addr: SocketAddr,
+    order: &Order,
+    permit: Permit,
+) -> OrderResponse {
+    let may_send = || permit.allows(boot_ms(), node.term.get(), node.known_term());
+    if !may_send() {
+        return unsent_response(node, permit);
+    }
     let request = match platform::worker::encode(order, worker, &addr.to_string()) {
         Ok(request) => request,
         Err(e) => {
@@ -78,11 +90,21 @@
     };
     let began = clock::now();
     let deadline = began.after(response_limit_ms(order));
-    match node.client.send(addr, request, deadline).await {
+    match node.client.send_if(addr, request, deadline, may_send).await {
         Ok(response) => {
             node.metrics.record_order(order, clock::now().since(began));
             platform::worker::decode(order, &response)
         }
-        Err(Failure::NotSent | Failure::Unknown | Failure::TooLarge) => OrderResponse::Lost,
+        Err(Failure::NotSent) => unsent_response(node, permit),
+        Err(Failure::Unknown | Failure::TooLarge) => OrderResponse::Lost,
+    }
+}
+
+/// Returns the response to an order that wasn't sent.
+fn unsent_response(node: &Node, permit: Permit) -> OrderResponse {
+    if permit.term < node.known_term() {
+        OrderResponse::Refused(Refusal::Fenced, None)
+    } else {
+        OrderResponse::Lost
     }
 }
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -13,7 +13,7 @@
 use marigoldglade::batch::engine::{Bounds, Engine, Event, InitialState, UNCONFIRMED_LIMIT_MS};
 use marigoldglade::batch::links::WORKERS_PER_RELAY;
 use marigoldglade::batch::messages::{Call, Owner, RelayedResponse, Reply};
-use marigoldglade::batch::succession::active_predecessors;
+use marigoldglade::batch::succession::{ORDER_MARGIN_MS, active_predecessors};
 use marigoldglade::batch::worker::Target;
 use marigoldglade::batch::worker_list;
 use marigoldglade::store::{
@@ -35,8 +35,6 @@
 /// The time after its last confirmed renewal at which an owner steps down, in milliseconds. A new owner
 /// waits for [`UNCONFIRMED_LIMIT_MS`]; the difference is the time for which an order may be under way.
 const STEP_DOWN_AFTER_MS: u64 = UNCONFIRMED_LIMIT_MS - ORDER_MARGIN_MS;
-/// The longest time that an order is under way, in milliseconds: twice its timeout.
-const ORDER_MARGIN_MS: u64 = 1_000;
 /// The time between two checks whether the ownership has ended, in milliseconds; a newer owner and the
 /// daemon's stop are noticed at once.
 const ENDED_CHECK_MS: u64 = 100;
@@ -238,7 +236,7 @@
 
     /// Acts as the owner until the ownership ends.
     async fn act_as_owner(self: &Rc<Self>, ownership: Ownership) {
-        // The term stays set as long as orders of the term may be sent, since later owners ask for it.
+        // Orders of the term may be sent only while it is set, and later owners ask for it.
         self.term.set(Some(ownership.term));
         self.run_ownership(&Rc::new(ownership)).await;
         self.term.set(None);
@@ -316,6 +314,7 @@
             .set(i64::try_from(ownership.term).unwrap_or(i64::MAX));
         self.drive(engine, ownership, inputs, queue).await;
         *self.engine.borrow_mut() = None;
+        self.term.set(None);
         drop((watches, renewal, predecessors));
         self.release(ownership).await;
     }
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -11,6 +11,7 @@
 use marigoldglade::batch::id::TaskId;
 use marigoldglade::batch::links::{Links, RelayKey, Route};
 use marigoldglade::batch::messages::{RelayedOrder, Reply};
+use marigoldglade::batch::succession::{ORDER_MARGIN_MS, Permit};
 use marigoldglade::batch::worker::{Order, OrderResponse, Target};
 use marigoldglade::batch::worker_list;
 use marigoldglade::prelude::*;
@@ -24,7 +25,7 @@
 use crate::batch::owner::relays::RelayLinks;
 use crate::batch::owner::{Ending, Input, Ownership, SEQ_KEY, Seq, first_pair};
 use crate::batch::store::pause;
-use crate::batch::{Node, clock, wall_ms};
+use crate::batch::{Node, boot_ms, clock, wall_ms};
 
 /// The time between two looks at the daemons that can relay orders, in milliseconds.
 const CANDIDATES_MS: u64 = 250;
@@ -201,8 +202,13 @@
             return;
         }
         let (node, inputs) = (Rc::clone(&self.node), self.inputs.clone());
+        let permit = Permit {
+            term: self.ownership.term,
+            relayed: false,
+            send_by: boot_ms() + ORDER_MARGIN_MS,
+        };
         spawn_local(async move {
-            let answer = send_order(&node, &target.name, target.addr, &order).await;
+            let answer = send_order(&node, &target.name, target.addr, &order, permit).await;
             let _ = inputs.send(Input::Event(Event::OrderResponse(worker, order, answer)));
         });
     }
--- a/marigoldgladed/src/batch/owner/predecessors.rs
+++ b/marigoldgladed/src/batch/owner/predecessors.rs
@@ -4,10 +4,11 @@
 
 use marigoldglade::batch::engine::{Event, UNCONFIRMED_LIMIT_MS};
 use marigoldglade::batch::messages::{Message, Owner};
+use marigoldglade::batch::succession::ORDER_MARGIN_MS;
 use marigoldglade::time::UnixMs;
 use tokio::sync::mpsc;
 
-use crate::batch::owner::{Input, ORDER_MARGIN_MS};
+use crate::batch::owner::Input;
 use crate::batch::{Node, clock};
 
 /// The longest time that an earlier owner may take to respond, in milliseconds: many round trips.
--- a/marigoldgladed/src/batch/relay.rs
+++ b/marigoldgladed/src/batch/relay.rs
@@ -4,14 +4,15 @@
 use std::rc::Rc;
 
 use marigoldglade::batch::messages::{Message, RelayedOrder, RelayedResponse};
-use marigoldglade::batch::worker::{OrderResponse, Refusal};
+use marigoldglade::batch::succession::{Permit, RELAY_SEND_MS};
+use marigoldglade::batch::worker::OrderResponse;
 use marigoldglade::mesh::{Frame, FrameKind, Payload};
 use marigoldglade::time::UnixMs;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
 
 use crate::batch::orders::send_order;
-use crate::batch::{Node, clock};
+use crate::batch::{Node, boot_ms, clock};
 
 /// How long a report without completions waits for further responses, in milliseconds.
 const BATCH_MS: u64 = 40;
@@ -70,6 +71,7 @@
         self.metrics
             .relayed
             .inc_by(u64::try_from(orders.len()).unwrap_or(0));
+        let send_by = boot_ms() + RELAY_SEND_MS;
         for relayed in orders {
             let (node, outbox) = (Rc::clone(self), Rc::clone(outbox));
             spawn_local(async move {
@@ -79,12 +81,12 @@
                     addr,
                     order,
                 } = relayed;
-                // The sender has been replaced, and may have waited to be read for long.
-                let response = if order.term() < node.known_term() {
-                    OrderResponse::Refused(Refusal::Fenced, None)
-                } else {
-                    send_order(&node, &worker, addr, &order).await
+                let permit = Permit {
+                    term: order.term(),
+                    relayed: true,
+                    send_by,
                 };
+                let response = send_order(&node, &worker, addr, &order, permit).await;
                 outbox.under_way.set(outbox.under_way.get() - 1);
                 outbox.add(RelayedResponse { number, response });
             });
--- a/marigoldgladed/tests/successor.rs
+++ b/marigoldgladed/tests/successor.rs
@@ -5,6 +5,7 @@
 mod cluster;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use cluster::{Cluster, job, wait_until};
 use marigoldglade::batch::messages::Owner;
@@ -65,3 +66,20 @@
     let placed = after.iter().filter(|l| has_message(l, "work placed"));
     assert_eq!(placed.count(), 0);
 }
+
+/// Guards against two runs of one task: starts that waited for earlier ones to the same worker were
+/// sent long after the ownership had ended.
+#[test]
+fn orders_that_wait_for_a_worker_end_with_the_ownership() {
+    let c = Cluster::new(1, 1);
+    c.workers[0].stall_starts(Duration::from_secs(1));
+    assert_eq!(c.daemons[0].submit(1, &job("run_ms=60000", 8)), 200);
+    wait_until("starts", || c.count_starts() > 0);
+    replace_owner(&c);
+    wait_until_replaced(&c);
+    let sent = c.count_starts();
+    assert!(sent < 8, "no start waits");
+    // All waiting starts would have been sent by then.
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(c.count_starts(), sent);
+}
