Close the links to relays with the ownership

Cause, from the code: the task of a link went on with what its queue held, also once the driver was gone or the link had been given up as silent and its orders counted as lost. Opening a link takes up to 0.4 s, and a relay that reads slowly holds a write up for any time.

Batches are no longer merged, since each has its own limit.

The fault wasn't reproduced: no stand-in delays a link.

--- a/marigoldgladed/src/batch/owner/relays.rs
+++ b/marigoldgladed/src/batch/owner/relays.rs
@@ -5,23 +5,36 @@
 use std::rc::Rc;
 
 use marigoldglade::batch::messages::{Message, RelayedOrder};
+use marigoldglade::batch::succession::{ORDER_MARGIN_MS, RELAY_SEND_MS};
 use marigoldglade::mesh::{Frame, FrameKind, Payload};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
 use crate::batch::relay::split;
-use crate::batch::{Node, clock};
+use crate::batch::{Node, boot_ms, clock};
 use crate::link::{FrameReader, FrameWriter};
 
-use super::Input;
+use super::{AbortOnDrop, Input};
 
 /// How long opening a link to a relay may take, in milliseconds; shorter than an order's limit.
 const OPEN_TIMEOUT_MS: u64 = 400;
 
-/// An open or opening link.
+/// How long orders may wait to be sent to a relay, in milliseconds: the part of the orders' margin that
+/// the relay doesn't have.
+const SEND_LIMIT_MS: u64 = ORDER_MARGIN_MS - RELAY_SEND_MS;
+
+/// Orders that wait to be sent to a relay.
+struct WaitingOrders {
+    orders: Vec<RelayedOrder>,
+    /// The latest time to send them, by [`boot_ms`].
+    send_by: u64,
+}
+
+/// An open or opening link, which is closed when it is dropped.
 struct RelayLink {
     number: u64,
-    orders: mpsc::UnboundedSender<Vec<RelayedOrder>>,
+    orders: mpsc::UnboundedSender<WaitingOrders>,
+    _task: AbortOnDrop,
 }
 
 /// The links to relays, by their addresses.
@@ -47,7 +60,7 @@
             self.last_number += 1;
             let (sender, queue) = mpsc::unbounded_channel();
             let (node, inputs, number) = (Rc::clone(node), self.inputs.clone(), self.last_number);
-            spawn_local(async move {
+            let task = spawn_local(async move {
                 run_link(&node, addr, queue, &inputs).await;
                 // A closed queue means that this daemon's ownership has ended.
                 let _ = inputs.send(Input::RelayFailed(addr, number));
@@ -55,13 +68,15 @@
             RelayLink {
                 number,
                 orders: sender,
+                _task: AbortOnDrop(task),
             }
         });
+        let send_by = boot_ms() + SEND_LIMIT_MS;
         // A closed link reports its failure, which also covers these orders.
-        let _ = link.orders.send(orders);
+        let _ = link.orders.send(WaitingOrders { orders, send_by });
     }
 
-    /// Closes the link to a relay.
+    /// Closes the link to a relay; orders that still wait aren't sent.
     pub(super) fn close(&mut self, addr: SocketAddr) {
         self.links.remove(&addr);
     }
@@ -72,11 +87,11 @@
     }
 }
 
-/// Opens a link and exchanges messages on it until it breaks or the owner closes it.
+/// Opens a link and exchanges messages on it until it breaks.
 async fn run_link(
     node: &Rc<Node>,
     addr: SocketAddr,
-    queue: mpsc::UnboundedReceiver<Vec<RelayedOrder>>,
+    queue: mpsc::UnboundedReceiver<WaitingOrders>,
     inputs: &mpsc::UnboundedSender<Input>,
 ) {
     let deadline = clock::now().after(OPEN_TIMEOUT_MS);
@@ -91,18 +106,13 @@
     }
 }
 
-async fn send_orders(
-    mut writer: FrameWriter,
-    mut queue: mpsc::UnboundedReceiver<Vec<RelayedOrder>>,
-) {
-    while let Some(mut orders) = queue.recv().await {
-        while let Ok(more) = queue.try_recv() {
-            orders.extend(more);
-        }
-        while !orders.is_empty() {
+async fn send_orders(mut writer: FrameWriter, mut queue: mpsc::UnboundedReceiver<WaitingOrders>) {
+    while let Some(mut waiting) = queue.recv().await {
+        // Orders that are dropped here count as lost once their responses are overdue.
+        while !waiting.orders.is_empty() && boot_ms() <= waiting.send_by {
             let frame = Frame {
                 kind: FrameKind::Notification,
-                payload: Payload::Batch(Box::new(Message::Orders(split(&mut orders)))),
+                payload: Payload::Batch(Box::new(Message::Orders(split(&mut waiting.orders)))),
             };
             if writer.send(&frame).await.is_err() {
                 return;
