Test that an owner which hands over still notices its successor

An owner that stops or hands over goes on until its commit is certain, for the callers that wait. In that time it no longer looked at the newer owner, its lease or the time without a confirmation, so it went on placing work and renewing leases for as long as the store left the commit uncertain.

--- a/marigoldgladed/tests/successor.rs
+++ b/marigoldgladed/tests/successor.rs
@@ -9,6 +9,7 @@
 
 use cluster::{Cluster, job, wait_until};
 use marigoldglade::batch::messages::Owner;
+use platform_standin::store::Behaviour;
 use serde_json::Value;
 
 /// Names a daemon that doesn't exist as the owner of the second term.
@@ -83,3 +84,24 @@
     std::thread::sleep(Duration::from_secs(4));
     assert_eq!(c.count_starts(), sent);
 }
+
+/// Guards against owners that act without a bound: one that was to end, and waited for a commit, no longer
+/// noticed that it had been replaced.
+#[test]
+fn an_owner_that_waits_for_a_commit_to_hand_over_ends_once_it_is_replaced() {
+    let c = Cluster::new(1, 1);
+    std::thread::scope(|s| {
+        // The outcome of the commit stays uncertain, and so does the answer to the caller.
+        c.daemons[0].endpoint.set(Behaviour::LosesAnswers);
+        let submit = s.spawn(|| c.daemons[0].submit(1, &job("run_ms=100", 1)));
+        wait_until("the commit", || !c.store.keys("mg/jobs/").is_empty());
+        c.daemons[0].signal("TERM");
+        wait_until("the stop", || {
+            let lines = c.daemons[0].log_lines();
+            lines.iter().any(|l| has_message(l, "daemon stops"))
+        });
+        replace_owner(&c);
+        wait_until_replaced(&c);
+        assert_eq!(submit.join().expect("no panic"), 504);
+    });
+}
