Don't tell a later owner that a claimed term has ended

A new owner could be told too early that an earlier one no longer acts, and then give up the runs of silent workers while that owner still renewed their leases: two runs of one task.

Cause, from the code: a daemon names its term only once its claim has been answered. When the answer takes longer than the lease of one second (the call and the read that confirms it may take a second each), the next owner asks in between, is told that no term is owned, and takes that as the end of the claimed one. The daemon then begins to act under it.

Changed: the term is set before the claim is sent, and unset if the claim hasn't certainly succeeded.

The fault wasn't reproduced: no stand-in delays only one answer of the store for so long. The tests in platform.rs and successor.rs pass on this change (one run each).

--- a/marigoldgladed/src/batch.rs
+++ b/marigoldgladed/src/batch.rs
@@ -68,7 +68,8 @@
     view: watch::Sender<View>,
     /// Sends inputs to the engine while this daemon is the owner.
     engine: RefCell<Option<mpsc::UnboundedSender<Input>>>,
-    /// The term in which this daemon is the owner; `None` while it isn't.
+    /// The term in which this daemon is the owner, or claims to be; `None` while it isn't. Orders of the
+    /// term may be sent only while it is set, and later owners ask for it.
     term: Cell<Option<u64>>,
     /// When this daemon, as the owner, may next hand over to one on a larger VM.
     handover_after: Cell<UnixMs>,
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -150,7 +150,10 @@
             tokio::time::sleep(Duration::from_millis(delay)).await;
             match self.claim().await {
                 Some(ownership) => self.act_as_owner(ownership).await,
-                None => tokio::time::sleep(Duration::from_millis(CLAIM_RETRY_MS)).await,
+                None => {
+                    self.term.set(None);
+                    tokio::time::sleep(Duration::from_millis(CLAIM_RETRY_MS)).await;
+                }
             }
             if self.stop.is_stopping() {
                 return;
@@ -158,7 +161,8 @@
         }
     }
 
-    /// Tries to become the owner; returns the ownership when the claim has succeeded.
+    /// Tries to become the owner; returns the ownership when the claim has succeeded. The daemon's term
+    /// is set once the claim is sent, whatever its outcome.
     async fn claim(&self) -> Option<Ownership> {
         let (former, seq, owners) = tokio::join!(
             self.store.get(OWNER_KEY),
@@ -205,6 +209,9 @@
             ],
             other: Vec::new(),
         };
+        // Until the outcome is known, this daemon may become the owner, and a later one mustn't be told
+        // that it has ended.
+        self.term.set(Some(term));
         let revision = match self.store.call(&store::Call::Txn(txn)).await {
             Ok(reply) => match reply.body {
                 Body::Txn(TxnResult { held: true, .. }) => reply.revision,
@@ -236,8 +243,6 @@
 
     /// Acts as the owner until the ownership ends.
     async fn act_as_owner(self: &Rc<Self>, ownership: Ownership) {
-        // Orders of the term may be sent only while it is set, and later owners ask for it.
-        self.term.set(Some(ownership.term));
         self.run_ownership(&Rc::new(ownership)).await;
         self.term.set(None);
         self.metrics.term.set(0);
