Let a claim fail when the list of owners has changed

A new owner could miss an earlier one that may still act, and so give up the runs of silent workers too early: two runs of one task.

Cause, from the code: the owner's key, the number of the last commit and the list of owners are read by three calls, and the claim required only the first two to be unchanged. If a daemon became the owner and lost its key between the first read and the others, which a slow store can hold up for a second, with the list read before the claim and the number after it, the list was written without that owner.

Changed: the claim also requires the list to be as it was read.

The fault wasn't reproduced: no stand-in delays single reads.

--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -184,10 +184,10 @@
         let last: Seq = decode_or_default(seq.as_ref())
             .inspect_err(|e| log::error!(error:% = e; "can't decode the last commit's number"))
             .ok()?;
-        let owners: Vec<Owner> = decode_or_default(owners.as_ref())
+        let history: Vec<Owner> = decode_or_default(owners.as_ref())
             .inspect_err(|e| log::error!(error:% = e; "can't decode the list of owners"))
             .ok()?;
-        let predecessors = active_predecessors(&owners, &self.name, wall_ms());
+        let predecessors = active_predecessors(&history, &self.name, wall_ms());
         let term = last.term + 1;
         let owner = Owner {
             name: self.name.clone(),
@@ -198,9 +198,12 @@
         };
         let listed: Vec<&Owner> = predecessors.iter().chain([&owner]).collect();
         let txn = Txn {
+            // The three reads aren't a snapshot; without the last condition, an owner that came and went
+            // between them would be missing from the list.
             when: vec![
                 unchanged(OWNER_KEY, former.as_ref()),
                 unchanged(SEQ_KEY, seq.as_ref()),
+                unchanged(OWNERS_KEY, owners.as_ref()),
             ],
             then: vec![
                 Op::Put(OWNER_KEY.to_owned(), encode(&owner), lease),
