Keep a late read from hiding that there is no owner

A daemon could stop claiming although there was no owner.

Cause, from the code: a claim reads three keys, and goes on only when all three reads are answered. When the owner's key was read, deleted, and its deletion seen by the watch before the slowest answer came, the claim then noted that there is an owner, and nothing changed that until the key's next change. The daemon whose key it was tries again in any case, so the fleet is without an owner only if that one is gone too. A claim that the store carries out late leaves such a short-lived key, which nobody serves until its lease of one second ends.

Changed: the note counts only if the key that was read is newer than the newest known absence.

The fault wasn't reproduced: no stand-in delays single reads.

--- a/marigoldgladed/src/batch/live.rs
+++ b/marigoldgladed/src/batch/live.rs
@@ -65,6 +65,8 @@
     pub owner: Option<KnownOwner>,
     /// Whether the store shows that there is no owner.
     pub vacant: bool,
+    /// The newest revision at which the store showed that there was no owner.
+    pub vacant_revision: Revision,
     /// The daemons that are alive, by name.
     pub daemons: BTreeMap<String, Daemon>,
 }
@@ -94,6 +96,9 @@
             self.view.send_modify(|view| {
                 view.daemons.clear();
                 view.vacant = !pairs.iter().any(|p| p.key == OWNER_KEY);
+                if view.vacant {
+                    view.vacant_revision = since;
+                }
             });
             if !pairs.iter().any(|p| p.key == SECRET_KEY) {
                 self.create_secret().await;
@@ -105,7 +110,7 @@
                 for change in changes {
                     match change {
                         Change::Put(pair) => self.apply_put(&pair),
-                        Change::Deleted(key, _) => self.apply_delete(&key),
+                        Change::Deleted(key, revision) => self.apply_delete(&key, revision),
                     }
                 }
             }
@@ -136,10 +141,13 @@
         }
     }
 
-    fn apply_delete(&self, key: &str) {
+    fn apply_delete(&self, key: &str, revision: Revision) {
         if key == OWNER_KEY {
             log::info!("no daemon is the owner");
-            self.view.send_modify(|view| view.vacant = true);
+            self.view.send_modify(|view| {
+                view.vacant = true;
+                view.vacant_revision = revision;
+            });
         } else if let Some(name) = key.strip_prefix(DAEMON_PREFIX) {
             self.view.send_modify(|view| {
                 view.daemons.remove(name);
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -175,7 +175,9 @@
             // A key that still exists is only taken over from an earlier process of this daemon,
             // which certainly no longer runs.
             if owner.name != self.name || owner.incarnation == self.incarnation {
-                self.view.send_modify(|v| v.vacant = false);
+                // The key may have been deleted since it was read.
+                self.view
+                    .send_modify(|v| v.vacant &= pair.changed <= v.vacant_revision);
                 return None;
             }
         }
