--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -13,7 +13,7 @@
 use marigoldglade::batch::engine::{Bounds, Engine, Event, InitialState, UNCONFIRMED_LIMIT_MS};
 use marigoldglade::batch::links::WORKERS_PER_RELAY;
 use marigoldglade::batch::messages::{Call, Owner, RelayedResponse, Reply};
-use marigoldglade::batch::succession::active_predecessors;
+use marigoldglade::batch::succession::{ORDER_MARGIN_MS, active_predecessors};
 use marigoldglade::batch::worker::Target;
 use marigoldglade::batch::worker_list;
 use marigoldglade::store::{
@@ -35,8 +35,9 @@
 /// The time after its last confirmed renewal at which an owner steps down, in milliseconds. A new owner
 /// waits for [`UNCONFIRMED_LIMIT_MS`]; the difference is the time for which an order may be under way.
 const STEP_DOWN_AFTER_MS: u64 = UNCONFIRMED_LIMIT_MS - ORDER_MARGIN_MS;
-/// The longest time that an order is under way, in milliseconds: twice its timeout.
-const ORDER_MARGIN_MS: u64 = 1_000;
+/// The time between two checks whether the ownership has ended, in milliseconds; a newer owner and the
+/// daemon's stop are noticed at once.
+const ENDED_CHECK_MS: u64 = 100;
 /// The delay before a claim for each daemon that is preferred to this one as the owner, in
 /// milliseconds.
 const RANK_DELAY_MS: u64 = 40;
@@ -149,7 +150,10 @@
             tokio::time::sleep(Duration::from_millis(delay)).await;
             match self.claim().await {
                 Some(ownership) => self.act_as_owner(ownership).await,
-                None => tokio::time::sleep(Duration::from_millis(CLAIM_RETRY_MS)).await,
+                None => {
+                    self.term.set(None);
+                    tokio::time::sleep(Duration::from_millis(CLAIM_RETRY_MS)).await;
+                }
             }
             if self.stop.is_stopping() {
                 return;
@@ -157,7 +161,8 @@
         }
     }
 
-    /// Tries to become the owner; returns the ownership when the claim has succeeded.
+    /// Tries to become the owner; returns the ownership when the claim has succeeded. The daemon's term
+    /// is set once the claim is sent, whatever its outcome.
     async fn claim(&self) -> Option<Ownership> {
         let (former, seq, owners) = tokio::join!(
             self.store.get(OWNER_KEY),
@@ -170,7 +175,9 @@
             // A key that still exists is only taken over from an earlier process of this daemon,
             // which certainly no longer runs.
             if owner.name != self.name || owner.incarnation == self.incarnation {
-                self.view.send_modify(|v| v.vacant = false);
+                // The key may have been deleted since it was read.
+                self.view
+                    .send_modify(|v| v.vacant &= pair.changed <= v.vacant_revision);
                 return None;
             }
         }
@@ -179,10 +186,10 @@
         let last: Seq = decode_or_default(seq.as_ref())
             .inspect_err(|e| log::error!(error:% = e; "can't decode the last commit's number"))
             .ok()?;
-        let owners: Vec<Owner> = decode_or_default(owners.as_ref())
+        let history: Vec<Owner> = decode_or_default(owners.as_ref())
             .inspect_err(|e| log::error!(error:% = e; "can't decode the list of owners"))
             .ok()?;
-        let predecessors = active_predecessors(&owners, &self.name, wall_ms());
+        let predecessors = active_predecessors(&history, &self.name, wall_ms());
         let term = last.term + 1;
         let owner = Owner {
             name: self.name.clone(),
@@ -193,9 +200,12 @@
         };
         let listed: Vec<&Owner> = predecessors.iter().chain([&owner]).collect();
         let txn = Txn {
+            // The three reads aren't a snapshot; without the last condition, an owner that came and went
+            // between them would be missing from the list.
             when: vec![
                 unchanged(OWNER_KEY, former.as_ref()),
                 unchanged(SEQ_KEY, seq.as_ref()),
+                unchanged(OWNERS_KEY, owners.as_ref()),
             ],
             then: vec![
                 Op::Put(OWNER_KEY.to_owned(), encode(&owner), lease),
@@ -204,6 +214,9 @@
             ],
             other: Vec::new(),
         };
+        // Until the outcome is known, this daemon may become the owner, and a later one mustn't be told
+        // that it has ended.
+        self.term.set(Some(term));
         let revision = match self.store.call(&store::Call::Txn(txn)).await {
             Ok(reply) => match reply.body {
                 Body::Txn(TxnResult { held: true, .. }) => reply.revision,
@@ -235,8 +248,6 @@
 
     /// Acts as the owner until the ownership ends.
     async fn act_as_owner(self: &Rc<Self>, ownership: Ownership) {
-        // The term stays set as long as orders of the term may be sent, since later owners ask for it.
-        self.term.set(Some(ownership.term));
         self.run_ownership(&Rc::new(ownership)).await;
         self.term.set(None);
         self.metrics.term.set(0);
@@ -313,6 +324,7 @@
             .set(i64::try_from(ownership.term).unwrap_or(i64::MAX));
         self.drive(engine, ownership, inputs, queue).await;
         *self.engine.borrow_mut() = None;
+        self.term.set(None);
         drop((watches, renewal, predecessors));
         self.release(ownership).await;
     }
@@ -345,24 +357,34 @@
         }
     }
 
-    /// Waits until the daemon stops, the lease has expired, ownership hasn't been confirmed for too
-    /// long, a newer owner is known, or the ownership is better given to a daemon on a larger VM.
+    /// Returns whether another daemon is, or may be, the owner: the lease has expired, ownership hasn't
+    /// been confirmed for too long, or a newer owner is known.
+    fn has_lost(&self, ownership: &Ownership) -> bool {
+        let Some(confirmed) = ownership.confirmed.get() else {
+            return true;
+        };
+        let unconfirmed_ms = boot_ms().saturating_sub(confirmed);
+        if unconfirmed_ms > STEP_DOWN_AFTER_MS {
+            log::warn!(term = ownership.term, blind_ms = unconfirmed_ms; "the ownership hasn't been confirmed for too long");
+            return true;
+        }
+        if self.known_term() > ownership.term {
+            log::warn!(term = ownership.term; "another daemon has become the owner");
+            return true;
+        }
+        false
+    }
+
+    /// Waits until the daemon stops, the ownership is lost, or it is better given to a daemon on a
+    /// larger VM.
     async fn wait_ended(&self, ownership: &Ownership) -> Ending {
         let settled_at = clock::now().after(HANDOVER_AFTER_MS);
+        let mut view = self.view.subscribe();
         loop {
             if self.stop.is_stopping() {
                 return Ending::Planned;
             }
-            let Some(confirmed) = ownership.confirmed.get() else {
-                return Ending::Lost;
-            };
-            let unconfirmed_ms = boot_ms().saturating_sub(confirmed);
-            if unconfirmed_ms > STEP_DOWN_AFTER_MS {
-                log::warn!(term = ownership.term, blind_ms = unconfirmed_ms; "the ownership hasn't been confirmed for too long");
-                return Ending::Lost;
-            }
-            if self.known_term() > ownership.term {
-                log::warn!(term = ownership.term; "another daemon has become the owner");
+            if self.has_lost(ownership) {
                 return Ending::Lost;
             }
             let now = clock::now();
@@ -377,7 +399,8 @@
             }
             tokio::select! {
                 () = self.stop.wait_begun() => {}
-                () = tokio::time::sleep(Duration::from_millis(100)) => {}
+                _ = view.changed() => {}
+                () = tokio::time::sleep(Duration::from_millis(ENDED_CHECK_MS)) => {}
             }
         }
     }
