--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -3,7 +3,7 @@
 //! is acknowledged or a commit reaches the store.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::ops::Range;
 use std::sync::Arc;
 
@@ -44,6 +44,10 @@
     Commit(usize, Box<Batch>),
     /// The registry reaches all owners.
     Announce,
+    /// Entries of the inbox reach an owner.
+    Inbox(usize),
+    /// A daemon that has claimed a term has loaded the stored state.
+    Loaded,
 }
 
 /// Faults of the platform, each a share of orders in percent.
@@ -64,6 +68,8 @@
     pub alive: bool,
     /// The store's commit counter after the owner's last commit.
     seq: u64,
+    /// The entries of the inbox that its watch hasn't shown, and when it will.
+    unseen: VecDeque<(u64, InboxItem)>,
 }
 
 /// The simulated platform.
@@ -117,7 +123,15 @@
     /// The workers that a new owner must hear from.
     pub stored_workers: Vec<Target>,
     pub inbox: Vec<InboxItem>,
+    /// How long after it is stored each owner sees an entry of the inbox, in milliseconds. If empty, the
+    /// newest owner sees it at once, and the others don't.
+    pub inbox_ms: Range<u64>,
+    /// When the entries of the inbox were stored.
+    stored_at: HashMap<String, u64>,
     pub store_down: bool,
+    /// The owners that the store turns away: their commits are refused, and they see no new entries of the
+    /// inbox.
+    pub turned_away: BTreeSet<usize>,
     /// Whether the store leaves commits without an answer; it carries them out when it is back.
     pub store_silent: bool,
     /// How much longer than usual the store takes for a commit, in milliseconds.
@@ -289,7 +303,10 @@
             records: BTreeMap::new(),
             stored_workers: Vec::new(),
             inbox: Vec::new(),
+            inbox_ms: 0..0,
+            stored_at: HashMap::new(),
             store_down: false,
+            turned_away: BTreeSet::new(),
             store_silent: false,
             store_ms: 0,
             held_commits: Vec::new(),
@@ -379,15 +396,74 @@
             engine,
             alive: true,
             seq: self.seq,
+            unseen: VecDeque::new(),
         });
         let owner = self.owners.len() - 1;
         self.send_registry(owner);
-        if !self.inbox.is_empty() {
+        if !self.inbox_ms.is_empty() {
+            for item in self.inbox.clone() {
+                self.show_later(owner, item);
+            }
+        } else if !self.inbox.is_empty() {
             self.deliver(owner, Event::Inbox(self.inbox.clone()));
         }
         owner
     }
 
+    /// Has a daemon claim the next term, which fences the commits of all owners so far, and become the
+    /// owner once it has loaded the stored state.
+    pub fn claim(&mut self, load_ms: u64) {
+        self.seq += 1;
+        self.schedule(self.now + load_ms, Scheduled::Loaded);
+    }
+
+    /// Shows an entry of the inbox to an owner at its time, after those that were stored before.
+    fn show_later(&mut self, owner: usize, item: InboxItem) {
+        let delay = self.rng.random_range(self.inbox_ms.clone());
+        let stored_at = self.stored_at.get(&item.key).copied().unwrap_or(self.now);
+        let unseen = &mut self.owners[owner].unseen;
+        let earlier = unseen.back().map_or(0, |(at, _)| *at);
+        let at = (stored_at + delay).max(earlier).max(self.now);
+        unseen.push_back((at, item));
+        self.schedule(at, Scheduled::Inbox(owner));
+    }
+
+    /// Shows an owner the entries of the inbox whose time has come, unless the store turns it away.
+    fn show_inbox(&mut self, owner: usize) {
+        if self.turned_away.contains(&owner) {
+            return;
+        }
+        let now = self.now;
+        let unseen = &mut self.owners[owner].unseen;
+        let due = unseen.iter().take_while(|(at, _)| *at <= now).count();
+        let items: Vec<InboxItem> = unseen.drain(..due).map(|(_, item)| item).collect();
+        if !items.is_empty() {
+            self.deliver(owner, Event::Inbox(items));
+        }
+    }
+
+    /// Has the store serve all owners again.
+    pub fn serve_all(&mut self) {
+        self.turned_away.clear();
+        for owner in 0..self.owners.len() {
+            self.show_inbox(owner);
+        }
+    }
+
+    /// Writes an entry into the inbox and shows it to the owners.
+    fn store(&mut self, item: InboxItem) {
+        self.inbox.push(item.clone());
+        if self.inbox_ms.is_empty() {
+            let owner = self.newest_owner();
+            self.deliver(owner, Event::Inbox(vec![item]));
+            return;
+        }
+        self.stored_at.insert(item.key.clone(), self.now);
+        for owner in 0..self.owners.len() {
+            self.show_later(owner, item.clone());
+        }
+    }
+
     /// Returns the index of the newest owner.
     pub fn newest_owner(&self) -> usize {
         self.owners.len() - 1
@@ -681,6 +757,10 @@
                     self.send_registry(owner);
                 }
             }
+            Scheduled::Inbox(owner) => self.show_inbox(owner),
+            Scheduled::Loaded => {
+                self.elect();
+            }
             Scheduled::Event(owner, event) => self.deliver(owner, *event),
             Scheduled::Commit(owner, batch) => self.commit(owner, *batch),
             Scheduled::Delayed(owner, worker, target, order, started_at) => {
@@ -919,7 +999,7 @@
             self.held_commits.push((owner, batch));
             return;
         }
-        if self.store_down {
+        if self.store_down || self.turned_away.contains(&owner) {
             self.schedule(
                 self.now + 5,
                 Scheduled::Event(
@@ -1006,8 +1086,12 @@
     }
 
     fn call(&mut self, call: Call) -> CallId {
+        self.call_at(self.newest_owner(), call)
+    }
+
+    fn call_at(&mut self, owner: usize, call: Call) -> CallId {
         self.last_call += 1;
-        let (call_id, owner) = (self.last_call, self.newest_owner());
+        let call_id = self.last_call;
         if self.owners[owner].alive {
             self.deliver(owner, Event::Call(call_id, call));
         } else {
@@ -1024,20 +1108,50 @@
         workspace: &str,
         spec: JobSpec,
         work_ms: u64,
+    ) -> CallId {
+        let owner = self.newest_owner();
+        self.submit_at(owner, n, queue_name, workspace, spec, work_ms)
+    }
+
+    /// Submits a job to one of the owners, which may have been replaced.
+    pub fn submit_at(
+        &mut self,
+        owner: usize,
+        n: u64,
+        queue_name: &str,
+        workspace: &str,
+        spec: JobSpec,
+        work_ms: u64,
     ) -> CallId {
         let id = job_id(n);
         self.work.entry(id).or_insert((work_ms, 0));
         let queue = self.policy.queue(queue_name).expect("known queue").clone();
-        self.call(Call::Submit(Box::new(Submission {
+        let submission = Submission {
             id,
             queue,
             workspace: workspace.to_owned(),
             spec,
-        })))
+        };
+        self.call_at(owner, Call::Submit(Box::new(submission)))
     }
 
     pub fn cancel(&mut self, n: u64) -> CallId {
-        self.call(Call::Cancel(job_id(n)))
+        self.cancel_at(self.newest_owner(), n)
+    }
+
+    /// Cancels a job at one of the owners, which may have been replaced.
+    pub fn cancel_at(&mut self, owner: usize, n: u64) -> CallId {
+        self.call_at(owner, Call::Cancel(job_id(n)))
+    }
+
+    /// Returns whether a job is open in the store, on record or in the inbox.
+    pub fn is_stored_open(&self, n: u64) -> bool {
+        let id = job_id(n);
+        let submits = |i: &InboxItem| matches!(&i.body, InboxBody::Submit(r) if r.id == id);
+        match self.records.get(&id) {
+            Some(record) => record.state == State::Open,
+            None => self.inbox.iter().any(submits),
+        }
     }
 
     /// Records that a job's cancel was acknowledged, so that later starts of it are reported.
@@ -1063,9 +1177,7 @@
             key: format!("in/{id}"),
             body: InboxBody::Submit(Box::new(record)),
         };
-        self.inbox.push(item.clone());
-        let owner = self.newest_owner();
-        self.deliver(owner, Event::Inbox(vec![item]));
+        self.store(item);
     }
 
     /// Stores a cancel in the inbox, as a daemon does that can't reach the owner.
@@ -1075,9 +1187,7 @@
             key: format!("in/cancel/{id}"),
             body: InboxBody::Cancel(id),
         };
-        self.inbox.push(item.clone());
-        let owner = self.newest_owner();
-        self.deliver(owner, Event::Inbox(vec![item]));
+        self.store(item);
     }
 
     pub fn all_done(&mut self, jobs: impl IntoIterator<Item = u64>) -> bool {
