--- a/marigoldglade/tests/batch_succession.rs
+++ b/marigoldglade/tests/batch_succession.rs
@@ -287,3 +287,25 @@
         play(seed, &happenings);
     }
 }
+
+#[test]
+fn tmp_search() {
+    std::panic::set_hook(Box::new(|_| {}));
+    use Happening::*;
+    let patterns: &[(&str, &[(Happening, u64, u64)])] = &[
+        ("stored-claimed", &[(Claimed, 7, 0), (Stored, 0, 0)]),
+        ("direct+stored", &[(TurnedAway, 0, 0), (SubmittedToAll, 0, 0), (Claimed, 7, 0), (SubmittedAndStored, 0, 0)]),
+        ("merge", &[(Claimed, 7, 0), (SubmittedAndStored, 1, 0)]),
+        ("merge_turned", &[(Claimed, 7, 0), (TurnedAway, 0, 0), (SubmittedAndStored, 1, 0), (Served, 0, 0)]),
+    ];
+    for (name, p) in patterns {
+        let mut hits = Vec::new();
+        for seed in 0..400u64 {
+            if let Err(e) = std::panic::catch_unwind(|| play(seed, p)) {
+                let m = e.downcast_ref::<String>().cloned().unwrap_or_default();
+                hits.push((seed, m));
+            }
+        }
+        println!("{name}: {} {:?}", hits.len(), &hits[..hits.len().min(4)]);
+    }
+}
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -210,6 +210,14 @@
             .unwrap_or_default()
     }
 
+    /// Returns the term in which the daemon is the owner; zero if it isn't.
+    pub fn term(&self) -> u64 {
+        let page = self.metrics();
+        let mut lines = page.lines();
+        let term = lines.find_map(|l| l.strip_prefix("marigoldglade_term "));
+        term.and_then(|t| t.parse().ok()).unwrap_or(0)
+    }
+
     pub fn call(&self, method: &str, path: &str, key: &str, body: Option<&[u8]>) -> (u16, Value) {
         let (status, _, body) = self.call_with_retry_after(method, path, key, body);
         (status, body)
