--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -321,6 +321,7 @@
             log::info!(workers = targets.len(), inherited = self.workers.len(), term = self.term; "workers read from the registry");
         }
         let mut listed = HashSet::new();
+        self.unbind_moved(&targets);
         for target in targets {
             let key = match self.worker_names.get(&target.name) {
                 Some(key) => *key,
@@ -490,6 +491,7 @@
         );
         let target = Arc::clone(&self.worker(key).target);
         self.blame_silent_runs(target.addr, &target.name);
+        self.unbind_replaced(target.addr, &target.name);
     }
 
     /// Returns how many workers haven't answered and may have runs that this owner doesn't know.
