Keep the record of a job that is submitted again under a deleted job's id

A job that was accepted had no record, so a takeover lost it.

Cause: the id of a job past its retention waits in the list of deletions while a commit is under way. If the id is submitted again meanwhile, the next commit both wrote and deleted the record.

Change: adding a job withdraws the deletion of its id; its record overwrites the old one.

--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -87,6 +87,8 @@
     pub(super) fn add_job(&mut self, job: Job) -> JobKey {
         self.last_job += 1;
         let key = JobKey(self.last_job);
+        // The record of an earlier job with the id is overwritten instead.
+        self.deletes.retain(|id| *id != job.record.id);
         self.job_ids.insert(job.record.id, key);
         self.jobs.insert(key, job);
         key
