Start a task only once an unwanted run of it has ended

Cause: of a run that isn't wanted the owner kept only what it takes of the worker's capacity.

Change: the owner keeps the task as well, and the task waits until a report no longer lists the run, or the silent worker's leases have expired.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -63,6 +63,8 @@
     pub reservations: Vec<Reservation>,
     /// The reserved capacity by worker.
     pub reserved: Vec<Resources>,
+    /// Tasks with a run that isn't wanted: they wait for its end.
+    pub stopping: HashSet<TaskId>,
 }
 
 impl Pass {
@@ -184,6 +186,7 @@
             unplaceable: HashSet::new(),
             reservations: Vec::new(),
             reserved: vec![Resources::default(); self.workers.len()],
+            stopping: self.stopping_tasks(),
         };
         for reservation in std::mem::take(&mut self.reservations) {
             if !reservation.expires_at.passed(now) && ready.contains(&reservation.step_key) {
@@ -298,8 +301,12 @@
             step: step_key.step,
             index,
         };
+        let stopping = |index: u32| !pass.stopping.is_empty() && pass.stopping.contains(&id(index));
         let mut groups: Vec<TaskGroup> = Vec::new();
         if step.gang {
+            if (0..step.count).any(stopping) {
+                return;
+            }
             let Ok(bound) = (0u32..)
                 .zip(tasks)
                 .map(|(i, t)| self.bound_worker(t, &id(i)))
@@ -320,7 +327,7 @@
             // isolated and others are bound to a worker, so each is placed by itself.
             let (single, others): (Vec<_>, Vec<_>) = (0u32..)
                 .zip(tasks)
-                .filter(|(_, t)| job.is_idle(t, now))
+                .filter(|(i, t)| job.is_idle(t, now) && !stopping(*i))
                 .partition(|(_, t)| {
                     !t.avoid.is_empty() || t.is_isolated(now) || t.binding(now).is_some()
                 });
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -5,7 +5,7 @@
 
 use crate::batch::engine::leases::{ClockReading, LEASE_MS};
 use crate::batch::engine::orders::UNHEALTHY_PAUSE_MS;
-use crate::batch::engine::workers::{LostStart, Run, SILENT_THRESHOLD, Stage};
+use crate::batch::engine::workers::{LostStart, Run, SILENT_THRESHOLD, Stage, UnwantedRun};
 use crate::batch::engine::{Action, Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::worker::{
@@ -271,7 +271,9 @@
                 self.apply_completion(key, completion);
             }
         }
-        self.worker_mut(key).unwanted.clear();
+        let worker = self.worker_mut(key);
+        let waits = !std::mem::take(&mut worker.unwanted).is_empty();
+        self.replan |= waits;
         for row in &report.running {
             self.apply_running(key, row, report.clock, out);
         }
@@ -366,7 +368,10 @@
             };
             let target = Arc::clone(&self.worker(key).target);
             let resources = self.charge(&row.task).unwrap_or(target.capacity);
-            self.worker_mut(key).unwanted.push(resources);
+            self.worker_mut(key).unwanted.push(UnwantedRun {
+                task: row.task,
+                resources,
+            });
             out.push(Action::Order(key, target, Order::Stop(stop)));
         }
     }
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -127,7 +127,7 @@
             if worker.runs.is_empty() {
                 continue;
             }
-            if worker.failed_renewals > 0 && worker.all_leases_expired_at().passed(now) {
+            if worker.has_lapsed(now) {
                 self.expire_leases(key);
                 continue;
             }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -38,6 +38,14 @@
     pub stopped_clock: Option<u64>,
 }
 
+/// A run on a worker that the owner doesn't want.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnwantedRun {
+    pub task: TaskId,
+    /// What it takes of the worker's capacity.
+    pub resources: Resources,
+}
+
 /// The stage of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -130,8 +138,8 @@
     pub runs: BTreeMap<TaskId, Run>,
     /// What the runs take of the worker's capacity.
     pub used: Resources,
-    /// What each run takes that the last report lists and that isn't wanted: it is being stopped.
-    pub unwanted: Vec<Resources>,
+    /// The runs that the last report lists and that aren't wanted: they are being stopped.
+    pub unwanted: Vec<UnwantedRun>,
     /// Whether a renewal is under way.
     pub renewal_pending: bool,
     /// When the next renewal may be sent.
@@ -194,7 +202,8 @@
     /// Returns what is taken of the worker's capacity by all that runs, or may begin, there.
     pub fn taken(&self) -> Resources {
         let stale = self.stale_starts.iter().map(|s| &s.resources);
-        let others = self.unwanted.iter().chain(stale);
+        let unwanted = self.unwanted.iter().map(|u| &u.resources);
+        let others = unwanted.chain(stale);
         others.fold(self.used, |sum, r| sum.plus(r))
     }
 
@@ -262,6 +271,11 @@
             || !self.uncertain_until.passed(now)
     }
 
+    /// Returns whether the worker is silent and its leases have expired, so that nothing runs there.
+    pub fn has_lapsed(&self, now: UnixMs) -> bool {
+        self.failed_renewals > 0 && self.all_leases_expired_at().passed(now)
+    }
+
     /// Adds a run.
     pub fn insert(&mut self, task: TaskId, run: Run) {
         self.used = self.used.plus(&run.resources);
@@ -499,4 +513,10 @@
         let unknown = |w: &&Worker| !w.answered && !w.uncertain_until.passed(self.now);
         self.workers.iter().filter(unknown).count()
     }
+
+    /// Returns the tasks of runs that aren't wanted and may go on.
+    pub(super) fn stopping_tasks(&self) -> HashSet<TaskId> {
+        let workers = self.workers.iter().filter(|w| !w.has_lapsed(self.now));
+        workers.flat_map(|w| &w.unwanted).map(|u| u.task).collect()
+    }
 }
