Wait for all completions of a worker after a takeover

Tasks that were done started again after a takeover.

Cause: a report lists at most 500 completions. A new owner took the first report of a worker as its whole answer, so tasks whose completions came later looked idle. It takes more than 500 completions that aren't acknowledged on one worker, as in a long outage of the store with small tasks.

Change: a worker whose last report was partial counts as one that may have unknown runs, until a full report comes or its leases have expired.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -272,6 +272,7 @@
             }
         }
         let worker = self.worker_mut(key);
+        worker.partial = report.is_partial();
         let waits = !std::mem::take(&mut worker.unwanted).is_empty();
         self.replan |= waits;
         for row in &report.running {
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -140,6 +140,8 @@
     pub used: Resources,
     /// The runs that the last report lists and that aren't wanted: they are being stopped.
     pub unwanted: Vec<UnwantedRun>,
+    /// Whether the last report left completions out.
+    pub partial: bool,
     /// Whether a renewal is under way.
     pub renewal_pending: bool,
     /// When the next renewal may be sent.
@@ -186,6 +188,7 @@
             runs: BTreeMap::new(),
             used: Resources::default(),
             unwanted: Vec::new(),
+            partial: false,
             renewal_pending: false,
             renewal_after: now,
             renew_at: now,
@@ -306,6 +309,7 @@
         self.lease_expires_at = 0;
         self.acks = Acks::default();
         self.unwanted.clear();
+        self.partial = false;
         self.failed_renewals = 0;
         self.health = Health::default();
         self.pace = Pace::default();
@@ -508,9 +512,16 @@
         self.unbind_replaced(target.addr, &target.name);
     }
 
-    /// Returns how many workers haven't answered and may have runs that this owner doesn't know.
+    /// Returns how many workers may have runs or completions that this owner doesn't know.
     pub(super) fn count_unknown(&self) -> usize {
-        let unknown = |w: &&Worker| !w.answered && !w.uncertain_until.passed(self.now);
+        let now = self.now;
+        let unknown = |w: &&Worker| {
+            if w.answered {
+                w.partial && !w.has_lapsed(now)
+            } else {
+                !w.uncertain_until.passed(now)
+            }
+        };
         self.workers.iter().filter(unknown).count()
     }
 
