--- a/marigoldglade/src/batch/engine/late_starts.rs
+++ b/marigoldglade/src/batch/engine/late_starts.rs
@@ -125,6 +125,7 @@
         let newly_lost = !std::mem::replace(&mut binding.lost, true);
         self.bound_tasks.insert(start.task);
         if newly_lost {
+            log::info!(task:% = start.task, run = start.run, worker = worker.as_str(); "start without a response; its task is bound to the worker");
             self.record_binding(job_key);
         }
     }
