--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::batch::engine::plan::{Pass, RackReservation, Reservation, Shape, StepKey};
-use crate::batch::engine::workers::{Run, Stage};
+use crate::batch::engine::runs::{Run, Stage};
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::health::Grade;
 use crate::batch::id::TaskId;
--- a/marigoldglade/src/batch/engine/completions.rs
+++ b/marigoldglade/src/batch/engine/completions.rs
@@ -77,7 +77,7 @@
     }
 
     fn is_stopping(&self, key: WorkerKey, id: &TaskId) -> bool {
-        use crate::batch::engine::workers::Stage;
+        use crate::batch::engine::runs::Stage;
         let run = self.worker(key).runs.get(id);
         run.is_some_and(|r| matches!(r.stage, Stage::Stopping | Stage::Abandoned))
     }
--- a/marigoldglade/src/batch/engine/crashes.rs
+++ b/marigoldglade/src/batch/engine/crashes.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 
 use crate::batch::engine::job::Task;
-use crate::batch::engine::workers::{Run, Stage, Worker};
+use crate::batch::engine::runs::{Run, Stage};
+use crate::batch::engine::workers::Worker;
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::record::{Crash, LostRun, State};
--- a/marigoldglade/src/batch/engine/late_starts.rs
+++ b/marigoldglade/src/batch/engine/late_starts.rs
@@ -10,7 +10,7 @@
 
 use crate::batch::engine::job::Task;
 use crate::batch::engine::orders::LATE_ORDER_MS;
-use crate::batch::engine::workers::LostStart;
+use crate::batch::engine::runs::LostStart;
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::record::LateStart;
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::batch::engine::workers::{LostStart, Stage};
+use crate::batch::engine::runs::{LostStart, Stage};
 use crate::batch::engine::{Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::worker::{OrderResponse, Refusal, Start, Stop};
--- a/marigoldglade/src/batch/engine/pacing.rs
+++ b/marigoldglade/src/batch/engine/pacing.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use crate::batch::engine::workers::{Run, Stage};
+use crate::batch::engine::runs::{Run, Stage};
 use crate::batch::engine::{Action, Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::pace::FULL_PERCENT;
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -5,7 +5,8 @@
 
 use crate::batch::engine::leases::{ClockReading, LEASE_MS};
 use crate::batch::engine::orders::UNHEALTHY_PAUSE_MS;
-use crate::batch::engine::workers::{LostStart, Run, SILENT_THRESHOLD, Stage, UnwantedRun};
+use crate::batch::engine::runs::{LostStart, Run, Stage, UnwantedRun};
+use crate::batch::engine::workers::SILENT_THRESHOLD;
 use crate::batch::engine::{Action, Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::worker::{
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -1,12 +1,12 @@
-//! Starting, stopping and removing runs on workers, and detecting stalled ones.
+//! Runs on workers: starting, stopping and removing them, and detecting stalled ones.
 
 use std::sync::Arc;
 
-use crate::batch::engine::workers::{LostStart, Run, Stage};
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::pace::FULL_PERCENT;
-use crate::batch::worker::{Order, Start, Stop};
+use crate::batch::worker::{Order, Resources, Start, Stop};
+use crate::time::UnixMs;
 
 /// How long a start is valid, in milliseconds: less than two seconds, the shortest delay with which
 /// a lost order may still be carried out.
@@ -23,6 +23,77 @@
 /// How many run numbers of a task are set aside for each term.
 const RUNS_PER_TERM: u64 = 1 << 16;
 
+/// A start without a response, which may be carried out late.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LostStart {
+    pub task: TaskId,
+    pub run: u64,
+    pub resources: Resources,
+    /// Until when it may be carried out.
+    pub expires_at: UnixMs,
+    /// The clock of the worker's next process when that obeyed the stop of the run; the run may have
+    /// begun before.
+    pub stopped_clock: Option<u64>,
+}
+
+/// A run on a worker that the owner doesn't want.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnwantedRun {
+    pub task: TaskId,
+    /// What it takes of the worker's capacity.
+    pub resources: Resources,
+}
+
+/// The stage of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// The start was sent and isn't answered.
+    Starting,
+    /// The run goes on, as far as is known.
+    Running,
+    /// The run is to be stopped; the stop is sent again until the worker reports the completion.
+    Stopping,
+    /// The start was given up, but the run may go on, or may still begin before the start's
+    /// deadline.
+    Abandoned,
+}
+
+/// A run that is, or may be, on a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub job: JobKey,
+    /// The number of the run.
+    pub run: u64,
+    pub resources: Resources,
+    pub stage: Stage,
+    /// When the start was first sent, or the run was adopted.
+    pub started_at: UnixMs,
+    /// How often the current order, a start or a stop, has been sent.
+    pub sends: u32,
+    /// When the current order is sent again.
+    pub resend_at: UnixMs,
+    /// The worker's clock when the worker last confirmed the run or its stop.
+    pub confirmed_clock: u64,
+    /// The start's deadline on the worker's clock.
+    pub deadline: u64,
+    /// The progress in percent.
+    pub percent: u32,
+    /// When the progress last rose.
+    pub progress_at: UnixMs,
+    /// Whether a report of the worker has listed the run.
+    pub listed: bool,
+    /// Whether it may crash its worker, so that nothing else starts there until a report lists it.
+    pub isolated: bool,
+    /// Whether the worker has restarted since the start was sent, and may have the run or not.
+    pub restarted: bool,
+    /// Whether the run can't begin any more: the worker obeyed a stop, or refused the start as
+    /// superseded.
+    pub cannot_start: bool,
+    /// The pace that the worker last accepted for the run, in percent; `None` if an earlier owner
+    /// may have changed it.
+    pub pace: Option<u32>,
+}
+
 impl Engine {
     /// Starts a task on a worker; the task must be idle.
     pub(super) fn start_task(
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -6,7 +6,8 @@
 use crate::batch::engine::acks::Acks;
 use crate::batch::engine::leases::{CLOCK_DRIFT_PERCENT, ClockReading};
 use crate::batch::engine::reports::REORDER_LIMIT_MS;
-use crate::batch::engine::{Engine, Heartbeat, JobKey, WorkerKey};
+use crate::batch::engine::runs::{LostStart, Run, Stage, UnwantedRun};
+use crate::batch::engine::{Engine, Heartbeat, WorkerKey};
 use crate::batch::health::Health;
 use crate::batch::id::TaskId;
 use crate::batch::pace::Pace;
@@ -25,77 +26,6 @@
 /// How long a start may be under way to a worker, in milliseconds: twice an order's timeout.
 const START_TRANSIT_MS: u64 = 1_000;
 
-/// A start without a response, which may be carried out late.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct LostStart {
-    pub task: TaskId,
-    pub run: u64,
-    pub resources: Resources,
-    /// Until when it may be carried out.
-    pub expires_at: UnixMs,
-    /// The clock of the worker's next process when that obeyed the stop of the run; the run may have
-    /// begun before.
-    pub stopped_clock: Option<u64>,
-}
-
-/// A run on a worker that the owner doesn't want.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct UnwantedRun {
-    pub task: TaskId,
-    /// What it takes of the worker's capacity.
-    pub resources: Resources,
-}
-
-/// The stage of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Stage {
-    /// The start was sent and isn't answered.
-    Starting,
-    /// The run goes on, as far as is known.
-    Running,
-    /// The run is to be stopped; the stop is sent again until the worker reports the completion.
-    Stopping,
-    /// The start was given up, but the run may go on, or may still begin before the start's
-    /// deadline.
-    Abandoned,
-}
-
-/// A run that is, or may be, on a worker.
-#[derive(Clone, Debug)]
-pub(super) struct Run {
-    pub job: JobKey,
-    /// The number of the run.
-    pub run: u64,
-    pub resources: Resources,
-    pub stage: Stage,
-    /// When the start was first sent, or the run was adopted.
-    pub started_at: UnixMs,
-    /// How often the current order, a start or a stop, has been sent.
-    pub sends: u32,
-    /// When the current order is sent again.
-    pub resend_at: UnixMs,
-    /// The worker's clock when the worker last confirmed the run or its stop.
-    pub confirmed_clock: u64,
-    /// The start's deadline on the worker's clock.
-    pub deadline: u64,
-    /// The progress in percent.
-    pub percent: u32,
-    /// When the progress last rose.
-    pub progress_at: UnixMs,
-    /// Whether a report of the worker has listed the run.
-    pub listed: bool,
-    /// Whether it may crash its worker, so that nothing else starts there until a report lists it.
-    pub isolated: bool,
-    /// Whether the worker has restarted since the start was sent, and may have the run or not.
-    pub restarted: bool,
-    /// Whether the run can't begin any more: the worker obeyed a stop, or refused the start as
-    /// superseded.
-    pub cannot_start: bool,
-    /// The pace that the worker last accepted for the run, in percent; `None` if an earlier owner
-    /// may have changed it.
-    pub pace: Option<u32>,
-}
-
 /// A worker and what the owner knows of it.
 pub(super) struct Worker {
     pub target: Arc<Target>,
