Refuse a submission only once no earlier attempt can take effect

Cause: a refusal was decided by whoever had the call, from what it knew. The owner refused by its backlog, whatever had been written to the inbox; the daemon that had the call passed that on though its own write to the inbox had got no answer; and a daemon without the store refused whatever other daemons had attempted.

Ruled out: a flag for each path. The daemon that holds the uncertain attempt may be another one, or dead, and the write is carried out later than any withdrawal of it.

Change: the owner announces refusals by a group commit, which changes mg/in/refused, and sends them once its watch of the inbox shows the change. Daemons write to the inbox only on the condition that this key is unchanged, so earlier writes are void and earlier entries are seen. A submission that arrives after its refusal is told from a new attempt by the refusal's number and age.

--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -12,7 +12,8 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use hdrhistogram::Histogram;
 use marigoldglade::batch::engine::{
-    Action, Batch, Bounds, CommitOutcome, Engine, Event, InitialState, WorkerKey,
+    Action, Batch, Bounds, CommitOutcome, Engine, Event, InboxBody, InboxItem, InitialState,
+    WorkerKey,
 };
 use marigoldglade::batch::id::JobId;
 use marigoldglade::batch::messages::{Call, Submission};
@@ -241,6 +242,14 @@
                     self.measure_commit(&batch);
                     let event = Event::CommitOutcome(batch.number, CommitOutcome::Committed);
                     self.schedule(self.now + COMMIT_MS, Scheduled::Event(event));
+                    if let Some(refused) = batch.refused {
+                        let item = InboxItem {
+                            key: "refused".to_owned(),
+                            body: InboxBody::Refused(refused),
+                        };
+                        let event = Event::Inbox(vec![item]);
+                        self.schedule(self.now + COMMIT_MS, Scheduled::Event(event));
+                    }
                 }
                 Action::Reply(..) | Action::Advise { .. } | Action::StepDown => {}
             }
@@ -349,6 +358,7 @@
                 steps: vec![step],
                 ..JobSpec::default()
             },
+            refusal: 0,
         }));
         Event::Call(self.last_job, call)
     }
--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -5,11 +5,13 @@
 //! ([`spec`]) and as stored ([`record`]), the operators' configuration ([`policy`]), messages between
 //! daemons ([`messages`]), the protocol with workers ([`worker`]), the workers that the registry lists ([`roster`]) and
 //! those on the stored list ([`worker_list`]),
-//! the daemons that relay orders to them ([`links`]), earlier owners that may still act ([`succession`]), and the decisions ([`admission`], [`commit_order`], [`rank`], [`pack`], [`preempt`], [`pace`],
+//! the daemons that relay orders to them ([`links`]), earlier owners that may still act ([`succession`]),
+//! attempts at submissions that may take effect late ([`attempts`], [`refused`]), and the decisions ([`admission`], [`commit_order`], [`rank`], [`pack`], [`preempt`], [`pace`],
 //! [`advice`], [`health`]).
 
 pub mod admission;
 pub mod advice;
+pub mod attempts;
 pub mod commit_order;
 pub mod engine;
 pub mod health;
@@ -22,6 +24,7 @@
 pub mod preempt;
 pub mod rank;
 pub mod record;
+pub mod refused;
 pub mod roster;
 pub mod spec;
 pub mod succession;
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -18,6 +18,7 @@
 mod orders;
 mod pacing;
 mod plan;
+mod refusals;
 mod reports;
 mod runs;
 mod workers;
@@ -32,6 +33,7 @@
 use crate::batch::pack::RackKey;
 use crate::batch::policy::{Policy, Queue};
 use crate::batch::record::Record;
+use crate::batch::refused::RefusedJobs;
 use crate::batch::worker::{Order, OrderResponse, Target};
 use crate::time::UnixMs;
 
@@ -39,6 +41,7 @@
 use commit::PendingCommit;
 use job::Job;
 pub use leases::UNCONFIRMED_LIMIT_MS;
+use refusals::Refusals;
 use workers::Worker;
 
 /// Identifies a job within this process.
@@ -90,6 +93,8 @@
     Submit(Box<Record>),
     /// A job whose cancel the other daemon acknowledged.
     Cancel(JobId),
+    /// The jobs that an owner refused shortly before; this entry stays in the inbox.
+    Refused(RefusedJobs),
 }
 
 /// The outcome of a commit.
@@ -115,7 +120,8 @@
     Heartbeats(Vec<Heartbeat>),
     /// A call that has passed the checks of the daemon that received it.
     Call(CallId, Call),
-    /// Submissions and cancels that other daemons left in the store.
+    /// Submissions and cancels that other daemons left in the store, and the owner's lists of refused
+    /// jobs, in the order in which they were written.
     Inbox(Vec<InboxItem>),
     /// The response of a worker to an order, or the loss of the response.
     OrderResponse(WorkerKey, Order, OrderResponse),
@@ -142,6 +148,8 @@
     pub handled: Vec<String>,
     /// The workers that may run something, if the list changed.
     pub workers: Option<Vec<Target>>,
+    /// The jobs that were refused shortly before, if the commit announces refusals.
+    pub refused: Option<RefusedJobs>,
 }
 
 /// An output of the engine, which the caller carries out.
@@ -222,6 +230,8 @@
     deletes: Vec<JobId>,
     /// Keys of inbox entries that have been applied and are still to be deleted from the store.
     handled: BTreeSet<String>,
+    /// Submissions that are refused, or were in the last minutes.
+    refusals: Refusals,
     /// Runs given up with silent workers that haven't answered since, by the worker's address.
     silent_runs: HashMap<SocketAddr, Vec<crashes::SilentRun>>,
     /// The tasks that starts without a response bind to workers.
@@ -296,6 +306,7 @@
             dirty_jobs: BTreeSet::new(),
             deletes: Vec::new(),
             handled: BTreeSet::new(),
+            refusals: Refusals::default(),
             silent_runs: HashMap::new(),
             bound_tasks: BTreeSet::new(),
             workers_dirty: true,
@@ -367,7 +378,7 @@
             Event::Registry(targets) => self.update_registry(targets),
             Event::Heartbeats(heartbeats) => self.apply_heartbeats(&heartbeats),
             Event::Call(call_id, call) => self.handle_call(call_id, call, out),
-            Event::Inbox(items) => self.apply_inbox(items),
+            Event::Inbox(items) => self.apply_inbox(items, out),
             Event::OrderResponse(key, order, r) => self.handle_response(key, &order, r, out),
             Event::CommitOutcome(number, outcome) => self.finish_commit(number, outcome, out),
             Event::PredecessorsEnded => self.limit_inherited_leases(),
@@ -375,6 +386,7 @@
             Event::Tick => {
                 self.tick();
                 self.refuse_unsent(out);
+                self.give_up_refusals(out);
             }
         }
     }
--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -29,7 +29,7 @@
         }
     }
 
-    /// Adds a job; the reply waits for the commit of its record.
+    /// Adds a job, whose reply waits for the commit of its record, or refuses it.
     fn submit(&mut self, call_id: CallId, submission: Submission) -> Option<Reply> {
         let id = submission.id;
         if let Some((_, job)) = self.job_mut(id) {
@@ -43,10 +43,13 @@
             log::info!(job = id.as_str(), closed_ms = self.closed_until.since(self.now); "submission refused: the store takes no commits");
             return Some(Reply::NotOwner);
         }
+        if let Some(reply) = self.check_attempt(&submission) {
+            return Some(reply);
+        }
         if let Some(retry_ms) = self.overload_retry_ms(&submission.queue, &submission.spec) {
-            self.counts.refused += 1;
             log::info!(job = id.as_str(), queue = submission.queue.name.as_str(), retry_ms; "submission refused: the backlog is too long for its objective");
-            return Some(Reply::Refused(retry_ms));
+            self.refusals.add(self.now, call_id, id, retry_ms);
+            return None;
         }
         let record = submission.into_record(self.wall_ms);
         let key = self.add_job(Job::new(record, self.now, false));
@@ -156,14 +159,19 @@
     }
 
     /// Applies the requests that other daemons stored while they couldn't reach the owner.
-    pub(super) fn apply_inbox(&mut self, mut items: Vec<InboxItem>) {
-        // A cancel may be listed before its submission.
-        items.sort_by_key(|i| matches!(i.body, InboxBody::Cancel(_)));
+    pub(super) fn apply_inbox(&mut self, mut items: Vec<InboxItem>, out: &mut Vec<Action>) {
+        // A cancel may be listed before its submission. A list of refused jobs comes after all
+        // submissions that were written before it.
+        items.sort_by_key(|i| !matches!(i.body, InboxBody::Submit(_)));
         for item in items {
             if self.handled.contains(&item.key) {
                 continue;
             }
             match item.body {
+                InboxBody::Refused(list) => {
+                    self.apply_refused_jobs(&list, out);
+                    continue;
+                }
                 InboxBody::Submit(record) => {
                     let id = record.id;
                     if !self.job_ids.contains_key(&id) {
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -40,6 +40,7 @@
             || !self.dirty_jobs.is_empty()
             || !self.deletes.is_empty()
             || !self.handled.is_empty()
+            || self.refusals.has_new()
             || self.workers.iter().any(|w| w.acks.is_pending())
     }
 
@@ -86,7 +87,8 @@
             deletes: Vec::new(),
             workers: None,
         };
-        let entry_limit = self.bounds.commit_entries;
+        batch.refused = self.announce_refusals(self.last_commit);
+        let entry_limit = self.bounds.commit_entries - usize::from(batch.refused.is_some());
         let changes: Vec<Change> = self
             .dirty_jobs
             .iter()
@@ -148,7 +150,8 @@
         let nothing_to_write = batch.puts.is_empty()
             && batch.handled.is_empty()
             && batch.deletes.is_empty()
-            && batch.workers.is_none();
+            && batch.workers.is_none()
+            && batch.refused.is_none();
         self.commit_after = self.now.after(COMMIT_GAP_MS);
         self.pending = Some(pending);
         if nothing_to_write {
@@ -283,6 +286,7 @@
         self.closed_until = self.now.after(CLOSED_MS);
         self.commit_after = self.now.after(CLOSED_MS / 4);
         self.workers_dirty |= pending.workers.is_some();
+        self.withdraw_announcement(pending.number);
         for (key, ..) in &pending.jobs {
             let unstored = |j: &super::job::Job| j.durable_state.is_none();
             if self.jobs.get(key).is_some_and(unstored) {
--- a/marigoldglade/src/batch/messages.rs
+++ b/marigoldglade/src/batch/messages.rs
@@ -20,6 +20,9 @@
     pub workspace: String,
     /// What the caller asks for.
     pub spec: JobSpec,
+    /// The number of the last refusal of the job that the attempt began after; zero if none is known.
+    #[serde(default)]
+    pub refusal: u64,
 }
 
 impl Submission {
@@ -79,6 +82,14 @@
     NotOwner,
     /// It isn't known whether the call took effect.
     Unsure,
+    /// The job was refused shortly before, and the call had no effect. An attempt that began after the
+    /// refusal is made again with the refusal's number.
+    RefusedBefore {
+        /// The number of the refusal.
+        refusal: u64,
+        /// How long ago the refusal was sent, in milliseconds.
+        ago_ms: u64,
+    },
 }
 
 /// The daemon that owns the jobs.
@@ -156,6 +167,13 @@
         /// The owner, if its term is newer.
         owner: Option<Owner>,
     },
+    /// Asks whether an attempt at a submission by the receiver may take effect, or has.
+    AttemptRequest(JobId),
+    /// The response to [`Message::AttemptRequest`].
+    AttemptResponse {
+        /// Whether no attempt by the daemon can take effect, or has.
+        none: bool,
+    },
     /// Orders of the owner that the receiver sends to workers.
     Orders(Vec<RelayedOrder>),
     /// Responses of workers to [`Message::Orders`]; without any, it shows that the sender is alive.
--- a/marigoldglade/src/settings.rs
+++ b/marigoldglade/src/settings.rs
@@ -92,6 +92,9 @@
     /// The placement adviser, if there is one.
     #[serde(default)]
     pub adviser: Option<SocketAddr>,
+    /// Whether an earlier process of the daemon may have taken calls shortly before.
+    #[serde(default)]
+    pub restarted: bool,
 }
 
 /// Which log lines are written, how and where.
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -126,6 +126,8 @@
     /// How long after it is stored each owner sees an entry of the inbox, in milliseconds. If empty, the
     /// newest owner sees it at once, and the others don't.
     pub inbox_ms: Range<u64>,
+    /// How often the list of refused jobs has changed.
+    pub refused_changes: u32,
     /// When the entries of the inbox were stored.
     stored_at: HashMap<String, u64>,
     pub store_down: bool,
@@ -193,6 +195,8 @@
 }
 
 pub const POOL: &str = "pool";
+/// The key of the list of refused jobs.
+const REFUSED_KEY: &str = "in/refused";
 
 /// The time between two heartbeats of a worker, in milliseconds.
 const HEARTBEAT_MS: u64 = 1_500;
@@ -304,6 +308,7 @@
             stored_workers: Vec::new(),
             inbox: Vec::new(),
             inbox_ms: 0..0,
+            refused_changes: 0,
             stored_at: HashMap::new(),
             store_down: false,
             turned_away: BTreeSet::new(),
@@ -818,7 +823,7 @@
     fn specs(&self) -> HashMap<JobId, JobSpec> {
         let in_inbox = self.inbox.iter().filter_map(|i| match &i.body {
             InboxBody::Submit(record) => Some((record.id, record.spec.clone())),
-            InboxBody::Cancel(_) => None,
+            InboxBody::Cancel(_) | InboxBody::Refused(_) => None,
         });
         let recorded = self.records.values().map(|r| (r.id, r.spec.clone()));
         in_inbox.chain(recorded).collect()
@@ -1060,6 +1065,14 @@
         if let Some(workers) = batch.workers {
             self.stored_workers = workers;
         }
+        if let Some(refused) = batch.refused {
+            self.inbox.retain(|i| i.key != REFUSED_KEY);
+            self.refused_changes += 1;
+            self.store(InboxItem {
+                key: REFUSED_KEY.to_owned(),
+                body: InboxBody::Refused(refused),
+            });
+        }
         self.schedule(
             self.now + 3,
             Scheduled::Event(
@@ -1113,6 +1126,18 @@
         self.submit_at(owner, n, queue_name, workspace, spec, work_ms)
     }
 
+    /// Submits a job by an attempt that began after the refusal with this number.
+    pub fn submit_after(&mut self, refusal: u64, n: u64, spec: JobSpec) -> CallId {
+        let submission = Submission {
+            id: job_id(n),
+            queue: self.policy.queue("sweep").expect("known queue").clone(),
+            workspace: "w0".to_owned(),
+            spec,
+            refusal,
+        };
+        self.call(Call::Submit(Box::new(submission)))
+    }
+
     /// Submits a job to one of the owners, which may have been replaced.
     pub fn submit_at(
         &mut self,
@@ -1131,6 +1156,7 @@
             queue,
             workspace: workspace.to_owned(),
             spec,
+            refusal: 0,
         };
         self.call_at(owner, Call::Submit(Box::new(submission)))
     }
@@ -1191,6 +1217,23 @@
         self.store(item);
     }
 
+    /// Returns the jobs on the stored list of refused jobs.
+    pub fn refused_jobs(&self) -> Vec<JobId> {
+        let list = self.inbox.iter().find_map(|i| match &i.body {
+            InboxBody::Refused(list) => Some(list.ids.clone()),
+            InboxBody::Submit(_) | InboxBody::Cancel(_) => None,
+        });
+        list.unwrap_or_default()
+    }
+
+    /// Carries out a write to the inbox that a daemon began when the list of refused jobs had changed
+    /// `refused_changes` times, unless it has changed since.
+    pub fn store_late(&mut self, item: InboxItem, refused_changes: u32) {
+        if self.refused_changes == refused_changes {
+            self.store(item);
+        }
+    }
+
     /// Stores a cancel in the inbox, as a daemon does that can't reach the owner.
     pub fn store_cancel(&mut self, n: u64) {
         let id = job_id(n);
--- a/marigoldgladed/src/batch.rs
+++ b/marigoldgladed/src/batch.rs
@@ -21,6 +21,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigoldglade::batch::attempts::{ATTEMPT_MS, Attempts};
 use marigoldglade::batch::policy::Policy;
 use marigoldglade::prelude::*;
 use marigoldglade::settings::{self, Settings};
@@ -71,6 +72,10 @@
     /// The term in which this daemon is the owner, or claims to be; `None` while it isn't. Orders of the
     /// term may be sent only while it is set, and later owners ask for it.
     term: Cell<Option<u64>>,
+    /// The attempts at submissions that may take effect.
+    attempts: RefCell<Attempts>,
+    /// Until when an earlier process of this daemon may have made attempts that count.
+    unsure_until: UnixMs,
     /// When this daemon, as the owner, may next hand over to one on a larger VM.
     handover_after: Cell<UnixMs>,
     stop: Stop,
@@ -127,6 +132,8 @@
         view: watch::Sender::new(View::default()),
         engine: RefCell::new(None),
         term: Cell::new(None),
+        attempts: RefCell::default(),
+        unsure_until: clock::now().after(if platform.restarted { ATTEMPT_MS } else { 0 }),
         handover_after: Cell::default(),
         stop: Stop::new(),
         name: settings.name.clone(),
--- a/marigoldgladed/src/batch/calls.rs
+++ b/marigoldgladed/src/batch/calls.rs
@@ -4,12 +4,17 @@
 use std::rc::Rc;
 
 use marigoldglade::batch::admission::outage_retry_ms;
+use marigoldglade::batch::attempts::AttemptKey;
 use marigoldglade::batch::id::JobId;
 use marigoldglade::batch::messages::{Call, JobStatus, Message, Reply, Submission};
 use marigoldglade::batch::record::{Record, State};
+use marigoldglade::batch::refused::RefusedJobs;
 use marigoldglade::prelude::*;
-use marigoldglade::store::{self, Body, Compare, Fault, Op, Txn};
+use marigoldglade::store::{self, Body, Compare, Fault, Op, Pair, Txn};
+use tokio::task::JoinSet;
 
+use crate::batch::live::decode;
+use crate::batch::owner::unchanged;
 use crate::batch::store::pause;
 use crate::batch::{Node, clock, wall_ms};
 
@@ -22,6 +27,9 @@
 /// How long a call whose outcome isn't known is retried, in milliseconds: about half of the time that
 /// callers usually wait.
 const UNSURE_LIMIT_MS: u64 = 1_600;
+/// The longest time that a peer may take to say whether it has made an attempt at a submission, in
+/// milliseconds.
+const ATTEMPT_TIMEOUT_MS: u64 = 150;
 /// The time after which a refused caller should try again, in milliseconds.
 pub(super) const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -34,6 +42,10 @@
 /// The prefix of the cancels in the owner's inbox.
 pub(super) const CANCEL_PREFIX: &str = "mg/in/c/";
 
+/// The key of the list of refused jobs. It has the inbox's prefix, so that the owner's watch shows its
+/// changes in the order of those of the inbox.
+pub(super) const REFUSED_KEY: &str = "mg/in/refused";
+
 /// Returns the key of a job's record.
 pub(super) fn job_key(id: JobId) -> String {
     format!("{JOB_PREFIX}{id}")
@@ -43,31 +55,108 @@
     format!("{SUBMIT_PREFIX}{id}")
 }
 
-/// The result of one attempt at a call.
-enum Attempt {
+/// The outcome of one try at a call.
+enum Outcome {
     /// The call was answered.
     Answered(Reply),
-    /// The attempt certainly had no effect.
+    /// The try certainly had no effect.
     NoEffect,
-    /// The attempt may have had an effect.
+    /// The try may have had an effect, or may have one later.
     Unsure,
 }
 
+/// An attempt at a call.
+struct CallAttempt {
+    call: Call,
+    began: UnixMs,
+    /// The attempt's key if the call is a submission.
+    key: Option<AttemptKey>,
+}
+
+impl CallAttempt {
+    /// Returns the job's id and the attempt's key if the call is a submission.
+    fn submission(&self) -> Option<(JobId, AttemptKey)> {
+        match &self.call {
+            Call::Submit(submission) => self.key.map(|key| (submission.id, key)),
+            Call::Cancel(_) | Call::Status(_) | Call::Pending(_) => None,
+        }
+    }
+}
+
 impl Node {
     /// Makes a call for a caller, who waits for the reply until `deadline`.
     pub(super) async fn make_call(self: &Rc<Self>, call: Call, deadline: UnixMs) -> Reply {
         // A caller that learns early that the outcome isn't known can try another daemon.
         let deadline = deadline.min(clock::now().after(UNSURE_LIMIT_MS));
+        let mut attempt = self.begin_attempt(call);
+        let reply = self.repeat_call(&mut attempt, deadline).await;
+        if matches!(reply, Reply::Refused(_)) {
+            self.forget_attempt(&attempt);
+        }
+        reply
+    }
+
+    /// Makes a call on behalf of a peer that can't reach the store.
+    pub(super) async fn make_relayed_call(self: &Rc<Self>, call: Call, deadline: UnixMs) -> Reply {
+        let attempt = self.begin_attempt(call);
+        let reply = match self.try_call(&attempt.call, deadline, false).await {
+            Outcome::Answered(reply) => reply,
+            Outcome::NoEffect => Reply::NotOwner,
+            Outcome::Unsure => Reply::Unsure,
+        };
+        if matches!(
+            reply,
+            Reply::Refused(_) | Reply::NotOwner | Reply::RefusedBefore { .. }
+        ) {
+            self.forget_attempt(&attempt);
+        }
+        reply
+    }
+
+    fn begin_attempt(&self, call: Call) -> CallAttempt {
+        let began = clock::now();
+        let key = match &call {
+            Call::Submit(s) => Some(self.attempts.borrow_mut().begin(began, s.id)),
+            Call::Cancel(_) | Call::Status(_) | Call::Pending(_) => None,
+        };
+        CallAttempt { call, began, key }
+    }
+
+    /// Forgets an attempt that certainly has no effect.
+    fn forget_attempt(&self, attempt: &CallAttempt) {
+        if let Some((id, key)) = attempt.submission() {
+            self.attempts.borrow_mut().forget(id, key);
+        }
+    }
+
+    /// Repeats a call until it is answered, certainly has no effect, or `deadline` has passed.
+    async fn repeat_call(self: &Rc<Self>, attempt: &mut CallAttempt, deadline: UnixMs) -> Reply {
         let mut sure = true;
         loop {
-            match self.try_call(&call, deadline, true).await {
-                Attempt::Answered(reply) => return reply,
-                Attempt::NoEffect => {}
-                Attempt::Unsure => sure = false,
+            match self.try_call(&attempt.call, deadline, true).await {
+                Outcome::Answered(Reply::RefusedBefore { refusal, ago_ms }) => {
+                    // The owner's refusal holds for all attempts that began before it.
+                    if clock::now().since(attempt.began) >= ago_ms {
+                        return Reply::Refused(RETRY_AFTER_MS);
+                    }
+                    if let Call::Submit(submission) = &mut attempt.call
+                        && submission.refusal < refusal
+                    {
+                        submission.refusal = refusal;
+                        continue;
+                    }
+                }
+                Outcome::Answered(reply) => return reply,
+                Outcome::NoEffect => {}
+                Outcome::Unsure => sure = false,
             }
-            // A read has no effect, and a write that certainly had none can be refused at once.
-            let write = matches!(call, Call::Submit(_) | Call::Cancel(_));
-            if sure || !write {
+            let may_refuse = match &attempt.call {
+                Call::Submit(_) => sure && self.is_only_attempt(attempt).await,
+                Call::Cancel(_) => sure,
+                // A read has no effect.
+                Call::Status(_) | Call::Pending(_) => true,
+            };
+            if may_refuse {
                 return Reply::Refused(outage_retry_ms(self.store.lost_ms(), rand::random()));
             }
             if clock::now() >= deadline {
@@ -77,41 +166,66 @@
         }
     }
 
-    /// Makes a call on behalf of a peer that can't reach the store.
-    pub(super) async fn make_relayed_call(self: &Rc<Self>, call: Call, deadline: UnixMs) -> Reply {
-        match self.try_call(&call, deadline, false).await {
-            Attempt::Answered(reply) => reply,
-            Attempt::NoEffect => Reply::NotOwner,
-            Attempt::Unsure => Reply::Unsure,
+    /// Returns whether no attempt at a submission besides `own` may take effect, or has, as far as this
+    /// daemon knows.
+    pub(super) fn has_no_attempt(&self, id: JobId, own: Option<AttemptKey>) -> bool {
+        self.unsure_until.passed(clock::now()) && !self.attempts.borrow().may_take_effect(id, own)
+    }
+
+    /// Returns whether no daemon has made another attempt at a submission that may take effect, or has.
+    ///
+    /// Without the store only the daemons themselves know. One that doesn't answer may have made one.
+    async fn is_only_attempt(self: &Rc<Self>, attempt: &CallAttempt) -> bool {
+        let Some((id, key)) = attempt.submission() else {
+            return true;
+        };
+        if !self.has_no_attempt(id, Some(key)) {
+            return false;
+        }
+        let deadline = clock::now().after(ATTEMPT_TIMEOUT_MS);
+        let mut requests = JoinSet::new();
+        for addr in self.attempt_addrs() {
+            let node = Rc::clone(self);
+            requests.spawn_local(async move {
+                let request = Message::AttemptRequest(id);
+                let response = node.peers.request(addr, request, deadline).await;
+                matches!(response, Ok(Message::AttemptResponse { none: true }))
+            });
         }
+        while let Some(none) = requests.join_next().await {
+            if !none.unwrap_or(false) {
+                log::info!(job = id.as_str(); "submission not refused yet: another daemon may have made an attempt");
+                return false;
+            }
+        }
+        true
     }
 
-    /// Makes one attempt at a call: through the owner, then in the store, and with `relay` through a
+    /// Makes one try at a call: through the owner, then in the store, and with `relay` through a
     /// peer when the store is lost.
-    async fn try_call(self: &Rc<Self>, call: &Call, deadline: UnixMs, relay: bool) -> Attempt {
+    async fn try_call(self: &Rc<Self>, call: &Call, deadline: UnixMs, relay: bool) -> Outcome {
         let mut sure = true;
         match self.call_owner(call, deadline).await {
             Ok(Reply::NotOwner) => {}
             Ok(Reply::Unsure) => sure = false,
             // Only the store knows for sure that a job doesn't exist.
             Ok(Reply::Unknown) => {}
-            Ok(reply) => return Attempt::Answered(reply),
+            Ok(reply) => return Outcome::Answered(reply),
             Err(e) => sure = e.kind == Kind::NoTarget,
         }
-        let write = matches!(call, Call::Submit(_) | Call::Cancel(_));
         let direct = match call {
             // Another task probes whether the store is back; a call would only time out.
             _ if self.store.is_lost() => Err(Fault::NotSent),
+            Call::Submit(submission) => self.submit_to_inbox(submission, deadline).await,
+            Call::Status(id) => self.read_status(*id).await,
             // A write without an answer leaves the caller in doubt. An owner that refuses writes has
             // often met an outage that this daemon hasn't noticed yet, so a read goes first.
-            _ if write && !self.store.probe().await => Err(Fault::NotSent),
-            Call::Submit(submission) => self.submit_to_inbox(submission).await,
-            Call::Status(id) => self.read_status(*id).await,
+            Call::Cancel(_) if !self.store.probe().await => Err(Fault::NotSent),
             Call::Cancel(id) => self.cancel_in_inbox(*id).await,
-            Call::Pending(_) => return Attempt::NoEffect,
+            Call::Pending(_) => return Outcome::NoEffect,
         };
         match direct {
-            Ok(reply) => return Attempt::Answered(reply),
+            Ok(reply) => return Outcome::Answered(reply),
             Err(Fault::Unknown) => sure = false,
             Err(Fault::NotSent | Fault::Refused) => {}
         }
@@ -119,14 +233,14 @@
             match self.call_peer(call, deadline).await {
                 Ok(Reply::NotOwner) => {}
                 Ok(Reply::Unsure) => sure = false,
-                Ok(reply) => return Attempt::Answered(reply),
+                Ok(reply) => return Outcome::Answered(reply),
                 Err(e) => sure &= e.kind == Kind::NoTarget,
             }
         }
         if sure {
-            Attempt::NoEffect
+            Outcome::NoEffect
         } else {
-            Attempt::Unsure
+            Outcome::Unsure
         }
     }
 
@@ -172,28 +286,51 @@
     }
 
     /// Leaves a submission in the owner's inbox, unless the job is already on record.
-    async fn submit_to_inbox(&self, submission: &Submission) -> std::result::Result<Reply, Fault> {
+    ///
+    /// The write depends on the list of refused jobs, which is read first, so that a refusal after the
+    /// read makes the write void even if it is carried out late. A job on the list isn't written: its
+    /// refusal may be newer than the attempt.
+    async fn submit_to_inbox(
+        &self,
+        submission: &Submission,
+        deadline: UnixMs,
+    ) -> std::result::Result<Reply, Fault> {
         let id = &submission.id;
         let record = submission.clone().into_record(wall_ms());
         let value = record.encode().map_err(|e| {
             log::error!(job = id.as_str(), error:% = e; "can't encode a job record");
             Fault::NotSent
         })?;
-        let txn = Txn {
-            when: vec![
-                Compare::Absent(job_key(*id)),
-                Compare::Absent(submit_key(*id)),
-            ],
-            then: vec![Op::Put(submit_key(*id), value, 0)],
-            other: Vec::new(),
-        };
-        match self.store.call(&store::Call::Txn(txn)).await?.body {
-            Body::Txn(done) => {
+        while clock::now() < deadline {
+            let list = self.store.probe_key(REFUSED_KEY).await?;
+            let refused = list.as_ref().map(decode::<RefusedJobs>);
+            if refused.is_some_and(|r| r.is_none_or(|r| r.may_contain(*id))) {
+                log::info!(job = id.as_str(); "submission not left to the owner: the job was refused shortly before");
+                return Err(Fault::NotSent);
+            }
+            let txn = Txn {
+                when: vec![
+                    Compare::Absent(job_key(*id)),
+                    Compare::Absent(submit_key(*id)),
+                    unchanged(REFUSED_KEY, list.as_ref()),
+                ],
+                then: vec![Op::Put(submit_key(*id), value.clone(), 0)],
+                other: Vec::new(),
+            };
+            let Body::Txn(done) = self.store.call(&store::Call::Txn(txn)).await?.body else {
+                return Err(Fault::Unknown);
+            };
+            let is_job = |p: &Pair| p.key != REFUSED_KEY && p.changed > 0;
+            let known = done.outcomes.iter().any(|o| match o {
+                store::Outcome::Pairs(pairs) => pairs.iter().any(is_job),
+                store::Outcome::Done | store::Outcome::Txn(_) => false,
+            });
+            if done.held || known {
                 log::info!(job = id.as_str(), fresh = done.held; "job accepted without the owner");
-                Ok(Reply::Accepted)
+                return Ok(Reply::Accepted);
             }
-            _ => Err(Fault::Unknown),
         }
+        Err(Fault::NotSent)
     }
 
     /// Reads a job's record from the owner's inbox or from the job's own key.
--- a/marigoldgladed/src/batch/front.rs
+++ b/marigoldgladed/src/batch/front.rs
@@ -218,6 +218,7 @@
                 queue: queue.clone(),
                 workspace: workspace.clone(),
                 spec,
+                refusal: 0,
             }));
             ("submit", call, Some(id))
         }
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -107,7 +107,7 @@
 }
 
 /// Returns the condition that a key is as it was when it was read.
-fn unchanged(key: &str, pair: Option<&Pair>) -> Compare {
+pub(super) fn unchanged(key: &str, pair: Option<&Pair>) -> Compare {
     match pair {
         Some(pair) => Compare::Changed(key.to_owned(), pair.changed),
         None => Compare::Absent(key.to_owned()),
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
-use crate::batch::calls::job_key;
+use crate::batch::calls::{REFUSED_KEY, job_key};
 use crate::batch::live::{decode, encode};
 use crate::batch::orders::{response_limit_ms, send_order};
 use crate::batch::owner::relays::RelayLinks;
@@ -288,6 +288,9 @@
         then.extend(puts.map(|(key, part)| Op::Put(key, encode(&part), 0)));
         then.extend(surplus.map(Op::Delete));
     }
+    if let Some(refused) = &batch.refused {
+        then.push(Op::Put(REFUSED_KEY.to_owned(), encode(refused), 0));
+    }
     let txn = Txn {
         when: vec![Compare::Changed(
             SEQ_KEY.to_owned(),
--- a/marigoldgladed/src/batch/owner/inputs.rs
+++ b/marigoldgladed/src/batch/owner/inputs.rs
@@ -13,7 +13,8 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
-use crate::batch::calls::{CANCEL_PREFIX, INBOX_PREFIX, SUBMIT_PREFIX};
+use crate::batch::calls::{CANCEL_PREFIX, INBOX_PREFIX, REFUSED_KEY, SUBMIT_PREFIX};
+use crate::batch::live::decode;
 use crate::batch::owner::Input;
 use crate::batch::{Node, clock};
 
@@ -198,7 +199,9 @@
 }
 
 fn read_item(pair: &Pair) -> Option<InboxItem> {
-    let body = if pair.key.starts_with(SUBMIT_PREFIX) {
+    let body = if pair.key == REFUSED_KEY {
+        InboxBody::Refused(decode(pair)?)
+    } else if pair.key.starts_with(SUBMIT_PREFIX) {
         InboxBody::Submit(Box::new(read_record(pair)?))
     } else {
         InboxBody::Cancel(JobId::parse(pair.key.strip_prefix(CANCEL_PREFIX)?)?)
--- a/marigoldgladed/src/batch/peers.rs
+++ b/marigoldgladed/src/batch/peers.rs
@@ -293,7 +293,11 @@
                 incarnation: self.incarnation,
                 term: self.term.get(),
             },
+            Message::AttemptRequest(id) => Message::AttemptResponse {
+                none: self.has_no_attempt(id, None),
+            },
             Message::Reply(_)
+            | Message::AttemptResponse { .. }
             | Message::Orders(_)
             | Message::OrderResponses { .. }
             | Message::NewerResponse { .. }
--- a/marigoldgladed/src/batch/store.rs
+++ b/marigoldgladed/src/batch/store.rs
@@ -150,9 +150,15 @@
 
     /// Makes a cheap call without an effect; returns whether the store answered it.
     pub(super) async fn probe(&self) -> bool {
+        self.probe_key(PROBE_KEY).await.is_ok()
+    }
+
+    /// Reads one key like [`Store::get`], but gives up early. A failed read had no effect.
+    pub(super) async fn probe_key(&self, key: &str) -> std::result::Result<Option<Pair>, Fault> {
         let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
-        let answer = tokio::time::timeout(limit, self.get(PROBE_KEY)).await;
-        answer.is_ok_and(|pair| pair.is_ok())
+        let answer = tokio::time::timeout(limit, self.get(key)).await;
+        let answer = answer.unwrap_or(Err(Fault::NotSent));
+        answer.map_err(|_| Fault::NotSent)
     }
 
     /// Repeats a call until it is answered; only for calls that are safe to repeat.
