--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -47,6 +47,10 @@
     Ended(u64, TaskId, u64, Outcome),
     /// Completions up to this number were acknowledged.
     Acknowledged(u64),
+    /// The worker's leases expired while it held completions that weren't acknowledged.
+    LeaseExpired,
+    /// The worker's process ended and another one started, which counts its completions from one.
+    Restarted,
 }
 
 /// A simulated worker.
@@ -59,6 +63,8 @@
     pub term: u64,
     /// When the worker's leases expire, on its own clock.
     pub lease_expires_at: u64,
+    /// The expiry of the leases of which an event tells.
+    reported_expiry: u64,
     /// The longest lease; a longer one is shortened to it.
     pub lease_limit_ms: u64,
     /// The runs in progress.
@@ -107,6 +113,7 @@
             started_at: now,
             term: 0,
             lease_expires_at: 0,
+            reported_expiry: 0,
             lease_limit_ms: LEASE_LIMIT_MS,
             runs: BTreeMap::new(),
             completions: Vec::new(),
@@ -161,6 +168,7 @@
             ..Self::new(target, now)
         };
         self.events = events;
+        self.events.push(WorkerEvent::Restarted);
     }
 
     /// Ends the worker's process for good.
@@ -208,6 +216,10 @@
             for id in tasks {
                 self.complete(id, Outcome::Lapsed);
             }
+            if !self.completions.is_empty() && self.reported_expiry != self.lease_expires_at {
+                self.reported_expiry = self.lease_expires_at;
+                self.events.push(WorkerEvent::LeaseExpired);
+            }
             return;
         }
         let due: Vec<(TaskId, Outcome)> = self
