Acknowledge completions only to a process that has answered

Cause: acknowledgements are numbers that each process of a worker counts from one. The owner sent a number that wasn't confirmed also to a worker whose restart the registry had just shown, or that hadn't answered the last renewal; the next process forgot completions that nobody knew.

Change: a number is sent only while the last renewal was answered; after a loss or a restart, a renewal without one comes first.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -88,9 +88,14 @@
             };
             let renewal = Renewal {
                 expires_at: end,
-                // A number that the worker knows isn't repeated: a renewal that is carried out late may
-                // reach the worker's next process, which counts its completions from one again.
-                acked: if unacked { worker.acks.ackable() } else { 0 },
+                // A worker's next process counts its completions from one again, and would forget
+                // those that nobody knows. So a number that the worker knows isn't repeated, and one
+                // without a response is sent again only once a report shows that the process is the same.
+                acked: if unacked && responsive {
+                    worker.acks.ackable()
+                } else {
+                    0
+                },
                 wait_ms,
                 term,
             };
--- a/marigoldglade/tests/batch_takeover.rs
+++ b/marigoldglade/tests/batch_takeover.rs
@@ -517,6 +517,32 @@
     assert_eq!(sim.workers["worker-0-0"].completions, []);
 }
 
+/// Guards against a done task that starts again: an acknowledgement that got no response is repeated, and
+/// reaches the worker's next process, of which the owner doesn't know.
+#[test]
+fn a_repeated_acknowledgement_spares_the_next_process() {
+    let mut sim = Simulation::new(77, 1, 1);
+    sim.reuse_ids = true;
+    sim.submit(1, "sweep", "w0", spec(vec![step(3, 2, 300)]), 300);
+    while sim.done.len() < 3 {
+        sim.run_for(1);
+    }
+    // The completions are reported, and the acknowledgement after their commit is lost.
+    sim.run_for(8);
+    sim.lost_renewals.insert("worker-0-0".to_owned());
+    sim.run_for(60);
+    sim.registry_lost = true;
+    let now = sim.now;
+    sim.workers.get_mut("worker-0-0").unwrap().restart(now);
+    sim.submit(2, "urgent", "w0", spec(vec![step(2, 2, 200)]), 200);
+    sim.run_for(400);
+    assert_eq!(sim.done.len(), 5, "the next process carries out the starts");
+    sim.lost_renewals.clear();
+    sim.run_for(5_000);
+    assert_eq!(sim.status(2), Some(JobStatus::Done));
+    assert_eq!(sim.starts, 5);
+}
+
 /// Guards against a task that waits for ever on a worker that has gone: its leases are counted from a
 /// reading of the earlier process's clock, which arrived late.
 #[test]
--- a/marigoldgladed/tests/soak.rs
+++ b/marigoldgladed/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Random faults against daemons that run as processes: daemons are killed, paused, stopped and
 //! restarted, the store fails for single daemons, and workers restart or lose answers. Faults overlap.
 //!
-//! `SOAK_SEEDS=100..150` runs other seeds than the short run.
+//! `SOAK_SEEDS=100..150` runs other seeds than the short run, of both tests.
 
 #[path = "support/cluster.rs"]
 #[expect(dead_code, reason = "the cluster serves several test files")]
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use cluster::{Cluster, Daemon, job, wait_until};
 use marigoldglade::batch::id::TaskId;
@@ -17,6 +17,7 @@
 use platform_standin::store::Behaviour;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
 use standin::batch_worker::WorkerEvent;
 
 /// How long faults are injected for one seed.
@@ -26,6 +27,16 @@
 /// happened to a start that reached the new incarnation after its first report.
 const SEEDS: [u64; 4] = [1, 2, 109, 152];
 
+/// The seeds of the short run with outages of the store for all daemons.
+const OUTAGE_SEEDS: [u64; 2] = [872, 851];
+/// How long faults are injected for one seed with such outages.
+const OUTAGES_TIME: Duration = Duration::from_secs(20);
+/// How much earlier than it is recorded an event of a worker may have happened, in milliseconds.
+const RECORD_MS: u64 = 12;
+
+/// How far from a fault its history is printed, in milliseconds.
+const HISTORY_MS: u64 = 3_000;
+
 /// What a caller knows about the submission of its job after the last attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Submission {
@@ -91,11 +102,21 @@
     ended: BTreeSet<usize>,
     /// The daemons that are paused.
     paused: BTreeSet<usize>,
+    /// When the soak began, in milliseconds since the Unix epoch.
+    began_ms: u64,
+    /// The log lines of daemons that have ended, with the daemon's index.
+    old_logs: Vec<(usize, Value)>,
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    u64::try_from(since.expect("after the epoch").as_millis()).expect("in range")
 }
 
 impl Soak {
-    fn new(seed: u64) -> Self {
-        let cluster = Cluster::new(4, 3);
+    fn new(seed: u64, workers: usize, daemons: usize) -> Self {
+        let began_ms = wall_ms();
+        let cluster = Cluster::new(workers, daemons);
         let fronts = cluster.daemons.iter().map(|d| d.front.clone()).collect();
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -103,6 +124,8 @@
             fronts: Arc::new(Mutex::new(fronts)),
             ended: BTreeSet::new(),
             paused: BTreeSet::new(),
+            began_ms,
+            old_logs: Vec::new(),
             cluster,
         }
     }
@@ -145,6 +168,15 @@
         }
     }
 
+    /// Lets the store fail for all daemons, in most cases for longer than the owner's lease.
+    fn inject_outage(&mut self) {
+        let end = Instant::now() + Duration::from_millis(self.rng.random_range(900..2_300));
+        for i in 0..self.cluster.daemons.len() {
+            self.cluster.daemons[i].endpoint.set(Behaviour::Silent);
+            self.open_faults.push((end, Fault::Store(i)));
+        }
+    }
+
     fn end_fault(&mut self, fault: &Fault) {
         match *fault {
             Fault::Store(i) => self.cluster.daemons[i].endpoint.set(Behaviour::Normal),
@@ -156,7 +188,9 @@
                 // Restarts the daemon under the same name, at other addresses.
                 let daemon: Daemon = self.cluster.spawn(&format!("daemon-{i}"));
                 self.fronts.lock().expect("no panic")[i] = daemon.front.clone();
-                self.cluster.daemons[i] = daemon;
+                let ended = std::mem::replace(&mut self.cluster.daemons[i], daemon);
+                self.old_logs
+                    .extend(ended.log_lines().into_iter().map(|l| (i, l)));
                 self.ended.remove(&i);
             }
         }
@@ -176,44 +210,112 @@
     }
 }
 
+/// An event on a worker, by the worker's index, with the milliseconds since the soak's start.
+type Event = (u64, usize, WorkerEvent);
+
+fn worker_events(cluster: &Cluster, start: Instant) -> Vec<Event> {
+    let workers = cluster.workers.iter().enumerate();
+    workers
+        .flat_map(|(i, w)| w.timeline(start).into_iter().map(move |(at, e)| (at, i, e)))
+        .collect()
+}
+
+/// Returns the events that concern a task, for messages.
+fn events_of(events: &[Event], task: TaskId) -> Vec<&Event> {
+    let about = |event: &WorkerEvent| match event {
+        WorkerEvent::Started(t, _) | WorkerEvent::Ended(_, t, _, _) => *t == task,
+        WorkerEvent::Acknowledged(_) | WorkerEvent::LeaseExpired | WorkerEvent::Restarted => false,
+    };
+    events.iter().filter(|(_, _, e)| about(e)).collect()
+}
+
 /// Checks that no task ever had two runs at once.
 fn check_runs(cluster: &Cluster, start: Instant) {
-    let mut events: Vec<(u64, usize, WorkerEvent)> = Vec::new();
-    for (i, worker) in cluster.workers.iter().enumerate() {
-        events.extend(
-            worker
-                .timeline(start)
-                .into_iter()
-                .map(|(at, event)| (at, i, event)),
-        );
-    }
+    let mut events = worker_events(cluster, start);
     // The order of events in the same millisecond isn't known, so ends are put before starts.
     events.sort_by_key(|(at, _, event)| (*at, matches!(event, WorkerEvent::Started(..))));
     let mut running: BTreeMap<TaskId, usize> = BTreeMap::new();
-    let all_events = events.clone();
-    for (at, worker, event) in events {
+    for (at, worker, event) in &events {
         match event {
             WorkerEvent::Started(task, run) => {
-                let other = running.insert(task, worker);
-                let about = |event: &WorkerEvent| match event {
-                    WorkerEvent::Started(t, _) | WorkerEvent::Ended(_, t, _, _) => *t == task,
-                    WorkerEvent::Acknowledged(_) => false,
-                };
+                let other = running.insert(*task, *worker);
                 assert!(
                     other.is_none(),
                     "{task} started run {run} on {worker} at {at} ms, while it ran on {other:?}: {:?}",
-                    all_events
-                        .iter()
-                        .filter(|(_, _, n)| about(n))
-                        .collect::<Vec<_>>()
+                    events_of(&events, *task)
                 );
             }
             WorkerEvent::Ended(_, task, _, _) => {
-                if running.get(&task) == Some(&worker) {
-                    running.remove(&task);
+                if running.get(task) == Some(worker) {
+                    running.remove(task);
+                }
+            }
+            WorkerEvent::Acknowledged(_) | WorkerEvent::LeaseExpired | WorkerEvent::Restarted => {}
+        }
+    }
+}
+
+/// Checks that no task started after a run of it was done whose completion was acknowledged then or
+/// later, unless the worker's leases had expired between the two.
+fn check_acknowledged(soak: &Soak, start: Instant) {
+    let cluster = &soak.cluster;
+    let events = worker_events(cluster, start);
+    let mut done: Vec<(TaskId, u64, usize)> = Vec::new();
+    for worker in 0..cluster.workers.len() {
+        let mut held: Vec<(u64, TaskId, u64)> = Vec::new();
+        for (at, _, event) in events.iter().filter(|(_, i, _)| *i == worker) {
+            match event {
+                WorkerEvent::Ended(number, task, _, Outcome::Done) if *number > 0 => {
+                    held.push((*number, *task, *at));
                 }
+                WorkerEvent::Acknowledged(acked) => {
+                    let ended = held.extract_if(.., |(number, _, _)| *number <= *acked);
+                    done.extend(ended.map(|(_, task, at)| (task, at, worker)));
+                }
+                WorkerEvent::LeaseExpired | WorkerEvent::Restarted => held.clear(),
+                WorkerEvent::Started(..) | WorkerEvent::Ended(..) => {}
             }
-            WorkerEvent::Acknowledged(_) => {}
+        }
+    }
+    for (task, ended_at, worker) in done {
+        let again = events.iter().find(|(at, _, event)| {
+            matches!(event, WorkerEvent::Started(t, _) if *t == task) && *at > ended_at + RECORD_MS
+        });
+        if again.is_some() {
+            print_history(soak, &events, task, worker, ended_at);
+        }
+        assert!(
+            again.is_none(),
+            "{task} started again after {ended_at} ms, when it was done on {worker}: {:?}",
+            events_of(&events, task)
+        );
+    }
+}
+
+/// Prints what happened around a time on a worker, and the daemons' log lines about it, a task or the
+/// ownership.
+fn print_history(soak: &Soak, events: &[Event], task: TaskId, worker: usize, around: u64) {
+    let near = |at: u64| at + HISTORY_MS > around && at < around + HISTORY_MS;
+    for (at, _, event) in events.iter().filter(|(at, i, _)| *i == worker && near(*at)) {
+        eprintln!("{at} worker {worker}: {event:?}");
+    }
+    let daemons = soak.cluster.daemons.iter().enumerate();
+    let logs = daemons.flat_map(|(i, d)| d.log_lines().into_iter().map(move |l| (i, l)));
+    let mut lines: Vec<(usize, Value)> = soak.old_logs.iter().cloned().chain(logs).collect();
+    lines.sort_by_key(|(_, line)| line["at_ms"].as_u64());
+    let (task, worker) = (task.to_string(), format!("i-{worker}"));
+    let concerns = |line: &Value| {
+        line["worker"] == worker.as_str()
+            || line["task"] == task.as_str()
+            || line["module"].as_str().is_some_and(|m| m.contains("owner"))
+    };
+    for (i, line) in lines.iter().filter(|(_, line)| concerns(line)) {
+        let at = line["at_ms"]
+            .as_u64()
+            .unwrap_or(0)
+            .saturating_sub(soak.began_ms);
+        if near(at) {
+            eprintln!("{at} daemon {i}: {line}");
         }
     }
 }
@@ -222,7 +324,7 @@
 /// refused job has run.
 fn run_seed(seed: u64) {
     let start = Instant::now();
-    let mut soak = Soak::new(seed);
+    let mut soak = Soak::new(seed, 4, 3);
     let end = Instant::now() + FAULT_TIME;
     let mut callers = Vec::new();
     let mut id = 0;
@@ -292,6 +394,7 @@
         }
     }
     check_runs(cluster, start);
+    check_acknowledged(&soak, start);
     let accepted = outcomes
         .iter()
         .filter(|(_, _, t)| *t == Submission::Accepted)
@@ -300,16 +403,74 @@
     assert!(accepted > 0, "seed {seed}: nothing was accepted");
 }
 
-#[test]
-fn guarantees_hold_under_random_faults_of_real_processes() {
-    let seeds: Vec<u64> = match std::env::var("SOAK_SEEDS") {
+/// Injects faults and outages of the store for all daemons while callers submit jobs, then checks that no
+/// task has run twice.
+fn run_outages(seed: u64) {
+    let start = Instant::now();
+    let mut soak = Soak::new(seed, 10, 5);
+    let end = Instant::now() + OUTAGES_TIME;
+    let mut callers = Vec::new();
+    let mut id = 0;
+    while Instant::now() < end {
+        soak.end_due_faults(false);
+        id += 1;
+        let (count, run_ms) = (
+            soak.rng.random_range(2..7),
+            soak.rng.random_range(300..2_500),
+        );
+        let (fronts, pick) = (Arc::clone(&soak.fronts), soak.rng.random_range(0..5));
+        callers.push(std::thread::spawn(move || {
+            submit(&fronts, id, &format!("run_ms={run_ms}"), count, pick)
+        }));
+        match soak.rng.random_range(0..8) {
+            0..3 => soak.inject_fault(),
+            3 => soak.inject_outage(),
+            _ => {}
+        }
+        std::thread::sleep(Duration::from_millis(soak.rng.random_range(40..160)));
+    }
+    soak.end_due_faults(true);
+    let outcomes: Vec<Submission> = callers
+        .into_iter()
+        .map(|c| c.join().expect("no panic"))
+        .collect();
+    let cluster = &soak.cluster;
+    let front = &cluster.daemons[0];
+    wait_until("readiness", || front.is_ready());
+    for (id, outcome) in (1..).zip(&outcomes) {
+        if *outcome == Submission::Accepted {
+            wait_until(&format!("seed {seed}: the end of {id}"), || {
+                matches!(front.state(id).as_str(), "completed" | "failed")
+            });
+        }
+    }
+    check_runs(cluster, start);
+    check_acknowledged(&soak, start);
+    println!("seed {seed}: {} jobs", outcomes.len());
+}
+
+fn seeds(short: &[u64]) -> Vec<u64> {
+    match std::env::var("SOAK_SEEDS") {
         Ok(range) => {
             let (first, last) = range.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
             (first.parse().expect("a number")..last.parse().expect("a number")).collect()
         }
-        Err(_) => SEEDS.to_vec(),
-    };
-    for seed in seeds {
+        Err(_) => short.to_vec(),
+    }
+}
+
+#[test]
+fn guarantees_hold_under_random_faults_of_real_processes() {
+    for seed in seeds(&SEEDS) {
         run_seed(seed);
     }
 }
+
+/// After an outage of the store for all daemons, tasks ran twice: done ones started again, or two runs of
+/// a task went on at once.
+#[test]
+fn no_task_runs_twice_around_outages_of_the_store() {
+    for seed in seeds(&OUTAGE_SEEDS) {
+        run_outages(seed);
+    }
+}
