Tell callers at once when an earlier attempt may take effect

What callers saw: without the store, while some daemon couldn't say whether it holds an attempt, submissions were held for 1.6 s and answered with 504.

Cause: attempts counted for a minute, also those of a daemon that had been replaced long before; and the answer was held until half of the caller's time was over, though the daemon's own tries certainly had no effect.

Change: attempts count for 10 s, as long as a daemon's key outlives it, so only daemons that the store shows are asked. Where the doubt remains, the answer is 504 with Retry-After at once.

The tests of refusals, platform, outage and front pass.

--- a/marigoldglade/src/batch/attempts.rs
+++ b/marigoldglade/src/batch/attempts.rs
@@ -8,15 +8,15 @@
 use crate::batch::id::JobId;
 use crate::time::UnixMs;
 
-/// How long an attempt is remembered, in milliseconds: the longest time for which a caller waits before
-/// it repeats the submission.
-pub const ATTEMPT_MS: u64 = 60_000;
+/// How long an attempt is remembered, in milliseconds: three times the time after which a caller without
+/// an answer usually repeats the submission, and as long as a daemon's key outlives the daemon.
+pub const ATTEMPT_MS: u64 = 10_000;
 
 /// Identifies an attempt within this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptKey(u64);
 
-/// The attempts of the last minute that weren't certainly without an effect.
+/// The attempts of the last seconds that weren't certainly without an effect.
 #[derive(Debug, Default)]
 pub struct Attempts {
     open: BTreeSet<(JobId, AttemptKey)>,
--- a/marigoldglade/src/batch/messages.rs
+++ b/marigoldglade/src/batch/messages.rs
@@ -82,6 +82,9 @@
     NotOwner,
     /// It isn't known whether the call took effect.
     Unsure,
+    /// The call had no effect, but an earlier attempt at the submission may; with the time to wait before
+    /// a retry, in milliseconds.
+    Doubtful(u64),
     /// The job was refused shortly before, and the call had no effect. An attempt that began after the
     /// refusal is made again with the refusal's number.
     RefusedBefore {
--- a/marigoldgladed/src/batch/calls.rs
+++ b/marigoldgladed/src/batch/calls.rs
@@ -90,7 +90,7 @@
         let deadline = deadline.min(clock::now().after(UNSURE_LIMIT_MS));
         let mut attempt = self.begin_attempt(call);
         let reply = self.repeat_call(&mut attempt, deadline).await;
-        if matches!(reply, Reply::Refused(_)) {
+        if matches!(reply, Reply::Refused(_) | Reply::Doubtful(_)) {
             self.forget_attempt(&attempt);
         }
         reply
@@ -156,8 +156,13 @@
                 // A read has no effect.
                 Call::Status(_) | Call::Pending(_) => true,
             };
+            // A caller that learns early when to return is served more often than one that waits.
+            let retry_ms = outage_retry_ms(self.store.lost_ms(), rand::random());
             if may_refuse {
-                return Reply::Refused(outage_retry_ms(self.store.lost_ms(), rand::random()));
+                return Reply::Refused(retry_ms);
+            }
+            if sure {
+                return Reply::Doubtful(retry_ms);
             }
             if clock::now() >= deadline {
                 return Reply::Unsure;
@@ -184,7 +189,7 @@
         }
         let deadline = clock::now().after(ATTEMPT_TIMEOUT_MS);
         let mut requests = JoinSet::new();
-        for addr in self.attempt_addrs() {
+        for addr in self.announced_addrs() {
             let node = Rc::clone(self);
             requests.spawn_local(async move {
                 let request = Message::AttemptRequest(id);
--- a/marigoldgladed/src/batch/live.rs
+++ b/marigoldgladed/src/batch/live.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marigoldglade::batch::attempts::ATTEMPT_MS;
 use marigoldglade::batch::links::Candidate;
 use marigoldglade::batch::messages::Owner;
 use marigoldglade::prelude::*;
@@ -17,7 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::batch::{Node, clock};
+use crate::batch::Node;
 
 /// The prefix of the keys of the daemons, the owner and the shared secret.
 const PREFIX: &str = "mg/live/";
@@ -70,19 +69,6 @@
     pub vacant_revision: Revision,
     /// The daemons that are alive, by name.
     pub daemons: BTreeMap<String, Daemon>,
-    /// The mesh addresses of daemons whose keys have gone, and until when their attempts at submissions
-    /// count.
-    pub departed: BTreeMap<String, (SocketAddr, UnixMs)>,
-}
-
-impl View {
-    /// Removes a daemon whose key has gone.
-    fn remove(&mut self, name: &str) {
-        if let Some(daemon) = self.daemons.remove(name) {
-            let until = clock::now().after(ATTEMPT_MS);
-            self.departed.insert(name.to_owned(), (daemon.addr, until));
-        }
-    }
 }
 
 /// Encodes a small value as CBOR (RFC 8949).
@@ -108,14 +94,7 @@
         loop {
             let (pairs, mut since) = self.store.list(PREFIX).await;
             self.view.send_modify(|view| {
-                let gone = |name: &&String| {
-                    let key = format!("{DAEMON_PREFIX}{name}");
-                    !pairs.iter().any(|p| p.key == key)
-                };
-                let names: Vec<String> = view.daemons.keys().filter(gone).cloned().collect();
-                for name in names {
-                    view.remove(&name);
-                }
+                view.daemons.clear();
                 view.vacant = !pairs.iter().any(|p| p.key == OWNER_KEY);
                 if view.vacant {
                     view.vacant_revision = since;
@@ -157,7 +136,6 @@
             && let Some(daemon) = decode::<Daemon>(pair)
         {
             self.view.send_modify(|view| {
-                view.departed.remove(name);
                 view.daemons.insert(name.to_owned(), daemon);
             });
         }
@@ -172,7 +150,7 @@
             });
         } else if let Some(name) = key.strip_prefix(DAEMON_PREFIX) {
             self.view.send_modify(|view| {
-                view.remove(name);
+                view.daemons.remove(name);
             });
         }
     }
@@ -288,18 +266,13 @@
         addrs
     }
 
-    /// Returns the mesh addresses of the other daemons that may have made attempts at submissions within
-    /// the last minute.
-    pub(super) fn attempt_addrs(&self) -> Vec<SocketAddr> {
-        let own = self.settings.borrow().mesh;
-        let (now, view) = (clock::now(), self.view.borrow());
-        let departed = view.departed.values().filter(|(_, at)| !at.passed(now));
-        let mut addrs: Vec<SocketAddr> = departed.map(|(addr, _)| *addr).collect();
-        addrs.extend(view.daemons.values().map(|d| d.addr));
-        addrs.sort_unstable();
-        addrs.dedup();
-        addrs.retain(|a| *a != own);
-        addrs
+    /// Returns the mesh addresses of the other daemons that the store shows.
+    ///
+    /// A daemon's key outlives it by a lease, and so the attempts at submissions that it has made.
+    pub(super) fn announced_addrs(&self) -> Vec<SocketAddr> {
+        let view = self.view.borrow();
+        let others = view.daemons.iter().filter(|(name, _)| **name != self.name);
+        others.map(|(_, d)| d.addr).collect()
     }
 
     /// Returns the other daemons that can relay orders to workers.
--- a/marigoldgladed/tests/refusals.rs
+++ b/marigoldgladed/tests/refusals.rs
@@ -95,5 +95,13 @@
     let killed = c.daemons.remove(other);
     killed.endpoint.set(Behaviour::Unavailable);
     drop(killed);
-    assert_eq!(c.daemons[0].submit(1, &job("run_ms=100", 1)), 504);
+    let body = job("run_ms=100", 1).to_string();
+    let path = "/sweep/0000000000000001";
+    let (status, retry_after, _) =
+        c.daemons[0].call_with_retry_after("POST", path, "secret", Some(body.as_bytes()));
+    assert_eq!(status, 504);
+    assert!(
+        retry_after.is_some(),
+        "the caller isn't told when to return"
+    );
 }
