Claim data centres that are followed only after the owner keys were listed

What callers saw: a daemon that answers not-ready, "data centre kista has no known owner", for good. Any test that starts a daemon could.

Cause: the absence of an owner key was learnt from the listing of all keys, and noted only for the data centres followed at that time. At the start one task lists the keys and another one adds the data centres; if the listing came first, the daemon never learnt that nobody owned its data centre, since the watch shows changes only. A data centre that a new configuration added was concerned as well.

Change: the revision of the last listing is kept and applied to a data centre that is followed later, if its key hasn't been seen since. The claim creates the key only if it is absent, so a listing that is out of date can't lead to a second owner.

--- a/marigoldglade/src/roles.rs
+++ b/marigoldglade/src/roles.rs
@@ -65,8 +65,8 @@
     ownership: Ownership,
     /// The known holder with the greatest epoch; it may no longer be alive.
     holder: Option<Holder>,
-    /// The store's revision at which the owner key was last seen.
-    seen_revision: Revision,
+    /// The store's revision at which the owner key was last seen, present or absent.
+    seen_revision: Option<Revision>,
 }
 
 /// The ownerships of one daemon and the holders it knows.
@@ -76,6 +76,8 @@
     centres: Vec<Centre>,
     keys: BTreeMap<String, CentreKey>,
     members: Vec<Candidate>,
+    /// The revision of the last listing of all owner keys.
+    listed_revision: Option<Revision>,
     next_gossip: UnixMs,
 }
 
@@ -89,6 +91,7 @@
             centres: Vec::new(),
             keys: BTreeMap::new(),
             members: Vec::new(),
+            listed_revision: None,
             next_gossip: UnixMs(0),
         }
     }
@@ -138,6 +141,7 @@
             Event::Centres(names) => {
                 for name in names {
                     self.add_centre(now, &name, out);
+                    self.apply_listing(now, &name, out);
                 }
             }
             Event::Members(members) => {
@@ -187,13 +191,24 @@
         self.centres.push(Centre {
             ownership: Ownership::new(name, &self.name, self.addr),
             holder: None,
-            seen_revision: 0,
+            seen_revision: None,
         });
         let members = owner::Event::Members(self.members.clone());
         self.step_ownership(now, key, members, out);
         Some(key)
     }
 
+    /// Passes on that a data centre had no owner key in the last listing, if it was added after that and
+    /// its key wasn't seen since.
+    fn apply_listing(&mut self, now: UnixMs, name: &str, out: &mut Vec<Action>) {
+        let seen = self.centre(name).and_then(|c| c.seen_revision);
+        if let Some(revision) = self.listed_revision
+            && seen < Some(revision)
+        {
+            self.handle_key(now, Err(name), revision, out);
+        }
+    }
+
     fn handle_listing(
         &mut self,
         now: UnixMs,
@@ -213,6 +228,7 @@
         for dc in absent {
             self.handle_key(now, Err(&dc), revision, out);
         }
+        self.listed_revision = self.listed_revision.max(Some(revision));
     }
 
     /// Passes on what the store held at a revision, unless a newer revision was seen before.
@@ -233,10 +249,10 @@
         let Some(centre) = self.centres.get_mut(usize::from(key.0)) else {
             return;
         };
-        if revision < centre.seen_revision {
+        if Some(revision) < centre.seen_revision {
             return;
         }
-        centre.seen_revision = revision;
+        centre.seen_revision = Some(revision);
         self.step_ownership(now, key, owner::Event::KeySeen(seen.ok()), out);
     }
 
