Acknowledge completions only to a process that has just reported

Cause: an acknowledgement is a number, and each process of a worker counts from one. The owner sent the first one after the outage by a report that was seconds old. The worker's next process had taken starts since, and forgot ends that nobody knew. The responses to those starts told of the new process, by their clock, but nothing looked at it.

Change: a report confirms its process for 250 ms; later than that a renewal without a number comes first, which isn't held back by the worker. The response to a start shows a restart if its clock reads less than one that was read before the start was sent; the worker then gets no work and no acknowledgement until its report decides, as when the registry shows a restart. A completion that becomes durable more than 250 ms after its report costs one more exchange with the worker.

The soak prints what the daemons logged when a job doesn't end in time; its checks and times are the same.

--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -31,21 +31,17 @@
         let now = self.now;
         self.runs_due |= !matches!(response, OrderResponse::Accepted(_));
         self.settle_start(key, start, matches!(response, OrderResponse::Lost));
-        match response {
-            OrderResponse::Accepted(clock) => self.record_clock(key, Some(*clock)),
-            OrderResponse::Refused(_, clock) => self.record_clock(key, *clock),
-            OrderResponse::Report(_) => {}
-            OrderResponse::Lost => {
-                let charge = self.charge(&start.task);
-                let worker = self.worker_mut(key);
-                worker.lost_starts.push(LostStart {
-                    task: start.task,
-                    run: start.run,
-                    resources: charge.unwrap_or(worker.target.capacity),
-                    expires_at: now.after(LATE_ORDER_MS),
-                    stopped_clock: None,
-                });
-            }
+        self.record_clock(key, response.clock());
+        if matches!(response, OrderResponse::Lost) {
+            let charge = self.charge(&start.task);
+            let worker = self.worker_mut(key);
+            worker.lost_starts.push(LostStart {
+                task: start.task,
+                run: start.run,
+                resources: charge.unwrap_or(worker.target.capacity),
+                expires_at: now.after(LATE_ORDER_MS),
+                stopped_clock: None,
+            });
         }
         let worker = self.worker_mut(key);
         let target = Arc::clone(&worker.target);
@@ -170,11 +166,8 @@
         stop: &Stop,
         response: &OrderResponse,
     ) {
-        let (accepted, clock) = match response {
-            OrderResponse::Accepted(clock) => (Some(*clock), Some(*clock)),
-            OrderResponse::Refused(_, clock) => (None, *clock),
-            OrderResponse::Report(_) | OrderResponse::Lost => (None, None),
-        };
+        let clock = response.clock();
+        let accepted = clock.filter(|_| matches!(response, OrderResponse::Accepted(_)));
         self.record_clock(key, clock);
         let worker = self.worker_mut(key);
         let same = |s: &&mut LostStart| (s.task, s.run) == (stop.task, stop.run);
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -29,6 +29,10 @@
 /// How late a response may arrive after a newer one of the same incarnation, in milliseconds:
 /// longer than any order waits for its response.
 pub(super) const REORDER_LIMIT_MS: u64 = 5_000;
+/// How long a report shows which process of a worker there is, in milliseconds.
+const ACK_WINDOW_MS: u64 = 250;
+/// How much two readings of a worker's clock may differ by rounding, in milliseconds.
+const CLOCK_ROUNDING_MS: u64 = 2;
 /// How often leases are renewed while completions wait for their commit, in milliseconds.
 const RENEW_MS: u64 = 1_250;
 
@@ -68,6 +72,7 @@
             // The leases of a silent worker aren't extended: otherwise the owner could never tell
             // that they have expired.
             let responsive = worker.answered && worker.failed_renewals == 0;
+            let confirmed = responsive && !worker.confirmed_until.passed(now);
             let renews = busy && responsive;
             let end = worker
                 .clock(now)
@@ -77,7 +82,7 @@
             worker.renewal_pending = true;
             worker.renew_at = now.after(RENEW_MS);
             let may_wait = renews || (stopping && responsive);
-            let wait_ms = if !may_wait || uncommitted {
+            let wait_ms = if !may_wait || uncommitted || (unacked && !confirmed) {
                 0
             } else if watched {
                 TAIL_WAIT_MS
@@ -89,9 +94,9 @@
             let renewal = Renewal {
                 expires_at: end,
                 // A worker's next process counts its completions from one again, and would forget
-                // those that nobody knows. So a number that the worker knows isn't repeated, and one
-                // without a response is sent again only once a report shows that the process is the same.
-                acked: if unacked && responsive {
+                // those that nobody knows. So a number that the worker knows isn't repeated, and none is
+                // sent without a recent report of the process that it is meant for.
+                acked: if unacked && confirmed {
                     worker.acks.ackable()
                 } else {
                     0
@@ -138,6 +143,12 @@
         };
         let lost = matches!(response, OrderResponse::Lost);
         self.counts.lost += u64::from(lost);
+        if self.shows_restart(key, order, &response) {
+            let now = self.now;
+            let worker = self.worker_mut(key);
+            log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(); "a response shows a restarted worker");
+            worker.await_report(now);
+        }
         match order {
             Order::Renew(renewal) => self.handle_renewal_response(key, renewal, response, out),
             Order::Start(start) => self.handle_start_response(key, start, &response),
@@ -158,11 +169,7 @@
     /// address that the worker has left.
     fn is_foreign(&self, key: WorkerKey, response: &OrderResponse) -> bool {
         let worker = self.worker(key);
-        let clock = match response {
-            OrderResponse::Accepted(clock) => Some(*clock),
-            OrderResponse::Refused(_, clock) => *clock,
-            OrderResponse::Report(_) | OrderResponse::Lost => None,
-        };
+        let clock = response.clock();
         // A process started later than each earlier one, so its clock reads less than theirs would.
         let ahead = worker.clock_reading.is_some_and(|r| {
             let passed = self.now.since(r.at);
@@ -176,6 +183,26 @@
         ahead || moved
     }
 
+    /// Returns whether a response comes from a process of the worker that was started after the one whose
+    /// clock was read last: its clock reads less than that one's could when it carried out the order.
+    fn shows_restart(&self, key: WorkerKey, order: &Order, response: &OrderResponse) -> bool {
+        let worker = self.worker(key);
+        let clock = response.clock().filter(|c| *c > 0);
+        let (Some(clock), Some(reading)) = (clock, worker.clock_reading) else {
+            return false;
+        };
+        let sent_at = match order {
+            Order::Start(start) => {
+                let run = worker.runs.get(&start.task);
+                run.filter(|r| r.run == start.run).map(|r| r.started_at)
+            }
+            _ => None,
+        };
+        let passed = sent_at.map(|at| reading.at.since(at) + CLOCK_ROUNDING_MS);
+        let delay_ms = passed.map_or(REORDER_LIMIT_MS, |p| p.min(REORDER_LIMIT_MS));
+        worker.answered && clock.saturating_add(delay_ms) < reading.clock
+    }
+
     /// Records a reading of a worker's clock unless it is older than the last one.
     pub(super) fn record_clock(&mut self, key: WorkerKey, clock: Option<u64>) {
         let now = self.now;
@@ -272,6 +299,7 @@
             return;
         }
         self.record_clock(key, Some(report.clock));
+        self.worker_mut(key).confirmed_until = self.now.after(ACK_WINDOW_MS);
         for completion in &report.completions {
             if self.worker_mut(key).acks.apply(completion.number) {
                 self.apply_completion(key, completion);
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -58,6 +58,8 @@
     pub foreign_until: UnixMs,
     /// Until when an order that got no response and extends leases may still be carried out.
     pub late_until: UnixMs,
+    /// Until when the last report shows which process of the worker there is.
+    pub confirmed_until: UnixMs,
     /// How far the worker's completions are applied, durable and acknowledged.
     pub acks: Acks,
     /// Until when an acknowledgement that got no response may still be carried out.
@@ -112,6 +114,7 @@
             lease_expires_at: 0,
             foreign_until: now,
             late_until: now,
+            confirmed_until: now,
             acks: Acks::default(),
             late_ack_until: now,
             idle_until: now,
@@ -224,6 +227,15 @@
         Some(run)
     }
 
+    /// Notes that the worker may have restarted, which its next report decides. Until then it gets no work,
+    /// and no completions are acknowledged.
+    pub fn await_report(&mut self, now: UnixMs) {
+        self.answered = false;
+        self.recorded = false;
+        self.renewal_pending = false;
+        self.renewal_after = now;
+    }
+
     /// Resets everything that belonged to the previous incarnation.
     pub fn reset_incarnation(&mut self, clock: u64) {
         for run in self.runs.values_mut() {
@@ -329,10 +341,7 @@
                 ..target
             });
             worker.listed = true;
-            worker.answered = false;
-            worker.recorded = false;
-            worker.renewal_pending = false;
-            worker.renewal_after = now;
+            worker.await_report(now);
             return;
         }
         let worker = self.worker_mut(key);
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -350,6 +350,17 @@
     Lost,
 }
 
+impl OrderResponse {
+    /// Returns the worker's clock in the response to an order other than a renewal, if it has one.
+    pub const fn clock(&self) -> Option<u64> {
+        match self {
+            Self::Accepted(clock) => Some(*clock),
+            Self::Refused(_, clock) => *clock,
+            Self::Report(_) | Self::Lost => None,
+        }
+    }
+}
+
 /// An order to start a run of a task.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
--- a/marigoldglade/tests/batch_takeover.rs
+++ b/marigoldglade/tests/batch_takeover.rs
@@ -545,12 +545,21 @@
 
 /// Guards against a done task that starts again: an idle worker restarts while its completions wait for
 /// their commit, and the acknowledgement reaches its next process, which has done tasks since.
-#[test]
-fn an_acknowledgement_spares_a_process_that_has_not_reported() {
+#[rstest]
+fn an_acknowledgement_spares_a_process_that_has_not_reported(
+    #[values(false, true)] is_young: bool,
+    #[values(50, 100, 150, 200, 250, 300, 350, 400, 450, 600, 900)] outage_ms: u64,
+) {
     for delay_ms in 1..8 {
         let mut sim = Simulation::new(78, 1, 1);
         sim.reuse_ids = true;
         sim.run_for(6_000);
+        if is_young {
+            let now = sim.now;
+            sim.workers.get_mut("worker-0-0").unwrap().restart(now);
+            sim.send_registry(sim.newest_owner());
+            sim.run_for(1_500);
+        }
         sim.submit(1, "sweep", "w0", spec(vec![step(3, 2, 300)]), 300);
         sim.submit(2, "sweep", "w0", spec(vec![step(2, 4, 200)]), 200);
         sim.run_for(100);
@@ -562,7 +571,7 @@
         sim.run_for(delay_ms);
         let now = sim.now;
         sim.workers.get_mut("worker-0-0").unwrap().restart(now);
-        sim.run_for(450);
+        sim.run_for(outage_ms);
         sim.store_silent = false;
         sim.run_for(8_000);
         assert_eq!(sim.status(2), Some(JobStatus::Done));
--- a/marigoldgladed/tests/soak.rs
+++ b/marigoldgladed/tests/soak.rs
@@ -317,27 +317,48 @@
     for (at, _, event) in events.iter().filter(|(at, i, _)| *i == worker && near(*at)) {
         eprintln!("{at} worker {worker}: {event:?}");
     }
+    let (task, worker) = (task.to_string(), format!("i-{worker}"));
+    print_logs(soak, |at, line| {
+        let concerns = line["worker"] == worker.as_str()
+            || line["task"] == task.as_str()
+            || line["module"].as_str().is_some_and(|m| m.contains("owner"));
+        concerns && near(at)
+    });
+}
+
+/// Prints the log lines of all daemons that a condition on their time and content holds for.
+fn print_logs(soak: &Soak, mut is_wanted: impl FnMut(u64, &Value) -> bool) {
     let daemons = soak.cluster.daemons.iter().enumerate();
     let logs = daemons.flat_map(|(i, d)| d.log_lines().into_iter().map(move |l| (i, l)));
     let mut lines: Vec<(usize, Value)> = soak.old_logs.iter().cloned().chain(logs).collect();
     lines.sort_by_key(|(_, line)| line["at_ms"].as_u64());
-    let (task, worker) = (task.to_string(), format!("i-{worker}"));
-    let concerns = |line: &Value| {
-        line["worker"] == worker.as_str()
-            || line["task"] == task.as_str()
-            || line["module"].as_str().is_some_and(|m| m.contains("owner"))
-    };
-    for (i, line) in lines.iter().filter(|(_, line)| concerns(line)) {
-        let at = line["at_ms"]
-            .as_u64()
-            .unwrap_or(0)
-            .saturating_sub(soak.began_ms);
-        if near(at) {
+    for (i, line) in &lines {
+        let at = line["at_ms"].as_u64().unwrap_or(0);
+        let at = at.saturating_sub(soak.began_ms);
+        if is_wanted(at, line) {
             eprintln!("{at} daemon {i}: {line}");
         }
     }
 }
 
+/// Waits until a job has one of these states; prints what the daemons logged about it if it doesn't.
+fn wait_for_state(soak: &Soak, what: &str, id: u64, states: &[&str]) {
+    let front = &soak.cluster.daemons[0];
+    let end = Instant::now() + cluster::TIMEOUT;
+    while !states.contains(&front.state(id).as_str()) {
+        if Instant::now() >= end {
+            let job = format!("{id:016x}");
+            print_logs(soak, |_, line| {
+                let names = |field: &str| line[field].as_str().is_some_and(|v| v.contains(&job));
+                let is_owner = line["module"].as_str().is_some_and(|m| m.contains("owner"));
+                names("task") || names("job") || is_owner || line["level"] == "WARN"
+            });
+            panic!("timed out waiting for {what}: {}", front.state(id));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Injects faults while callers submit jobs, then checks that every accepted job is done and that no
 /// refused job has run.
 fn run_seed(seed: u64) {
@@ -376,9 +397,8 @@
     wait_until("readiness", || front.is_ready());
     for (id, _, outcome) in &outcomes {
         if *outcome == Submission::Accepted {
-            wait_until(&format!("seed {seed}: completion of {id}"), || {
-                front.state(*id) == "completed"
-            });
+            let what = format!("seed {seed}: completion of {id}");
+            wait_for_state(&soak, &what, *id, &["completed"]);
         }
     }
     let started_jobs: BTreeSet<u64> = cluster
@@ -457,9 +477,8 @@
     wait_until("readiness", || front.is_ready());
     for (id, outcome) in (1..).zip(&outcomes) {
         if *outcome == Submission::Accepted {
-            wait_until(&format!("seed {seed}: the end of {id}"), || {
-                matches!(front.state(id).as_str(), "completed" | "failed")
-            });
+            let what = format!("seed {seed}: the end of {id}");
+            wait_for_state(&soak, &what, id, &["completed", "failed"]);
         }
     }
     check_runs(cluster, start);
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 /// The time after which a condition that doesn't hold fails the test.
-const TIMEOUT: Duration = Duration::from_secs(40);
+pub const TIMEOUT: Duration = Duration::from_secs(40);
 pub const POOL: &str = "pool-a";
 
 /// A daemon's process.
