Keep a worker's own order of events in the soak's check of overlapping runs

Cause: the check put the end behind the start, since they share their millisecond and their run's number. It tells ends before starts in a millisecond by the run, in order to keep a run's end behind its own start, and took the second start for the one that the end belongs to. The worker's own record has the order; the check gave it up by sorting.

Change: the events of one worker on one task keep the order in which the worker had them. Between workers an end still comes before a start of the same millisecond, and one that follows a start on its own worker after both, as before. So nothing passes now that was reported before, but for the ends that the worker recorded first; an end that it recorded after a start of another run of the task in the same millisecond is newly reported as an overlap. The check works on a list of events now and has tests of its own, three for each answer.

--- a/marigoldgladed/tests/soak.rs
+++ b/marigoldgladed/tests/soak.rs
@@ -17,6 +17,7 @@
 use platform_standin::store::Behaviour;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 use serde_json::Value;
 use standin::batch_worker::WorkerEvent;
 
@@ -231,34 +232,38 @@
 
 /// Checks that no task ever had two runs at once.
 fn check_runs(cluster: &Cluster, start: Instant) {
-    let mut events = worker_events(cluster, start);
+    assert_eq!(find_overlap(worker_events(cluster, start)), None);
+}
+
+/// Returns what is known of a task that had two runs at once, if there is one. The events of each worker
+/// come in the order in which they happened.
+fn find_overlap(events: Vec<Event>) -> Option<String> {
     // The order of events on different workers in the same millisecond isn't known, so ends are put before
-    // starts; but not the end of a run before its own start.
-    let starts: Vec<(u64, usize, TaskId, u64)> = events
-        .iter()
-        .filter_map(|(at, worker, event)| match event {
-            WorkerEvent::Started(task, run) => Some((*at, *worker, *task, *run)),
-            WorkerEvent::Ended(..) | WorkerEvent::Acknowledged(_) => None,
-        })
-        .collect();
-    events.sort_by_key(|(at, worker, event)| match event {
-        WorkerEvent::Started(..) => (*at, 1),
-        WorkerEvent::Ended(_, task, run, _) => {
-            let own_start = (*at, *worker, *task, *run);
-            (*at, if starts.contains(&own_start) { 2 } else { 0 })
-        }
-        WorkerEvent::Acknowledged(_) => (*at, 0),
-    });
+    // starts; but what one worker did with a task stays in its order.
+    let mut phases: BTreeMap<(u64, usize, TaskId), u32> = BTreeMap::new();
+    let mut phase = |(at, worker, event): &Event| {
+        let (task, parity) = match event {
+            WorkerEvent::Ended(_, task, _, _) => (*task, 0),
+            WorkerEvent::Started(task, _) => (*task, 1),
+            WorkerEvent::Acknowledged(_) => return 0,
+        };
+        let phase = phases.entry((*at, *worker, task)).or_insert(parity);
+        *phase += u32::from(*phase % 2 != parity);
+        *phase
+    };
+    let mut events: Vec<(u32, Event)> = events.into_iter().map(|e| (phase(&e), e)).collect();
+    events.sort_by_key(|(phase, (at, _, _))| (*at, *phase));
+    let events: Vec<Event> = events.into_iter().map(|(_, event)| event).collect();
     let mut running: BTreeMap<TaskId, usize> = BTreeMap::new();
     for (at, worker, event) in &events {
         match event {
             WorkerEvent::Started(task, run) => {
-                let other = running.insert(*task, *worker);
-                assert!(
-                    other.is_none(),
-                    "{task} started run {run} on {worker} at {at} ms, while it ran on {other:?}: {:?}",
-                    events_of(&events, *task)
-                );
+                if let Some(other) = running.insert(*task, *worker) {
+                    return Some(format!(
+                        "{task} started run {run} on {worker} at {at} ms, while it ran on {other}: {:?}",
+                        events_of(&events, *task)
+                    ));
+                }
             }
             WorkerEvent::Ended(_, task, _, _) => {
                 if running.get(task) == Some(worker) {
@@ -268,6 +273,29 @@
             WorkerEvent::Acknowledged(_) => {}
         }
     }
+    None
+}
+
+/// Runs of a task on two workers, with their events in the order in which the workers had them.
+#[rstest]
+#[case::a_worker_restarts_and_gets_the_start_again(&[(10, 0, true), (20, 0, false), (20, 0, true), (30, 0, false)], false)]
+#[case::a_run_that_ends_at_once(&[(10, 0, true), (10, 0, false), (20, 1, true)], false)]
+#[case::another_worker_at_once(&[(10, 0, true), (20, 0, false), (20, 1, true), (30, 1, false)], false)]
+#[case::on_two_workers(&[(10, 0, true), (30, 0, false), (20, 1, true), (40, 1, false)], true)]
+#[case::on_two_workers_at_once(&[(10, 0, true), (10, 0, false), (10, 1, true), (20, 1, false)], true)]
+#[case::twice_on_one_worker(&[(10, 0, true), (20, 0, true), (20, 0, false)], true)]
+fn overlaps_of_runs_are_found(#[case] runs: &[(u64, usize, bool)], #[case] overlaps: bool) {
+    let task = TaskId::parse("0000000000000001.0.0.0").expect("a task's id");
+    let event = |(at, worker, starts): &(u64, usize, bool)| {
+        let event = if *starts {
+            WorkerEvent::Started(task, 1)
+        } else {
+            WorkerEvent::Ended(1, task, 1, Outcome::Done)
+        };
+        (*at, *worker, event)
+    };
+    let events = runs.iter().map(event).collect();
+    assert_eq!(find_overlap(events).is_some(), overlaps);
 }
 
 /// Checks that no task started after a run of it was done whose completion was acknowledged then or
