Log where unwanted runs come from, and orders without a response

The log couldn't tell a start that was carried out after its owner had given it up from a run that was given up while it went on.

- `stopping a run that isn't wanted` names the lost sends of the run's start, the worker's process that they were sent to and the one that has the run, and the newest run of the task with its worker.
- `start given up without a response` names the number of sends, the deadline, the worker's process and a bound of its clock.
- An order without a response is logged once by the daemon that sent it (starts at the level info, others at debug): whether it may have been sent, and how long it waited for its turn, for a connection and for the response.
- Relays: orders that were dropped before they went out, starts that the relay didn't answer for, responses that came after their orders were given up, starts that came after their deadline.
- `run ended` says whether the run was wanted.

No change of logic.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -15,6 +15,7 @@
 mod job;
 mod late_starts;
 mod leases;
+mod lost_sends;
 mod orders;
 mod pacing;
 mod plan;
--- a/marigoldglade/src/batch/engine/completions.rs
+++ b/marigoldglade/src/batch/engine/completions.rs
@@ -26,7 +26,7 @@
             .map_or(now, |r| r.started_at);
         log::info!(
             task:% = completion.task, run = completion.run, how = how, number = completion.number,
-            worker = worker.target.name.as_str(), ran_ms = now.since(since);
+            worker = worker.target.name.as_str(), ran_ms = now.since(since), wanted = current;
             "run ended"
         );
         let stopping = current && self.is_stopping(key, &completion.task);
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -35,6 +35,7 @@
         if matches!(response, OrderResponse::Lost) {
             let charge = self.charge(&start.task);
             let worker = self.worker_mut(key);
+            worker.note_lost_send(now, start);
             worker.lost_starts.push(LostStart {
                 task: start.task,
                 run: start.run,
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -394,8 +394,7 @@
             return;
         }
         if let Err(why) = self.adopt(key, row, clock) {
-            let worker = self.worker(key);
-            log::warn!(task:% = row.task, run = row.run, worker = worker.target.name.as_str(), why, clock, first_report = !worker.answered; "stopping a run that isn't wanted");
+            self.log_unwanted(key, row, clock, why);
             let stop = Stop {
                 task: row.task,
                 run: row.run,
@@ -411,6 +410,27 @@
         }
     }
 
+    /// Logs a run that isn't wanted, with the sends of its start that this owner has given up and with what
+    /// it knows of the task's other runs.
+    fn log_unwanted(&self, key: WorkerKey, row: &ActiveRun, clock: u64, why: &str) {
+        let worker = self.worker(key);
+        let lost = worker.find_lost_sends(&row.task, row.run);
+        let job = self
+            .job_ids
+            .get(&row.task.job)
+            .and_then(|k| self.jobs.get(k));
+        let task = job.and_then(|j| j.find(&row.task));
+        let other = task.and_then(|t| t.worker).map(|k| self.worker(k));
+        log::warn!(
+            task:% = row.task, run = row.run, worker = worker.target.name.as_str(), why, clock,
+            first_report = !worker.answered, started_at = worker.target.started_at,
+            lost_sends = lost.map_or(0, |s| s.count), sent_to = lost.map(|s| s.started_at),
+            deadline = lost.map(|s| s.deadline), lost_ms_ago = lost.map(|s| self.now.since(s.lost_at)),
+            last_run = task.map(|t| t.last_run), other = other.map(|w| w.target.name.as_str());
+            "stopping a run that isn't wanted"
+        );
+    }
+
     /// Returns what a run of a task takes of a worker's capacity; `None` if the task isn't known.
     pub(super) fn charge(&self, id: &TaskId) -> Option<Resources> {
         let job = self.jobs.get(self.job_ids.get(&id.job)?)?;
@@ -457,6 +477,7 @@
             resources,
             stage: Stage::Running,
             started_at: now,
+            sent_to: 0,
             sends: 0,
             resend_at: now,
             confirmed_clock: clock,
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -68,6 +68,8 @@
     pub stage: Stage,
     /// When the start was first sent, or the run was adopted.
     pub started_at: UnixMs,
+    /// When the worker's process started to which the start was last sent; zero when unknown.
+    pub sent_to: u64,
     /// How often the current order, a start or a stop, has been sent.
     pub sends: u32,
     /// When the current order is sent again.
@@ -122,6 +124,7 @@
             resources,
             stage: Stage::Starting,
             started_at: now,
+            sent_to: 0,
             sends: 0,
             resend_at: now,
             confirmed_clock: 0,
@@ -170,6 +173,7 @@
             return;
         };
         run.sends += 1;
+        run.sent_to = target.started_at;
         run.deadline = run.deadline.max(end);
         // The response, or its loss, comes before and sets the time of the next send.
         run.resend_at = now.after(START_VALID_MS * 2);
@@ -228,13 +232,13 @@
         let Some(run) = worker.runs.get_mut(id) else {
             return;
         };
+        let sends = std::mem::take(&mut run.sends);
         run.stage = Stage::Abandoned;
-        run.sends = 0;
         run.resend_at = now;
-        let number = run.run;
+        let (number, deadline, sent_to) = (run.run, run.deadline, run.sent_to);
         log::warn!(
-            task:% = id, run = number, worker = worker.target.name.as_str(), taken:% = worker.taken(),
-            capacity:% = worker.target.capacity;
+            task:% = id, run = number, worker = worker.target.name.as_str(), sends, sent_to, deadline,
+            clock = worker.clock(now), taken:% = worker.taken(), capacity:% = worker.target.capacity;
             "start given up without a response"
         );
         self.runs_due = true;
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -5,6 +5,7 @@
 
 use crate::batch::engine::acks::Acks;
 use crate::batch::engine::leases::{CLOCK_DRIFT_PERCENT, ClockReading};
+use crate::batch::engine::lost_sends::LostSends;
 use crate::batch::engine::reports::REORDER_LIMIT_MS;
 use crate::batch::engine::runs::{LostStart, Run, Stage, UnwantedRun};
 use crate::batch::engine::{Engine, Heartbeat, WorkerKey};
@@ -89,6 +90,8 @@
     pub pace: Pace,
     /// Starts that got no response.
     pub lost_starts: Vec<LostStart>,
+    /// The same for the log, by run.
+    pub lost_sends: Vec<LostSends>,
     /// Runs that this incarnation must not begin: their starts were sent to an earlier incarnation,
     /// and their deadlines are on its clock.
     pub stale_starts: Vec<LostStart>,
@@ -130,6 +133,7 @@
             health: Health::default(),
             pace: Pace::default(),
             lost_starts: Vec::new(),
+            lost_sends: Vec::new(),
             stale_starts: Vec::new(),
             stale_resend_at: now,
         }
--- a/marigoldglade/src/batch/links.rs
+++ b/marigoldglade/src/batch/links.rs
@@ -278,13 +278,19 @@
             self.choose(now);
         }
         let mut taken = Vec::with_capacity(responses.len());
+        let mut late = 0;
         for r in responses {
             if self.waiting.get(&r.number).is_some_and(|w| w.relay == key)
                 && let Some(waiting) = self.take(r.number)
             {
                 taken.push((waiting.worker, waiting.order, r.response));
+            } else {
+                late += 1;
             }
         }
+        if late > 0 {
+            log::info!(relay:% = addr, late; "responses of a relay came after their orders were given up");
+        }
         taken
     }
 
@@ -357,7 +363,15 @@
 
     fn lose(&mut self, numbers: Vec<u64>) -> Vec<(WorkerKey, Order, OrderResponse)> {
         let taken = numbers.into_iter().filter_map(|n| self.take(n));
+        let taken: Vec<Waiting> = taken.collect();
+        for lost in &taken {
+            if let Order::Start(start) = &lost.order {
+                let relay = self.addr(lost.relay);
+                log::info!(task:% = start.task, run = start.run, relay:% = relay; "no response from the relay of a start");
+            }
+        }
         taken
+            .into_iter()
             .map(|w| (w.worker, w.order, OrderResponse::Lost))
             .collect()
     }
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -420,7 +420,8 @@
 }
 
 /// An order to a worker.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, IntoStaticStr, PartialEq, Eq, Serialize, Deserialize)]
+#[strum(serialize_all = "lowercase")]
 pub enum Order {
     /// Start a run.
     Start(Start),
@@ -444,6 +445,17 @@
         }
     }
 
+    /// Returns the task and the number of the run that the order is about; `None` for a renewal.
+    #[must_use]
+    pub const fn run(&self) -> Option<(&TaskId, u64)> {
+        match self {
+            Self::Start(start) => Some((&start.task, start.run)),
+            Self::Stop(stop) => Some((&stop.task, stop.run)),
+            Self::SetPace(pace) => Some((&pace.task, pace.run)),
+            Self::Renew(_) => None,
+        }
+    }
+
     /// Returns the term of the owner that gives the order.
     #[must_use]
     pub const fn term(&self) -> u64 {
--- a/marigoldgladed/src/batch/orders.rs
+++ b/marigoldgladed/src/batch/orders.rs
@@ -1,12 +1,13 @@
 //! Sends orders to workers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use marigoldglade::batch::succession::Permit;
 use marigoldglade::batch::worker::{Order, OrderResponse, Refusal};
+use marigoldglade::time::UnixMs;
 use tokio::sync::Semaphore;
 
 use crate::batch::client::Failure;
@@ -58,12 +59,13 @@
     order: &Order,
     permit: Permit,
 ) -> OrderResponse {
+    let given_at = clock::now();
     if matches!(order, Order::Renew(_)) {
-        return exchange(node, worker, addr, order, permit).await;
+        return exchange(node, worker, addr, order, permit, given_at).await;
     }
     let slots = node.slots.get(addr);
     let slot = slots.acquire().await;
-    let response = exchange(node, worker, addr, order, permit).await;
+    let response = exchange(node, worker, addr, order, permit, given_at).await;
     drop(slot);
     drop(slots);
     node.slots.tidy(addr);
@@ -76,11 +78,29 @@
     addr: SocketAddr,
     order: &Order,
     permit: Permit,
+    given_at: UnixMs,
 ) -> OrderResponse {
-    let may_send = || permit.allows(boot_ms(), node.term.get(), node.known_term());
+    let began = clock::now();
+    let offered_at = Cell::new(None);
+    let may_send = || {
+        let allowed = permit.allows(boot_ms(), node.term.get(), node.known_term());
+        offered_at.set(allowed.then(clock::now));
+        allowed
+    };
     if !may_send() {
+        log_unanswered(
+            worker,
+            order,
+            permit,
+            &Attempt {
+                given_at,
+                began,
+                sent_at: None,
+            },
+        );
         return unsent_response(node, permit);
     }
+    offered_at.set(None);
     let request = match platform::worker::encode(order, worker, &addr.to_string()) {
         Ok(request) => request,
         Err(e) => {
@@ -88,16 +108,60 @@
             return OrderResponse::Lost;
         }
     };
-    let began = clock::now();
     let deadline = began.after(response_limit_ms(order));
-    match node.client.send_if(addr, request, deadline, may_send).await {
+    let outcome = node.client.send_if(addr, request, deadline, may_send).await;
+    let sent_at = match outcome {
+        Err(Failure::NotSent) => None,
+        _ => offered_at.get(),
+    };
+    let attempt = Attempt {
+        given_at,
+        began,
+        sent_at,
+    };
+    let response = match outcome {
         Ok(response) => {
             node.metrics.record_order(order, clock::now().since(began));
             platform::worker::decode(order, &response)
         }
         Err(Failure::NotSent) => unsent_response(node, permit),
         Err(Failure::Unknown | Failure::TooLarge) => OrderResponse::Lost,
+    };
+    if matches!(response, OrderResponse::Lost) {
+        log_unanswered(worker, order, permit, &attempt);
     }
+    response
+}
+
+/// The course of an attempt to send an order.
+struct Attempt {
+    /// When this daemon got the order.
+    given_at: UnixMs,
+    /// When it had a slot.
+    began: UnixMs,
+    /// When it was handed to a connection; `None` if it certainly wasn't sent.
+    sent_at: Option<UnixMs>,
+}
+
+/// Logs an order without a usable response. Lost renewals are logged by the engine, once a worker.
+fn log_unanswered(worker: &str, order: &Order, permit: Permit, attempt: &Attempt) {
+    let level = if matches!(order, Order::Start(_)) {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    };
+    let now = clock::now();
+    let kind: &'static str = order.into();
+    let task = order.run().map(|(task, _)| task.to_string());
+    log::log!(
+        level, worker, kind, task = task.as_deref(), run = order.run().map(|(_, run)| run), term = permit.term,
+        relayed = permit.relayed, sent = attempt.sent_at.is_some(),
+        slot_ms = attempt.began.since(attempt.given_at),
+        connect_ms = attempt.sent_at.map(|at| at.since(attempt.began)),
+        sent_ms_ago = attempt.sent_at.map(|at| now.since(at)),
+        overdue_ms = boot_ms().saturating_sub(permit.send_by);
+        "order without a response"
+    );
 }
 
 /// Returns the response to an order that wasn't sent.
--- a/marigoldgladed/src/batch/owner/relays.rs
+++ b/marigoldgladed/src/batch/owner/relays.rs
@@ -98,7 +98,7 @@
     match node.peers.dial(addr, deadline).await {
         Ok(link) => {
             tokio::select! {
-                () = send_orders(link.writer, queue) => {}
+                () = send_orders(addr, link.writer, queue) => {}
                 () = receive_responses(link.reader, addr, inputs) => {}
             }
         }
@@ -106,7 +106,11 @@
     }
 }
 
-async fn send_orders(mut writer: FrameWriter, mut queue: mpsc::UnboundedReceiver<WaitingOrders>) {
+async fn send_orders(
+    relay: SocketAddr,
+    mut writer: FrameWriter,
+    mut queue: mpsc::UnboundedReceiver<WaitingOrders>,
+) {
     while let Some(mut waiting) = queue.recv().await {
         // Orders that are dropped here count as lost once their responses are overdue.
         while !waiting.orders.is_empty() && boot_ms() <= waiting.send_by {
@@ -118,6 +122,10 @@
                 return;
             }
         }
+        let dropped = waiting.orders.len();
+        if dropped > 0 {
+            log::info!(relay:% = relay, dropped; "orders to a relay dropped: their time had passed");
+        }
     }
 }
 
--- a/marigoldgladed/src/batch/relay.rs
+++ b/marigoldgladed/src/batch/relay.rs
@@ -5,7 +5,7 @@
 
 use marigoldglade::batch::messages::{Message, RelayedOrder, RelayedResponse};
 use marigoldglade::batch::succession::{Permit, RELAY_SEND_MS};
-use marigoldglade::batch::worker::OrderResponse;
+use marigoldglade::batch::worker::{Order, OrderResponse, Refusal};
 use marigoldglade::mesh::{Frame, FrameKind, Payload};
 use marigoldglade::time::UnixMs;
 use tokio::sync::{Notify, mpsc};
@@ -87,6 +87,11 @@
                     send_by,
                 };
                 let response = send_order(&node, &worker, addr, &order, permit).await;
+                if let (Order::Start(start), OrderResponse::Refused(Refusal::Late, clock)) =
+                    (&order, &response)
+                {
+                    log::info!(task:% = start.task, run = start.run, worker = worker.as_str(), deadline = start.deadline, clock = *clock; "relayed start came after its deadline");
+                }
                 outbox.under_way.set(outbox.under_way.get() - 1);
                 outbox.add(RelayedResponse { number, response });
             });
