Add a loopback TCP proxy to the stand-ins

The proxy lets each direction pass, delays it, holds it or cuts it, and resets or refuses connections. Held bytes arrive when the silence ends, also when their sender has closed its connection since; if the sender has reset it, they are lost.

--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -95,7 +95,7 @@
     }
 }
 
-static RUNTIME: LazyLock<Runtime> = LazyLock::new(|| {
+pub(crate) static RUNTIME: LazyLock<Runtime> = LazyLock::new(|| {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .max_blocking_threads(MAX_HANDLERS)
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod kv;
 pub mod platform;
+pub mod proxy;
 pub mod runner;
 pub mod vms;
 pub mod worker;
