Give a run up only by two reports that were asked for after the worker had it

A run that it knew of and that a report with a later clock didn't list counted as gone, and its task started elsewhere at once. A worker that serves its connections side by side may list its runs, begin another one for a start on another connection, and read its clock then; or list those that have ended, and after that, when one more has ended, those in progress. The platform's pages promise neither order.

Change: each renewal carries the time at which the owner gave it, which isn't sent. A report shows that a run is gone only if it was asked for after the owner had learned that the run was there, or that it can't begin any more; it must then be missing from two such reports in a row, and the second one is asked for at once. The same holds for what else is read from a report's silence: starts that a worker's next process must have refused, tasks bound to a worker, and runs that began in the next process before its first report. The time of an order in the owner decides, and no worker's clock.

It costs one more exchange with a worker when a start is given up, and none otherwise.

--- a/marigoldglade/src/batch/engine/late_starts.rs
+++ b/marigoldglade/src/batch/engine/late_starts.rs
@@ -182,7 +182,7 @@
                 run: binding.start.run,
                 resources: self.charge(id).unwrap_or(capacity),
                 expires_at: binding.late_until,
-                stopped_clock: None,
+                stopped_at: None,
             })
         };
         let starts: Vec<LostStart> = self.bound_tasks.iter().filter_map(lost_start).collect();
@@ -205,9 +205,8 @@
         if self.bound_tasks.is_empty() || report.is_partial() {
             return;
         }
-        let now = self.now;
         let worker = self.worker(key);
-        let name = worker.target.name.clone();
+        let (name, asked_at) = (worker.target.name.clone(), worker.asked_at);
         let runs = &worker.runs;
         let wanted = |r: &ActiveRun| runs.get(&r.task).is_some_and(|run| run.run == r.run);
         let unwanted = report.running.iter().filter(|r| !wanted(r));
@@ -215,7 +214,7 @@
         self.end_bindings(|id, b| {
             b.start.worker == name
                 && b.unanswered == 0
-                && b.late_until.passed(now)
+                && b.late_until < asked_at
                 && !unwanted.contains(id)
         });
     }
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -41,7 +41,7 @@
                 run: start.run,
                 resources: charge.unwrap_or(worker.target.capacity),
                 expires_at: now.after(LATE_ORDER_MS),
-                stopped_clock: None,
+                stopped_at: None,
             });
         }
         let worker = self.worker_mut(key);
@@ -54,8 +54,8 @@
             return;
         };
         match response {
-            OrderResponse::Accepted(clock) => {
-                run.confirmed_clock = run.confirmed_clock.max(*clock);
+            OrderResponse::Accepted(_) => {
+                run.confirmed_at = now;
                 if matches!(run.stage, Stage::Starting | Stage::Abandoned) {
                     run.stage = if run.stage == Stage::Abandoned {
                         Stage::Stopping
@@ -93,6 +93,7 @@
                     Refusal::Superseded => {
                         run.stage = Stage::Abandoned;
                         run.cannot_start = true;
+                        run.confirmed_at = now;
                         run.resend_at = now;
                         return;
                     }
@@ -167,13 +168,12 @@
         stop: &Stop,
         response: &OrderResponse,
     ) {
-        let clock = response.clock();
-        let accepted = clock.filter(|_| matches!(response, OrderResponse::Accepted(_)));
-        self.record_clock(key, clock);
+        let accepted = matches!(response, OrderResponse::Accepted(_)).then_some(self.now);
+        self.record_clock(key, response.clock());
         let worker = self.worker_mut(key);
         let same = |s: &&mut LostStart| (s.task, s.run) == (stop.task, stop.run);
         for start in worker.stale_starts.iter_mut().filter(same) {
-            start.stopped_clock = start.stopped_clock.or(accepted);
+            start.stopped_at = start.stopped_at.or(accepted);
         }
         let Some(run) = worker
             .runs
@@ -182,9 +182,9 @@
         else {
             return;
         };
-        if let Some(clock) = accepted {
+        if let Some(now) = accepted.filter(|_| !run.cannot_start) {
             run.cannot_start = true;
-            run.confirmed_clock = run.confirmed_clock.max(clock);
+            run.confirmed_at = now;
         }
     }
 }
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -1,6 +1,7 @@
 //! Renewals and the reports that answer them: leases, acknowledgements, and the runs on each
 //! worker.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use crate::batch::engine::leases::{ClockReading, LEASE_MS};
@@ -82,7 +83,8 @@
             worker.renewal_pending = true;
             worker.renew_at = now.after(RENEW_MS);
             let may_wait = renews || (stopping && responsive);
-            let wait_ms = if !may_wait || uncommitted || (unacked && !confirmed) {
+            let hurried = worker.awaits_verdict();
+            let wait_ms = if !may_wait || hurried || uncommitted || (unacked && !confirmed) {
                 0
             } else if watched {
                 TAIL_WAIT_MS
@@ -103,6 +105,7 @@
                 },
                 wait_ms,
                 term,
+                sent_at: now,
             };
             out.push(Action::Order(
                 key,
@@ -233,6 +236,7 @@
                 worker.failed_renewals = 0;
                 worker.acks.acknowledge(renewal.acked);
                 worker.renewal_after = now;
+                worker.asked_at = renewal.sent_at;
                 self.apply_report(key, report, out);
             }
             OrderResponse::Refused(Refusal::Reborn, _) => {
@@ -316,7 +320,8 @@
             self.remove_missing(key, &report);
         }
         let worker = self.worker_mut(key);
-        let ruled_out = |s: &LostStart| s.stopped_clock.is_some_and(|c| c < report.clock);
+        let asked_at = worker.asked_at;
+        let ruled_out = |s: &LostStart| s.stopped_at.is_some_and(|at| at < asked_at);
         worker.stale_starts.retain(|s| !ruled_out(s));
         self.unbind_reported(key, &report);
         self.check_stalls(key);
@@ -360,7 +365,8 @@
         let now = self.now;
         let worker = self.worker_mut(key);
         if let Some(run) = worker.runs.get_mut(&row.task).filter(|r| r.run == row.run) {
-            run.confirmed_clock = run.confirmed_clock.max(clock);
+            run.confirmed_at = now;
+            run.absent = false;
             let first_listed = !std::mem::replace(&mut run.listed, true);
             match run.stage {
                 Stage::Starting => {
@@ -393,7 +399,7 @@
             }
             return;
         }
-        if let Err(why) = self.adopt(key, row, clock) {
+        if let Err(why) = self.adopt(key, row) {
             self.log_unwanted(key, row, clock, why);
             let stop = Stop {
                 task: row.task,
@@ -442,7 +448,7 @@
     /// # Errors
     ///
     /// Why the run isn't wanted.
-    fn adopt(&mut self, key: WorkerKey, row: &ActiveRun, clock: u64) -> Result<(), &'static str> {
+    fn adopt(&mut self, key: WorkerKey, row: &ActiveRun) -> Result<(), &'static str> {
         let now = self.now;
         let Some((job_key, job)) = self.job_mut(row.task.job) else {
             return Err("unknown job");
@@ -480,7 +486,7 @@
             sent_to: 0,
             sends: 0,
             resend_at: now,
-            confirmed_clock: clock,
+            confirmed_at: now,
             deadline: 0,
             percent: row.percent,
             progress_at: now,
@@ -488,6 +494,7 @@
             isolated: false,
             restarted: false,
             cannot_start: false,
+            absent: false,
             pace: None,
         };
         self.worker_mut(key).insert(row.task, run);
@@ -495,35 +502,31 @@
         Ok(())
     }
 
-    /// Removes the runs that a report should contain but doesn't.
+    /// Removes the runs that two reports in a row should contain but don't. Both were asked for once the
+    /// owner knew that the run was there or couldn't begin any more. A worker may list a run that ends
+    /// meanwhile neither as in progress nor as completed, so one report isn't enough.
     fn remove_missing(&mut self, key: WorkerKey, report: &Report) {
-        let listed = |task: &TaskId, run: u64| {
-            report
-                .running
-                .iter()
-                .any(|r| r.task == *task && r.run == run)
-        };
-        let missing = |task: &TaskId, run: &Run| {
-            if listed(task, run.run) {
-                return false;
+        let now = self.now;
+        let listed: HashSet<(TaskId, u64)> =
+            report.running.iter().map(|r| (r.task, r.run)).collect();
+        let worker = self.worker_mut(key);
+        let asked_at = worker.asked_at;
+        let mut tasks: Vec<(TaskId, Stage)> = Vec::new();
+        for (task, run) in &mut worker.runs {
+            if run.stage == Stage::Starting || listed.contains(&(*task, run.run)) {
+                continue;
             }
-            match run.stage {
-                Stage::Starting => false,
-                // The run can't begin any more: the worker rules it out, or its deadline has passed.
-                Stage::Abandoned => {
-                    (run.cannot_start && report.clock >= run.confirmed_clock)
-                        || report.clock > run.deadline
+            if run.stage == Stage::Abandoned && !run.cannot_start {
+                if report.clock > run.deadline {
+                    (run.cannot_start, run.confirmed_at) = (true, now);
+                }
+            } else if run.confirmed_at < asked_at {
+                if run.absent {
+                    tasks.push((*task, run.stage));
                 }
-                Stage::Running | Stage::Stopping => run.confirmed_clock < report.clock,
+                (run.absent, run.confirmed_at) = (true, now);
             }
-        };
-        let worker = self.worker(key);
-        let tasks: Vec<(TaskId, Stage)> = worker
-            .runs
-            .iter()
-            .filter(|(task, run)| missing(task, run))
-            .map(|(task, run)| (*task, run.stage))
-            .collect();
+        }
         for (task, stage) in tasks {
             if stage != Stage::Abandoned {
                 log::warn!(task:% = task, worker = self.worker(key).target.name.as_str(); "run missing from the worker's report");
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -31,9 +31,8 @@
     pub resources: Resources,
     /// Until when it may be carried out.
     pub expires_at: UnixMs,
-    /// The clock of the worker's next process when that obeyed the stop of the run; the run may have
-    /// begun before.
-    pub stopped_clock: Option<u64>,
+    /// When the worker's next process had obeyed the stop of the run; the run may have begun before.
+    pub stopped_at: Option<UnixMs>,
 }
 
 /// A run on a worker that the owner doesn't want.
@@ -74,8 +73,9 @@
     pub sends: u32,
     /// When the current order is sent again.
     pub resend_at: UnixMs,
-    /// The worker's clock when the worker last confirmed the run or its stop.
-    pub confirmed_clock: u64,
+    /// When the owner last learned that the worker has the run, or can't begin it any more. Only a report
+    /// that was asked for after that shows that the run is gone.
+    pub confirmed_at: UnixMs,
     /// The start's deadline on the worker's clock.
     pub deadline: u64,
     /// The progress in percent.
@@ -88,9 +88,11 @@
     pub isolated: bool,
     /// Whether the worker has restarted since the start was sent, and may have the run or not.
     pub restarted: bool,
-    /// Whether the run can't begin any more: the worker obeyed a stop, or refused the start as
-    /// superseded.
+    /// Whether the run can't begin any more: the worker obeyed a stop, refused the start as
+    /// superseded, or its clock has passed the start's deadline.
     pub cannot_start: bool,
+    /// Whether the last report lacked the run though it should have listed it.
+    pub absent: bool,
     /// The pace that the worker last accepted for the run, in percent; `None` if an earlier owner
     /// may have changed it.
     pub pace: Option<u32>,
@@ -127,7 +129,7 @@
             sent_to: 0,
             sends: 0,
             resend_at: now,
-            confirmed_clock: 0,
+            confirmed_at: UnixMs(0),
             deadline: 0,
             percent: 0,
             progress_at: now,
@@ -135,6 +137,7 @@
             isolated,
             restarted: false,
             cannot_start: false,
+            absent: false,
             pace: Some(FULL_PERCENT),
         };
         self.worker_mut(key).insert(id, run);
@@ -256,7 +259,7 @@
             return;
         }
         worker.stale_resend_at = now.after(STOP_RESEND_MS);
-        let unstopped = |s: &&LostStart| s.stopped_clock.is_none();
+        let unstopped = |s: &&LostStart| s.stopped_at.is_none();
         for start in worker.stale_starts.iter().filter(unstopped) {
             let stop = Stop {
                 task: start.task,
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -50,6 +50,9 @@
     /// before.
     pub uncertain_until: UnixMs,
     pub clock_reading: Option<ClockReading>,
+    /// When the last report was asked for. What the owner has learned since may be missing from it, even if
+    /// its clock says otherwise: a worker may list its runs before it reads its clock.
+    pub asked_at: UnixMs,
     /// Until when responses may come from an address that the worker had before.
     pub moved_until: UnixMs,
     /// The latest expiry of a lease or start deadline that was sent, on the worker's clock.
@@ -113,6 +116,7 @@
             inherited: false,
             uncertain_until: now,
             clock_reading: None,
+            asked_at: UnixMs(0),
             moved_until: now,
             lease_expires_at: 0,
             foreign_until: now,
@@ -202,6 +206,12 @@
             && self.stale_starts.is_empty()
     }
 
+    /// Returns whether the next report decides whether a run is gone.
+    pub fn awaits_verdict(&self) -> bool {
+        let undecided = |r: &Run| r.absent || (r.stage == Stage::Abandoned && r.cannot_start);
+        self.runs.values().any(undecided)
+    }
+
     /// Returns whether a new owner must hear from the worker before it may start tasks again: the
     /// worker may run something, or holds completions that aren't durable.
     pub fn concerns_successor(&self, now: UnixMs) -> bool {
@@ -241,10 +251,10 @@
     }
 
     /// Resets everything that belonged to the previous incarnation.
-    pub fn reset_incarnation(&mut self, clock: u64) {
+    pub fn reset_incarnation(&mut self, now: UnixMs) {
         for run in self.runs.values_mut() {
-            // Both were on the previous incarnation's clock.
-            (run.confirmed_clock, run.deadline) = (clock, 0);
+            // The deadline was on the previous incarnation's clock.
+            (run.confirmed_at, run.deadline) = (now, 0);
             run.restarted = true;
         }
         self.clock_reading = None;
@@ -405,12 +415,14 @@
         let lease = self.bounds.lease_limit_ms;
         let worker = self.worker_mut(key);
         log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(), why = why; "worker restarted");
+        let asked_at = worker.asked_at;
         let lost = |(task, run): &(&TaskId, &Run)| {
             let Some(report) = report else {
                 return true;
             };
-            let fresh =
-                run.stage == Stage::Starting || now.since(run.started_at) < START_TRANSIT_MS;
+            let fresh = run.stage == Stage::Starting
+                || now.since(run.started_at) < START_TRANSIT_MS
+                || run.confirmed_at > asked_at;
             !fresh && !report.lists(task, run.run)
         };
         let tasks: Vec<TaskId> = worker.runs.iter().filter(lost).map(|(t, _)| *t).collect();
@@ -420,7 +432,7 @@
         let mut target = (*worker.target).clone();
         target.started_at = started_at;
         worker.target = Arc::new(target);
-        worker.reset_incarnation(report.map_or(0, |r| r.clock));
+        worker.reset_incarnation(now);
         worker.renewal_after = now;
         for task in tasks {
             self.remove_run(key, &task);
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -8,6 +8,7 @@
 
 use crate::batch::id::{JobId, TaskId};
 use crate::error::{Error, Kind, Result};
+use crate::time::UnixMs;
 
 /// The number of cores that one accelerator counts for in amounts of work, by the platform's prices.
 pub const CORES_PER_ACCEL: u64 = 8;
@@ -417,6 +418,9 @@
     pub wait_ms: u64,
     /// The owner's term.
     pub term: u64,
+    /// When the owner gave the order; only the owner itself needs it.
+    #[serde(skip)]
+    pub sent_at: UnixMs,
 }
 
 /// An order to a worker.
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -18,7 +18,7 @@
 use marigoldglade::batch::record::{Record, State};
 use marigoldglade::batch::spec::{JobSpec, Step};
 use marigoldglade::batch::worker::{
-    Order, OrderResponse, Outcome, Refusal, Resources, Start, Target,
+    Order, OrderResponse, Outcome, Refusal, Renewal, Report, Resources, Start, Target,
 };
 use marigoldglade::time::UnixMs;
 use rand::{RngExt as _, SeedableRng as _};
@@ -38,6 +38,8 @@
     /// A worker answers a renewal that it has delayed; its next process doesn't. The last field is
     /// the start time of the process that got the renewal.
     Delayed(usize, WorkerKey, Box<Target>, Order, u64),
+    /// A worker that has begun a report reads its clock, and lists its runs in progress if the flag is set.
+    Report(usize, WorkerKey, Box<Target>, Order, Report, bool),
     /// An event reaches an owner's engine.
     Event(usize, Box<Event>),
     /// A commit reaches the store.
@@ -77,6 +79,10 @@
     pub now: u64,
     pub rng: ChaCha8Rng,
     pub faults: Faults,
+    /// How much later than its lists the clock of a report is read, in milliseconds.
+    pub report_ms: Range<u64>,
+    /// Whether a report lists the runs in progress only when its clock is read.
+    pub torn_reports: bool,
     /// How late a late order is carried out, in milliseconds.
     pub late_ms: Range<u64>,
     /// Workers that no renewals reach.
@@ -282,6 +288,8 @@
             now: 1_000_000,
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults: Faults::default(),
+            report_ms: 0..0,
+            torn_reports: false,
             late_ms: 2_000..12_000,
             lost_renewals: BTreeSet::new(),
             lost_orders: BTreeSet::new(),
@@ -766,6 +774,27 @@
             Scheduled::Loaded => {
                 self.elect();
             }
+            Scheduled::Report(owner, worker, target, order, report, late_runs) => {
+                let renewal = Renewal {
+                    expires_at: 0,
+                    acked: 0,
+                    ..renewal_of(&order)
+                };
+                let response = match self.execute(&target, &Order::Renew(renewal)) {
+                    Some(OrderResponse::Report(later)) => OrderResponse::Report(Report {
+                        clock: later.clock,
+                        running: if late_runs {
+                            later.running
+                        } else {
+                            report.running
+                        },
+                        ..report
+                    }),
+                    _ => OrderResponse::Lost,
+                };
+                let event = Event::OrderResponse(worker, order, response);
+                self.schedule(self.now + 2, Scheduled::Event(owner, Box::new(event)));
+            }
             Scheduled::Event(owner, event) => self.deliver(owner, *event),
             Scheduled::Commit(owner, batch) => self.commit(owner, *batch),
             Scheduled::Delayed(owner, worker, target, order, started_at) => {
@@ -787,6 +816,17 @@
                     order.clone(),
                     response.clone().unwrap_or(OrderResponse::Lost),
                 );
+                if let Some(OrderResponse::Report(report)) = &response
+                    && !self.report_ms.is_empty()
+                    && (renewal_of(&order).wait_ms == 0 || !report.completions.is_empty())
+                {
+                    let at = self.now + self.rng.random_range(self.report_ms.clone());
+                    let late_runs = self.torn_reports;
+                    let item =
+                        Scheduled::Report(owner, worker, target, order, report.clone(), late_runs);
+                    self.schedule(at, item);
+                    return;
+                }
                 let wait = match (&order, &response) {
                     (_, None) => match &order {
                         Order::Renew(r) => r.wait_ms + 600,
@@ -803,7 +843,7 @@
                 if matches!((&order, &response), (Order::Renew(renewal), Some(OrderResponse::Report(report))) if renewal.wait_ms > 0 && report.completions.is_empty())
                 {
                     // The worker makes its report when the delay is over.
-                    let at_once = Order::Renew(marigoldglade::batch::worker::Renewal {
+                    let at_once = Order::Renew(Renewal {
                         wait_ms: 0,
                         ..renewal_of(&order)
                     });
@@ -1251,7 +1291,7 @@
     }
 }
 
-fn renewal_of(order: &Order) -> marigoldglade::batch::worker::Renewal {
+fn renewal_of(order: &Order) -> Renewal {
     match order {
         Order::Renew(r) => *r,
         Order::Start(_) | Order::Stop(_) | Order::SetPace(_) => unreachable!("not a renewal"),
--- a/marigoldglade/tests/batch_links.rs
+++ b/marigoldglade/tests/batch_links.rs
@@ -46,6 +46,7 @@
         acked: 0,
         wait_ms: 1_250,
         term: 1,
+        sent_at: UnixMs(0),
     })
 }
 
--- a/marigoldglade/tests/batch_odd_entries.rs
+++ b/marigoldglade/tests/batch_odd_entries.rs
@@ -13,6 +13,7 @@
 use marigoldglade::batch::worker::{
     ActiveRun, Order, OrderResponse, Renewal, Report, Resources, Target,
 };
+use marigoldglade::time::UnixMs;
 use rstest::rstest;
 use simulation::{Simulation, spec, step};
 use standin::batch_worker::{SimRun, SimWorker};
@@ -139,6 +140,7 @@
         acked: 0,
         wait_ms: 0,
         term: sim.term,
+        sent_at: UnixMs(0),
     };
     for (key, name) in [(0, "worker-0-0"), (1, "worker-0-1")] {
         let runs = sim.workers[name].runs.iter();
--- a/marigoldglade/tests/batch_takeover.rs
+++ b/marigoldglade/tests/batch_takeover.rs
@@ -8,6 +8,7 @@
 use marigoldglade::batch::id::TaskId;
 use marigoldglade::batch::messages::{JobStatus, Reply};
 use marigoldglade::batch::worker::{Order, OrderResponse, Refusal, Renewal, Start, Stop};
+use marigoldglade::time::UnixMs;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
@@ -670,6 +671,7 @@
             acked: 0,
             wait_ms: 0,
             term: 1,
+            sent_at: UnixMs(0),
         };
         let refused = OrderResponse::Refused(Refusal::Reborn, None);
         let event = Event::OrderResponse(WorkerKey(key), Order::Renew(renewal), refused);
