Have each new process of a worker refuse all starts that got no response

In the record the later runs share a worker and most of them are stopped as unwanted; starts had been given up some 24 s before.

Cause: a start without a response was remembered for 13 s, the longest time for which a worker itself holds an order up. A path that is silent for longer hands over what it holds when it recovers: the process that the start was meant for refuses it by its deadline, but a next process under the same id doesn't. If that one answered more than 13 s after the loss, no stop was sent to it, and its first report ended the binding of the task to the worker; the task started elsewhere, and the held start came after that.

Not reproduced over processes.

Change: lost starts are remembered for two minutes, and a task stays bound to the worker until its next process has refused them and a later report shows that none had begun. That a worker without an answer counts as silent still depends on the 13 s.

--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -77,7 +77,7 @@
         let listed = self
             .workers
             .iter()
-            .filter(|w| w.listed && !w.is_silent() && w.target.pool == queue.pool);
+            .filter(|w| w.listed && !w.is_silent(self.now) && w.target.pool == queue.pool);
         let cores = listed.map(|w| w.target.capacity.weighted_cores());
         let objective = queue.objective_ms(spec.critical_path_ms());
         retry_after_ms(&Backlog {
--- a/marigoldglade/src/batch/engine/late_starts.rs
+++ b/marigoldglade/src/batch/engine/late_starts.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use crate::batch::engine::job::Task;
-use crate::batch::engine::orders::LATE_ORDER_MS;
+use crate::batch::engine::orders::{LATE_ORDER_MS, LOST_START_MS};
 use crate::batch::engine::runs::LostStart;
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
@@ -181,7 +181,8 @@
                 task: *id,
                 run: binding.start.run,
                 resources: self.charge(id).unwrap_or(capacity),
-                expires_at: binding.late_until,
+                late_until: binding.late_until,
+                expires_at: now.after(LOST_START_MS),
                 stopped_at: None,
             })
         };
@@ -200,7 +201,8 @@
     }
 
     /// Ends the bindings to a worker that reports, when the starts can't be carried out any more and none
-    /// has begun a run.
+    /// has begun a run. A process that has answered after the one that they were sent to must have refused
+    /// them first, however long ago they were sent.
     pub(super) fn unbind_reported(&mut self, key: WorkerKey, report: &Report) {
         if self.bound_tasks.is_empty() || report.is_partial() {
             return;
@@ -210,12 +212,13 @@
         let runs = &worker.runs;
         let wanted = |r: &ActiveRun| runs.get(&r.task).is_some_and(|run| run.run == r.run);
         let unwanted = report.running.iter().filter(|r| !wanted(r));
-        let unwanted: HashSet<TaskId> = unwanted.map(|r| r.task).collect();
+        let stale = worker.stale_starts.iter().map(|s| s.task);
+        let held: HashSet<TaskId> = unwanted.map(|r| r.task).chain(stale).collect();
         self.end_bindings(|id, b| {
             b.start.worker == name
                 && b.unanswered == 0
                 && b.late_until < asked_at
-                && !unwanted.contains(id)
+                && !held.contains(id)
         });
     }
 
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -19,6 +19,9 @@
 /// How late an order that got no response may be carried out, in milliseconds: the platform delays
 /// such orders by 2 to 12 seconds.
 pub(super) const LATE_ORDER_MS: u64 = 13_000;
+/// How long a start that got no response is remembered, in milliseconds: a path that was silent hands over what was sent
+/// before, and TCP sends the data of a closed connection again for about this time.
+pub(super) const LOST_START_MS: u64 = 120_000;
 
 impl Engine {
     /// Processes the response to a start, or its loss.
@@ -40,7 +43,8 @@
                 task: start.task,
                 run: start.run,
                 resources: charge.unwrap_or(worker.target.capacity),
-                expires_at: now.after(LATE_ORDER_MS),
+                late_until: now.after(LATE_ORDER_MS),
+                expires_at: now.after(LOST_START_MS),
                 stopped_at: None,
             });
         }
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -29,7 +29,9 @@
     pub task: TaskId,
     pub run: u64,
     pub resources: Resources,
-    /// Until when it may be carried out.
+    /// Until when the worker itself may hold it up.
+    pub late_until: UnixMs,
+    /// Until when it is remembered, so that a next process of the worker refuses it.
     pub expires_at: UnixMs,
     /// When the worker's next process had obeyed the stop of the run; the run may have begun before.
     pub stopped_at: Option<UnixMs>,
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -198,12 +198,12 @@
 
     /// Returns whether the worker has never answered this owner although it was asked several times, and can
     /// have no order of it: there may be no such worker.
-    pub fn is_silent(&self) -> bool {
+    pub fn is_silent(&self, now: UnixMs) -> bool {
+        let mut starts = self.lost_starts.iter().chain(&self.stale_starts);
         !self.answered
             && self.failed_renewals >= SILENT_THRESHOLD
             && self.runs.is_empty()
-            && self.lost_starts.is_empty()
-            && self.stale_starts.is_empty()
+            && starts.all(|s| s.late_until.passed(now))
     }
 
     /// Returns whether the next report decides whether a run is gone.
@@ -215,7 +215,7 @@
     /// Returns whether a new owner must hear from the worker before it may start tasks again: the
     /// worker may run something, or holds completions that aren't durable.
     pub fn concerns_successor(&self, now: UnixMs) -> bool {
-        (self.listed && !self.is_silent())
+        (self.listed && !self.is_silent(now))
             || !self.runs.is_empty()
             || self.acks.is_pending()
             || !self.uncertain_until.passed(now)
