Put proxies between the daemons of a test's cluster and its workers and store

A cluster can be created with paths: each daemon reaches every worker and the store through a proxy of its own, since its endpoint of the store shows it the proxies' addresses in the workers' registry entries. The paths outlive the daemon's process, so what it has sent may arrive after its end.

The longest lease of cluster and workers can be set.

--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -1,5 +1,6 @@
 //! Real daemons on loopback in front of the platform's stand-ins; each is killed when it is dropped.
 
+use std::collections::BTreeMap;
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -9,6 +10,8 @@
 use platform_standin::store::{Endpoint, Store};
 use platform_standin::worker::Worker;
 use serde_json::{Value, json};
+use standin::batch_worker::LEASE_LIMIT_MS;
+use standin::proxy::Proxy;
 
 /// The time after which a condition that doesn't hold fails the test.
 pub const TIMEOUT: Duration = Duration::from_secs(40);
@@ -42,6 +45,18 @@
     pub adviser: Adviser,
     /// The version of the newest configuration.
     pub version: u64,
+    /// The paths of each daemon, by its name; none unless the cluster was created with them.
+    pub paths: BTreeMap<String, Paths>,
+    /// The longest lease of a worker, in milliseconds.
+    lease_limit_ms: u64,
+}
+
+/// The proxies between one daemon and others. They outlive its process.
+pub struct Paths {
+    /// To the workers, by the worker's index.
+    pub workers: Vec<Proxy>,
+    /// To the store.
+    pub store: Proxy,
 }
 
 fn agent() -> ureq::Agent {
@@ -93,6 +108,8 @@
             daemons: Vec::new(),
             adviser: Adviser::start().expect("a port is free"),
             version: 0,
+            paths: BTreeMap::new(),
+            lease_limit_ms: LEASE_LIMIT_MS,
             store,
         };
         cluster.configure("secret");
@@ -102,6 +119,30 @@
         cluster
     }
 
+    /// Creates a cluster in which every daemon reaches the workers and the store through proxies of its
+    /// own.
+    pub fn with_paths(workers: usize, daemons: usize, lease_limit_ms: u64) -> Self {
+        let mut cluster = Self::new(workers, 0);
+        cluster.lease_limit_ms = lease_limit_ms;
+        for worker in &cluster.workers {
+            worker.set_lease_limit(lease_limit_ms);
+        }
+        // The store's address is set when the daemon starts.
+        let unknown = ([127, 0, 0, 1], 1).into();
+        let open = |addr| Proxy::start(addr).expect("a port is free");
+        for i in 0..daemons {
+            let paths = Paths {
+                workers: cluster.workers.iter().map(|w| open(w.addr())).collect(),
+                store: open(unknown),
+            };
+            cluster.paths.insert(format!("daemon-{i}"), paths);
+        }
+        for _ in 0..daemons {
+            cluster.start_daemon();
+        }
+        cluster
+    }
+
     /// Writes a new configuration, in which `key` is the only key of callers.
     pub fn configure(&mut self, key: &str) {
         self.version += 3;
@@ -133,11 +174,20 @@
     /// Starts a daemon on a VM with this many cores, and waits only for its first log line.
     pub fn spawn_with_cores(&self, name: &str, cores: f64) -> Daemon {
         let endpoint = self.store.open_endpoint().expect("a port is free");
-        let store = endpoint.served.addr;
+        let mut store = endpoint.served.addr;
+        if let Some(paths) = self.paths.get(name) {
+            paths.store.set_upstream(store);
+            store = paths.store.addr;
+            for (worker, path) in self.workers.iter().zip(&paths.workers) {
+                let key = format!("servers/{}", worker.name());
+                endpoint.route(&key, "address", path.addr);
+            }
+        }
+        let lease_limit_ms = self.lease_limit_ms;
         let text = format!(
             "name: {name}\ndc: dc-a\nlisten: 127.0.0.1:0\nmesh: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
              store: [\"{store}\"]\nvm_list: 127.0.0.1:1\nlog: {{format: json, output: stdout}}\n\
-             platform:\n  ready: 127.0.0.1:0\n  cores: {cores}\n  grace_s: 6\n  lease_limit_ms: 10000\n  status_s: 120\n  adviser: \"{}\"\n",
+             platform:\n  ready: 127.0.0.1:0\n  cores: {cores}\n  grace_s: 6\n  lease_limit_ms: {lease_limit_ms}\n  status_s: 120\n  adviser: \"{}\"\n",
             self.adviser.served.addr
         );
         let mut file = tempfile::NamedTempFile::new().expect("a file can be created");
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -19,7 +19,7 @@
 use marigoldglade::time::UnixMs;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
 /// The number of chunks of a streamed answer that are buffered for the peer.
@@ -36,6 +36,15 @@
     /// The address that it listens on.
     pub addr: SocketAddr,
     accept_task: JoinHandle<()>,
+    /// How often all connections were closed.
+    closures: watch::Sender<u64>,
+}
+
+impl Server {
+    /// Closes all connections; requests that came on them are closed at once.
+    pub fn close_connections(&self) {
+        self.closures.send_modify(|n| *n += 1);
+    }
 }
 
 impl Drop for Server {
@@ -51,6 +60,7 @@
     head: Parts,
     body: Bytes,
     responder: oneshot::Sender<Response<Body>>,
+    closures: watch::Receiver<u64>,
 }
 
 impl Request {
@@ -66,6 +76,12 @@
         self.head.uri.path_and_query().map_or("/", |p| p.as_str())
     }
 
+    /// Returns whether the server has closed the request's connection.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.closures.has_changed().unwrap_or(false)
+    }
+
     /// Returns the body.
     #[must_use]
     pub fn body(&self) -> &[u8] {
@@ -118,13 +134,18 @@
     let addr = listener.local_addr()?;
     let _guard = RUNTIME.enter();
     let listener = TcpListener::from_std(listener)?;
-    let accept_task = RUNTIME.spawn(accept(listener, Arc::new(handle)));
-    Ok(Server { addr, accept_task })
+    let (closures, watched) = watch::channel(0);
+    let accept_task = RUNTIME.spawn(accept(listener, Arc::new(handle), watched));
+    Ok(Server {
+        addr,
+        accept_task,
+        closures,
+    })
 }
 
 type Handler = Arc<dyn Fn(Request) + Send + Sync>;
 
-async fn accept(listener: TcpListener, handle: Handler) {
+async fn accept(listener: TcpListener, handle: Handler, watched: watch::Receiver<u64>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Most likely the process has no file descriptors left; wait until some are closed.
@@ -133,9 +154,19 @@
         };
         let _ = stream.set_nodelay(true);
         let handle = Arc::clone(&handle);
-        let service = service_fn(move |request| handle_request(Arc::clone(&handle), request));
+        let mut closures = watched.clone();
+        closures.mark_unchanged();
+        let watched = closures.clone();
+        let service = service_fn(move |request| {
+            handle_request(Arc::clone(&handle), request, watched.clone())
+        });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(connection);
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = connection => {}
+                Ok(()) = closures.changed() => {}
+            }
+        });
     }
 }
 
@@ -144,6 +175,7 @@
 async fn handle_request(
     handle: Handler,
     request: hyper::Request<Incoming>,
+    closures: watch::Receiver<u64>,
 ) -> Result<Response<Body>, Box<dyn std::error::Error + Send + Sync>> {
     let (head, body) = request.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES).collect().await?;
@@ -152,6 +184,7 @@
         head,
         body: body.to_bytes(),
         responder,
+        closures,
     };
     tokio::task::spawn_blocking(move || handle(request));
     Ok(response.await?)
