Add a soak with silent, slow and reset paths to workers and store

20 workers, 5 daemons, a longest lease of 6 s, jobs of up to 20 tasks in three queues, gangs and cancels. Paths are held for 0.3 to 15 s one way or both ways, delayed or reset; workers restart behind a silence; registry entries vanish in outages and return within 5 s; daemons are killed, one or all, or paused. It checks that no task has two runs at once and that none starts after a done run that was acknowledged.

--- a/marigoldgladed/tests/soak.rs
+++ b/marigoldgladed/tests/soak.rs
@@ -1,7 +1,8 @@
 //! Random faults against daemons that run as processes: daemons are killed, paused, stopped and
-//! restarted, the store fails for single daemons, and workers restart or lose answers. Faults overlap.
+//! restarted, the store fails for single daemons, workers restart or lose answers, and the paths to
+//! workers and store are silent, delayed or reset. Faults overlap.
 //!
-//! `SOAK_SEEDS=100..150` runs other seeds than the short run, of both tests.
+//! `SOAK_SEEDS=100..150` runs other seeds than the short run, of all tests.
 
 #[path = "support/cluster.rs"]
 #[expect(dead_code, reason = "the cluster serves several test files")]
@@ -18,8 +19,9 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use serde_json::Value;
+use serde_json::{Value, json};
 use standin::batch_worker::WorkerEvent;
+use standin::proxy::{Flow, Proxy};
 
 /// How long faults are injected for one seed.
 const FAULT_TIME: Duration = Duration::from_secs(9);
@@ -32,6 +34,12 @@
 const OUTAGE_SEEDS: [u64; 2] = [872, 851];
 /// How long faults are injected for one seed with such outages.
 const OUTAGES_TIME: Duration = Duration::from_secs(20);
+/// The seeds of the short run with faults of the paths to workers and store.
+const PATH_SEEDS: [u64; 2] = [1, 2];
+/// How long such faults are injected for one seed, in the short run and with `SOAK_SEEDS`.
+const PATHS_TIMES: [Duration; 2] = [Duration::from_secs(11), Duration::from_secs(40)];
+/// The longest lease on the deployments that reported tasks that ran twice, in milliseconds.
+const SHORT_LEASE_MS: u64 = 6_000;
 /// How much earlier than it is recorded an event of a worker may have happened, in milliseconds.
 const RECORD_MS: u64 = 12;
 
@@ -47,13 +55,7 @@
 }
 
 /// Submits a job; retries it through other daemons unless it is accepted.
-fn submit(
-    fronts: &Mutex<Vec<String>>,
-    id: u64,
-    text: &str,
-    count: u32,
-    mut pick: usize,
-) -> Submission {
+fn submit(fronts: &Mutex<Vec<String>>, path: &str, body: &Value, mut pick: usize) -> Submission {
     let agent: ureq::Agent = ureq::Agent::config_builder()
         .http_status_as_error(false)
         .timeout_global(Some(Duration::from_millis(3_200)))
@@ -67,11 +69,11 @@
         };
         pick += 1;
         let sent = agent
-            .post(format!("http://{front}/sweep/{id:016x}"))
+            .post(format!("http://{front}{path}"))
             .header("host", "h.example")
             .header("deadline-ms", "3000")
             .header("authorization", "Token secret")
-            .send_json(job(text, count));
+            .send_json(body);
         match sent.map(|r| r.status().as_u16()) {
             Ok(200) => return Submission::Accepted,
             Ok(503) => {}
@@ -82,7 +84,7 @@
     outcome
 }
 
-/// A fault of one daemon, by index, that is undone later.
+/// A fault that is undone later, of a daemon or worker by index.
 enum Fault {
     /// The store fails for this daemon.
     Store(usize),
@@ -90,6 +92,14 @@
     Paused(usize),
     /// This daemon is killed or told to stop.
     Ended(usize),
+    /// The path from this daemon to this worker fails.
+    Path(usize, usize),
+    /// The path from this daemon to the store fails.
+    StorePath(usize),
+    /// This worker's registry entry is gone.
+    Entry(usize),
+    /// This worker restarts when the fault ends.
+    Restart(usize),
 }
 
 struct Soak {
@@ -103,6 +113,10 @@
     ended: BTreeSet<usize>,
     /// The daemons that are paused.
     paused: BTreeSet<usize>,
+    /// The failing paths, from a daemon to a worker.
+    paths: BTreeSet<(usize, usize)>,
+    /// What was done to paths and workers, with the milliseconds since the soak's start.
+    notes: Vec<(u64, String)>,
     /// When the soak began, in milliseconds since the Unix epoch.
     began_ms: u64,
     /// The log lines of daemons that have ended, with the daemon's index.
@@ -116,8 +130,10 @@
 
 impl Soak {
     fn new(seed: u64, workers: usize, daemons: usize) -> Self {
-        let began_ms = wall_ms();
-        let cluster = Cluster::new(workers, daemons);
+        Self::with_cluster(seed, wall_ms(), Cluster::new(workers, daemons))
+    }
+
+    fn with_cluster(seed: u64, began_ms: u64, cluster: Cluster) -> Self {
         let fronts = cluster.daemons.iter().map(|d| d.front.clone()).collect();
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -125,6 +141,8 @@
             fronts: Arc::new(Mutex::new(fronts)),
             ended: BTreeSet::new(),
             paused: BTreeSet::new(),
+            paths: BTreeSet::new(),
+            notes: Vec::new(),
             began_ms,
             old_logs: Vec::new(),
             cluster,
@@ -178,8 +196,160 @@
         }
     }
 
+    fn note(&mut self, text: String) {
+        self.notes.push((wall_ms() - self.began_ms, text));
+    }
+
+    fn path(&self, daemon: usize, worker: usize) -> &Proxy {
+        &self.cluster.paths[&format!("daemon-{daemon}")].workers[worker]
+    }
+
+    fn store_path(&self, daemon: usize) -> &Proxy {
+        &self.cluster.paths[&format!("daemon-{daemon}")].store
+    }
+
+    /// Returns a moment after a number of milliseconds from a range.
+    fn pick_end(&mut self, range: std::ops::Range<u64>) -> Instant {
+        Instant::now() + Duration::from_millis(self.rng.random_range(range))
+    }
+
+    /// Returns daemons and workers whose paths to each other fail: one worker or several for all daemons,
+    /// or all workers for one daemon.
+    fn pick_paths(&mut self) -> (Vec<usize>, Vec<usize>) {
+        let (daemons, workers) = (self.cluster.daemons.len(), self.cluster.workers.len());
+        let daemon = self.rng.random_range(0..daemons);
+        let first = self.rng.random_range(0..workers);
+        match self.rng.random_range(0..4) {
+            0 => (vec![daemon], (0..workers).collect()),
+            1 => {
+                let count = self.rng.random_range(2..7);
+                let several = (first..first + count).map(|w| w % workers);
+                ((0..daemons).collect(), several.collect())
+            }
+            _ => ((0..daemons).collect(), vec![first]),
+        }
+    }
+
+    /// Lets paths to workers be silent or slow for a while, or resets them. Some workers restart behind
+    /// a silence.
+    fn fail_paths(&mut self) {
+        let (daemons, workers) = self.pick_paths();
+        let kind = self.rng.random_range(0..8);
+        let delay = Flow::Delayed(Duration::from_millis(self.rng.random_range(50..1_500)));
+        let end = self.pick_end(300..15_000);
+        self.note(format!("kind {kind} on {daemons:?} to {workers:?}"));
+        for worker in &workers {
+            for daemon in &daemons {
+                if kind == 0 {
+                    self.path(*daemon, *worker).reset();
+                    continue;
+                }
+                if !self.paths.insert((*daemon, *worker)) {
+                    continue;
+                }
+                let path = self.path(*daemon, *worker);
+                match kind {
+                    1 => path.set_requests(delay),
+                    2 => path.set_responses(delay),
+                    3 => path.set_responses(Flow::Held),
+                    4 => path.set_requests(Flow::Held),
+                    _ => path.set_both(Flow::Held),
+                }
+                self.open_faults.push((end, Fault::Path(*daemon, *worker)));
+            }
+            if kind > 0 && self.rng.random_range(0..2) == 0 {
+                let left = end.saturating_duration_since(Instant::now()).as_millis();
+                let left = u64::try_from(left).expect("short").max(1);
+                let at = self.pick_end(0..left);
+                self.open_faults.push((at, Fault::Restart(*worker)));
+            }
+        }
+    }
+
+    /// Lets the store be away for some daemons or all of them, and takes away registry entries for a
+    /// while.
+    fn fail_store_paths(&mut self) {
+        let all = self.cluster.daemons.len();
+        let (first, count) = (
+            self.rng.random_range(0..all),
+            [1, 2, all][self.rng.random_range(0..3)],
+        );
+        let kind = self.rng.random_range(0..4);
+        let end = self.pick_end(900..9_000);
+        self.note(format!("store kind {kind} for {count} from {first}"));
+        for daemon in (first..first + count).map(|d| d % all) {
+            let path = self.store_path(daemon);
+            match kind {
+                0 => path.set_refuses(true),
+                1 => path.set_responses(Flow::Held),
+                2 => path.set_both(Flow::Held),
+                _ => {
+                    let endpoint = &self.cluster.daemons[daemon].endpoint;
+                    endpoint.set(Behaviour::KeepsWrites);
+                }
+            }
+            if kind == 0 {
+                path.reset();
+            }
+            self.open_faults.push((end, Fault::StorePath(daemon)));
+        }
+        if count == all {
+            for worker in 0..self.cluster.workers.len() {
+                if self.rng.random_range(0..2) == 0 {
+                    self.cluster.workers[worker].unregister();
+                    let back = end + Duration::from_millis(self.rng.random_range(0..5_000));
+                    self.open_faults.push((back, Fault::Entry(worker)));
+                }
+            }
+        }
+    }
+
+    /// Kills or pauses daemons.
+    fn fail_daemons(&mut self) {
+        let all = self.cluster.daemons.len();
+        let kind = self.rng.random_range(0..5);
+        let first = self.rng.random_range(0..all);
+        let count = if kind == 0 { all } else { 1 };
+        let end = self.pick_end(500..4_000);
+        for i in (first..first + count).map(|d| d % all) {
+            if self.ended.contains(&i) || self.paused.contains(&i) {
+                continue;
+            }
+            if kind < 3 {
+                self.note(format!("killed {i}"));
+                self.cluster.daemons[i].signal("KILL");
+                self.ended.insert(i);
+                self.open_faults.push((end, Fault::Ended(i)));
+            } else {
+                self.note(format!("paused {i}"));
+                self.cluster.daemons[i].signal("STOP");
+                self.paused.insert(i);
+                self.open_faults.push((end, Fault::Paused(i)));
+            }
+        }
+    }
+
     fn end_fault(&mut self, fault: &Fault) {
         match *fault {
+            Fault::Path(daemon, worker) => {
+                self.note(format!("path {daemon} to {worker} is back"));
+                self.paths.remove(&(daemon, worker));
+                self.path(daemon, worker).set_both(Flow::Open);
+            }
+            Fault::StorePath(daemon) => {
+                self.note(format!("store of {daemon} is back"));
+                let endpoint = &self.cluster.daemons[daemon].endpoint;
+                endpoint.set(Behaviour::Normal);
+                endpoint.carry_out_writes();
+                let path = self.store_path(daemon);
+                path.set_refuses(false);
+                path.set_both(Flow::Open);
+            }
+            Fault::Entry(worker) => self.cluster.workers[worker].register(),
+            Fault::Restart(worker) => {
+                self.note(format!("worker {worker} restarts"));
+                self.cluster.workers[worker].restart();
+            }
             Fault::Store(i) => self.cluster.daemons[i].endpoint.set(Behaviour::Normal),
             Fault::Paused(i) => {
                 self.cluster.daemons[i].signal("CONT");
@@ -345,6 +515,9 @@
     for (at, _, event) in events.iter().filter(|(at, i, _)| *i == worker && near(*at)) {
         eprintln!("{at} worker {worker}: {event:?}");
     }
+    for (at, note) in soak.notes.iter().filter(|(at, _)| near(*at)) {
+        eprintln!("{at} {note}");
+    }
     let (task, worker) = (task.to_string(), format!("i-{worker}"));
     print_logs(soak, |at, line| {
         let concerns = line["worker"] == worker.as_str()
@@ -407,7 +580,8 @@
             id,
             count,
             std::thread::spawn(move || {
-                submit(&fronts, id, &format!("run_ms={run_ms}"), count, pick)
+                let body = job(&format!("run_ms={run_ms}"), count);
+                submit(&fronts, &format!("/sweep/{id:016x}"), &body, pick)
             }),
         ));
         if soak.rng.random_range(0..2) == 0 {
@@ -486,7 +660,8 @@
         );
         let (fronts, pick) = (Arc::clone(&soak.fronts), soak.rng.random_range(0..5));
         callers.push(std::thread::spawn(move || {
-            submit(&fronts, id, &format!("run_ms={run_ms}"), count, pick)
+            let body = job(&format!("run_ms={run_ms}"), count);
+            submit(&fronts, &format!("/sweep/{id:016x}"), &body, pick)
         }));
         match soak.rng.random_range(0..8) {
             0..3 => soak.inject_fault(),
@@ -514,6 +689,129 @@
     println!("seed {seed}: {} jobs", outcomes.len());
 }
 
+/// Returns a job of up to 20 tasks, some of them a gang.
+fn mixed_job(rng: &mut ChaCha8Rng) -> Value {
+    let gang = rng.random_range(0..5) == 0;
+    let count = rng.random_range(1..if gang { 7 } else { 21 });
+    let gpu = [1, 1, 1, 2, 4, 8][rng.random_range(0..if gang { 5 } else { 6 })];
+    let run_ms = rng.random_range(500..8_000);
+    json!({
+        "spec": format!("run_ms={run_ms}"),
+        "steps": [{"count": count, "cpu": 500, "mem_mb": 256, "gpu": gpu, "estimate_ms": run_ms, "gang": gang}],
+    })
+}
+
+/// Adds a queue of the lowest priority to the configuration.
+fn add_queue(cluster: &mut Cluster) {
+    cluster.version += 3;
+    let mut document = cluster::document(cluster.version, "secret");
+    let mut route = document["routes"][1].clone();
+    (route["name"], route["prefix"]) = (json!("night"), json!("/night/"));
+    route["priority"] = json!(2);
+    let routes = document["routes"].as_array_mut().expect("a list");
+    routes.push(route);
+    cluster
+        .store
+        .put("op/config", document.to_string().as_bytes());
+}
+
+/// Cancels a job through any daemon that answers.
+fn cancel(fronts: &Mutex<Vec<String>>, path: &str, pick: usize) {
+    let fronts = fronts.lock().expect("no panic").clone();
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_millis(3_200)))
+        .build()
+        .into();
+    let _ = agent
+        .delete(format!("http://{}{path}", fronts[pick % fronts.len()]))
+        .header("host", "h.example")
+        .header("deadline-ms", "3000")
+        .header("authorization", "Token secret")
+        .call();
+}
+
+/// Injects faults of the paths to workers and store, and of daemons, while callers fill the workers with
+/// jobs, then checks that no task has run twice.
+fn run_paths(seed: u64) {
+    let (start, began_ms) = (Instant::now(), wall_ms());
+    let mut cluster = Cluster::with_paths(20, 5, SHORT_LEASE_MS);
+    add_queue(&mut cluster);
+    let mut soak = Soak::with_cluster(seed, began_ms, cluster);
+    let is_long = std::env::var_os("SOAK_SEEDS").is_some();
+    let end = Instant::now() + PATHS_TIMES[usize::from(is_long)];
+    let mut callers = Vec::new();
+    while Instant::now() < end {
+        soak.end_due_faults(false);
+        let queue = ["urgent", "sweep", "sweep", "night"][soak.rng.random_range(0..4)];
+        let path = format!("/{queue}/{:016x}", callers.len() + 1);
+        let body = mixed_job(&mut soak.rng);
+        let (fronts, pick) = (Arc::clone(&soak.fronts), soak.rng.random_range(0..5));
+        let cancel_after = (soak.rng.random_range(0..8) == 0)
+            .then(|| Duration::from_millis(soak.rng.random_range(0..4_000)));
+        callers.push(std::thread::spawn(move || {
+            let outcome = submit(&fronts, &path, &body, pick);
+            if let Some(pause) = cancel_after {
+                std::thread::sleep(pause);
+                cancel(&fronts, &path, pick + 1);
+            }
+            (path, outcome)
+        }));
+        match soak.rng.random_range(0..10) {
+            0..5 => soak.fail_paths(),
+            5 => soak.fail_store_paths(),
+            6 => soak.fail_daemons(),
+            _ => {}
+        }
+        std::thread::sleep(Duration::from_millis(soak.rng.random_range(150..700)));
+    }
+    soak.end_due_faults(true);
+    let outcomes: Vec<(String, Submission)> = callers
+        .into_iter()
+        .map(|c| c.join().expect("no panic"))
+        .collect();
+    check_once(&soak, seed, start);
+    let front = &soak.cluster.daemons[0];
+    wait_until("readiness", || front.is_ready());
+    let is_over = |path: &str| {
+        let (_, body) = front.call("GET", path, "secret", None);
+        ["completed", "failed", "canceled"].contains(&body["state"].as_str().unwrap_or_default())
+    };
+    for (path, outcome) in &outcomes {
+        if *outcome == Submission::Accepted {
+            wait_until(&format!("seed {seed}: the end of {path}"), || is_over(path));
+        }
+    }
+    check_once(&soak, seed, start);
+    let logs = soak.cluster.daemons.iter().flat_map(Daemon::log_lines);
+    let lines: Vec<Value> = logs.chain(soak.old_logs.into_iter().map(|l| l.1)).collect();
+    let count = |message: &str| lines.iter().filter(|l| l["message"] == message).count();
+    println!(
+        "seed {seed}: {} jobs; {} starts given up, {} bound, {} runs not wanted",
+        outcomes.len(),
+        count("start given up without a response"),
+        count("start without a response; its task is bound to the worker"),
+        count("stopping a run that isn't wanted"),
+    );
+}
+
+/// Checks that no task has run twice; prints the faults and what the daemons logged about it otherwise.
+fn check_once(soak: &Soak, seed: u64, start: Instant) {
+    let overlap = find_overlap(worker_events(&soak.cluster, start));
+    if let Some(text) = &overlap {
+        for (at, note) in &soak.notes {
+            eprintln!("{at} {note}");
+        }
+        let task = text.split(' ').next().unwrap_or_default();
+        print_logs(soak, |_, line| {
+            let is_owner = line["module"].as_str().is_some_and(|m| m.contains("owner"));
+            line["task"] == task || is_owner
+        });
+    }
+    assert_eq!(overlap, None, "seed {seed}");
+    check_acknowledged(soak, start);
+}
+
 fn seeds(short: &[u64]) -> Vec<u64> {
     match std::env::var("SOAK_SEEDS") {
         Ok(range) => {
@@ -539,3 +837,12 @@
         run_outages(seed);
     }
 }
+
+/// Orders were carried out by a worker long after their daemon had given them up, behind paths that were
+/// silent for a while: tasks ran twice at once, or again after they were done.
+#[test]
+fn no_task_runs_twice_behind_silent_or_cut_links() {
+    for seed in seeds(&PATH_SEEDS) {
+        run_paths(seed);
+    }
+}
