--- a/marigoldgladed/tests/soak.rs
+++ b/marigoldgladed/tests/soak.rs
@@ -542,19 +542,28 @@
     }
 }
 
-/// Waits until a job has one of these states; prints what the daemons logged about it if it doesn't.
-fn wait_for_state(soak: &Soak, what: &str, id: u64, states: &[&str]) {
+/// Waits until the job at a path has one of these states; prints what the daemons logged about it if it
+/// doesn't.
+fn wait_for_state(soak: &Soak, what: &str, path: &str, states: &[&str]) {
     let front = &soak.cluster.daemons[0];
+    let state = || {
+        let (status, body) = front.call("GET", path, "secret", None);
+        let state = body["state"].as_str().map(str::to_owned);
+        state.unwrap_or_else(|| status.to_string())
+    };
     let end = Instant::now() + cluster::TIMEOUT;
-    while !states.contains(&front.state(id).as_str()) {
+    while !states.contains(&state().as_str()) {
         if Instant::now() >= end {
-            let job = format!("{id:016x}");
+            let job = path.rsplit('/').next().unwrap_or_default();
+            for (at, note) in &soak.notes {
+                eprintln!("{at} {note}");
+            }
             print_logs(soak, |_, line| {
-                let names = |field: &str| line[field].as_str().is_some_and(|v| v.contains(&job));
+                let names = |field: &str| line[field].as_str().is_some_and(|v| v.contains(job));
                 let is_owner = line["module"].as_str().is_some_and(|m| m.contains("owner"));
                 names("task") || names("job") || is_owner || line["level"] == "WARN"
             });
-            panic!("timed out waiting for {what}: {}", front.state(id));
+            panic!("timed out waiting for {what}: {}", state());
         }
         std::thread::sleep(Duration::from_millis(20));
     }
@@ -600,7 +609,7 @@
     for (id, _, outcome) in &outcomes {
         if *outcome == Submission::Accepted {
             let what = format!("seed {seed}: completion of {id}");
-            wait_for_state(&soak, &what, *id, &["completed"]);
+            wait_for_state(&soak, &what, &format!("/sweep/{id:016x}"), &["completed"]);
         }
     }
     let started_jobs: BTreeSet<u64> = cluster
@@ -681,7 +690,8 @@
     for (id, outcome) in (1..).zip(&outcomes) {
         if *outcome == Submission::Accepted {
             let what = format!("seed {seed}: the end of {id}");
-            wait_for_state(&soak, &what, id, &["completed", "failed"]);
+            let path = format!("/sweep/{id:016x}");
+            wait_for_state(&soak, &what, &path, &["completed", "failed"]);
         }
     }
     check_runs(cluster, start);
@@ -773,13 +783,10 @@
     check_once(&soak, seed, start);
     let front = &soak.cluster.daemons[0];
     wait_until("readiness", || front.is_ready());
-    let is_over = |path: &str| {
-        let (_, body) = front.call("GET", path, "secret", None);
-        ["completed", "failed", "canceled"].contains(&body["state"].as_str().unwrap_or_default())
-    };
     for (path, outcome) in &outcomes {
         if *outcome == Submission::Accepted {
-            wait_until(&format!("seed {seed}: the end of {path}"), || is_over(path));
+            let what = format!("seed {seed}: the end of {path}");
+            wait_for_state(&soak, &what, path, &["completed", "failed", "canceled"]);
         }
     }
     check_once(&soak, seed, start);
--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -38,6 +38,8 @@
     requests: Flow,
     responses: Flow,
     refuses: bool,
+    /// Whether new connections are served.
+    accepts: bool,
     /// How often all connections were reset.
     resets: u64,
 }
@@ -77,6 +79,7 @@
             requests: Flow::Open,
             responses: Flow::Open,
             refuses: false,
+            accepts: true,
             resets: 0,
         });
         let accept_task = RUNTIME.spawn(accept(listener, watched));
@@ -110,6 +113,11 @@
         self.state.send_modify(|s| s.refuses = refuses);
     }
 
+    /// Sets whether new connections are served; until they are, nothing passes on them.
+    pub fn set_accepts(&self, accepts: bool) {
+        self.state.send_modify(|s| s.accepts = accepts);
+    }
+
     /// Sets the address to which new connections are forwarded.
     pub fn set_upstream(&self, upstream: SocketAddr) {
         self.state.send_modify(|s| s.upstream = upstream);
@@ -123,14 +131,16 @@
 
 type Watched = watch::Receiver<State>;
 
-async fn accept(listener: TcpListener, state: Watched) {
+async fn accept(listener: TcpListener, mut state: Watched) {
     loop {
         let Ok((client, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let _ = client.set_nodelay(true);
-        let now = *state.borrow();
+        let Ok(now) = state.wait_for(|s| s.accepts).await.map(|s| *s) else {
+            return;
+        };
         if now.refuses {
             let _ = client.set_zero_linger();
             continue;
--- a/standin/tests/proxy.rs
+++ b/standin/tests/proxy.rs
@@ -215,3 +215,19 @@
     send(&mut stream, "a");
     assert_eq!(echo.next(), "a");
 }
+
+#[test]
+fn connections_wait_until_they_are_served_while_older_ones_pass() {
+    let (echo, proxy) = start();
+    let mut old = open(&proxy);
+    send(&mut old, "before");
+    assert_eq!(echo.next(), "before");
+    proxy.set_accepts(false);
+    let mut new = open(&proxy);
+    send(&mut new, "new");
+    assert!(echo.is_silent());
+    send(&mut old, "old");
+    assert_eq!(echo.next(), "old");
+    proxy.set_accepts(true);
+    assert_eq!(echo.next(), "new");
+}
