--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -35,6 +35,8 @@
 enum Scheduled {
     /// An order reaches a worker; the response is lost if the flag is false.
     Order(usize, WorkerKey, Box<Target>, Order, bool),
+    /// An order reaches a worker, without a response, unless the process with this start time has ended.
+    Late(Box<Target>, Order, u64),
     /// A worker answers a renewal that it has delayed; its next process doesn't. The last field is
     /// the start time of the process that got the renewal.
     Delayed(usize, WorkerKey, Box<Target>, Order, u64),
@@ -83,6 +85,20 @@
     pub lost_renewals: BTreeSet<String>,
     /// Workers that no orders besides renewals reach.
     pub lost_orders: BTreeSet<String>,
+    /// Workers whose responses are lost, though orders reach them.
+    pub lost_responses: BTreeSet<String>,
+    /// Pairs of an owner and a worker that it can't reach, though others can.
+    pub cut_paths: BTreeSet<(usize, String)>,
+    /// Workers to which the path is silent, and until when. It holds the orders and hands them over
+    /// within `resend_ms` of its return.
+    pub held_until: BTreeMap<String, u64>,
+    /// How long after its return a silent path hands over an order, in milliseconds.
+    pub resend_ms: Range<u64>,
+    /// Whether late and held orders are lost with the process that they were sent to, as the bytes of a
+    /// connection are.
+    pub connected: bool,
+    /// How much longer than usual responses are under way, in milliseconds.
+    pub response_ms: Range<u64>,
     /// Whether a restarted worker keeps its id and obeys orders meant for its earlier process.
     pub reuse_ids: bool,
     /// Whether a crashed worker comes back under another name at the same address.
@@ -285,6 +301,12 @@
             late_ms: 2_000..12_000,
             lost_renewals: BTreeSet::new(),
             lost_orders: BTreeSet::new(),
+            lost_responses: BTreeSet::new(),
+            cut_paths: BTreeSet::new(),
+            held_until: BTreeMap::new(),
+            resend_ms: 0..1,
+            connected: false,
+            response_ms: 0..1,
             reuse_ids: false,
             new_names: false,
             replaced: BTreeSet::new(),
@@ -651,10 +673,17 @@
                 self.lost_orders.contains(&target.name)
             }
         };
+        let cut = cut || self.cut_paths.contains(&(owner, target.name.clone()));
         let late_renewal = matches!(order, Order::Renew(_)) && roll < self.faults.late_renewals;
-        let late = late_renewal || roll < self.faults.late;
-        let lost = cut || late || roll < self.faults.late + self.faults.unanswered;
-        let at = if late {
+        let held = self.held_until.get(&target.name).copied();
+        let held = held.filter(|until| *until > self.now);
+        let late = late_renewal || roll < self.faults.late || held.is_some();
+        let unanswered = roll < self.faults.late + self.faults.unanswered
+            || self.lost_responses.contains(&target.name);
+        let lost = cut || late || unanswered;
+        let at = if let Some(until) = held {
+            until + self.rng.random_range(self.resend_ms.clone())
+        } else if late {
             self.now + self.rng.random_range(self.late_ms.clone())
         } else {
             self.now + delay
@@ -670,6 +699,12 @@
         if cut {
             return;
         }
+        if late && self.connected {
+            let process = self.workers[&target.name].target.started_at;
+            let late = Scheduled::Late(Box::new(target.clone()), order, process);
+            self.schedule(at, late);
+            return;
+        }
         self.schedule(
             at,
             Scheduled::Order(owner, worker, Box::new(target.clone()), order, !lost),
@@ -777,6 +812,11 @@
                     self.deliver(owner, event);
                 }
             }
+            Scheduled::Late(target, order, process) => {
+                if self.workers[&target.name].target.started_at == process {
+                    self.execute(&target, &order);
+                }
+            }
             Scheduled::Order(owner, worker, target, order, responds) => {
                 let response = self.execute(&target, &order);
                 if !responds {
@@ -814,7 +854,15 @@
                     );
                     return;
                 }
-                self.schedule(self.now + wait, Scheduled::Event(owner, Box::new(event)));
+                let transit = if self.response_ms.end > 1 {
+                    self.rng.random_range(self.response_ms.clone())
+                } else {
+                    0
+                };
+                self.schedule(
+                    self.now + wait + transit,
+                    Scheduled::Event(owner, Box::new(event)),
+                );
             }
         }
     }
