Reset the connections of requests that were given up

Cause: a request without a response was given up by dropping its connection, which closes it in order: the kernel, or a proxy on the way, goes on delivering what the peer hasn't received, for as long as the path is silent and TCP tries. A start that its owner had given up so reached the worker's next process under the same id, whose clock makes nothing of its deadline, after the 13 s for which the owner reckons with late orders, while the task ran elsewhere. A killed owner leaves such starts behind without a record.

Evidence: late_starts, over processes with a proxy that holds what was sent until the silence ends, as TCP does.

Change: the connections that the daemon opens to workers, to the store and to other daemons are closed by a reset, also when its process ends. What hasn't left the sender is lost then. What the peer's kernel has already received isn't, which the 13 s and the stops to a next process cover.

--- a/marigoldgladed/src/batch/client.rs
+++ b/marigoldgladed/src/batch/client.rs
@@ -1,7 +1,8 @@
 //! The daemon's HTTP client.
 //!
 //! It keeps connections and reuses them. When a request fails, its connection is closed together
-//! with the idle connections to the same address, since they may be broken too.
+//! with the idle connections to the same address, since they may be broken too. Closing a connection resets
+//! it, so that what the peer hasn't received of a request is lost once the request has been given up.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -159,6 +160,7 @@
         .map_err(|_| Failure::NotSent)?
         .map_err(|_| Failure::NotSent)?;
     let _ = stream.set_nodelay(true);
+    let _ = stream.set_zero_linger();
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| Failure::NotSent)?;
--- a/marigoldgladed/src/link.rs
+++ b/marigoldgladed/src/link.rs
@@ -83,6 +83,9 @@
     with_timeout(async {
         let tcp = TcpStream::connect(addr).await.map_err(unreachable_peer)?;
         let _ = tcp.set_nodelay(true);
+        // What the peer hasn't received when the link is closed has been given up; without a reset, the kernel
+        // would go on delivering it.
+        let _ = tcp.set_zero_linger();
         let url = format!("ws://{addr}/");
         let (mut stream, _) = client_async_with_config(url, tcp, Some(config()))
             .await
