Keep an unwanted run until a second report doesn't list it

Cause: the tasks of runs that are being stopped wait until a report no longer lists them. One that ends while its worker makes the report is on neither list, so its task could start elsewhere before its end was known.

Evidence: by reading; no test reaches it by itself. The tests of batch_reports hold with it as before.

Change: such a run counts until the next report unless its completion is listed, and that report isn't held back.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -311,11 +311,12 @@
         }
         let worker = self.worker_mut(key);
         worker.partial = report.is_partial();
-        let waits = !std::mem::take(&mut worker.unwanted).is_empty();
-        self.replan |= waits;
+        let unwanted = std::mem::take(&mut worker.unwanted);
+        self.replan |= !unwanted.is_empty();
         for row in &report.running {
             self.apply_running(key, row, report.clock, out);
         }
+        self.keep_unwanted(key, unwanted, &report);
         if !report.is_partial() {
             self.remove_missing(key, &report);
         }
@@ -411,11 +412,28 @@
             self.worker_mut(key).unwanted.push(UnwantedRun {
                 task: row.task,
                 resources,
+                absent: false,
             });
             out.push(Action::Order(key, target, Order::Stop(stop)));
         }
     }
 
+    /// Keeps unwanted runs that a report lists nowhere until the next one: they may have ended while the
+    /// worker made it.
+    fn keep_unwanted(&mut self, key: WorkerKey, unwanted: Vec<UnwantedRun>, report: &Report) {
+        let worker = self.worker_mut(key);
+        for run in unwanted {
+            let same = |u: &UnwantedRun| u.task == run.task;
+            let completed = report.completions.iter().any(|c| c.task == run.task);
+            if !run.absent && !completed && !worker.unwanted.iter().any(same) {
+                worker.unwanted.push(UnwantedRun {
+                    absent: true,
+                    ..run
+                });
+            }
+        }
+    }
+
     /// Logs a run that isn't wanted, with the sends of its start that this owner has given up and with what
     /// it knows of the task's other runs.
     fn log_unwanted(&self, key: WorkerKey, row: &ActiveRun, clock: u64, why: &str) {
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -43,6 +43,8 @@
     pub task: TaskId,
     /// What it takes of the worker's capacity.
     pub resources: Resources,
+    /// Whether the last report listed it neither as in progress nor as completed.
+    pub absent: bool,
 }
 
 /// The stage of a run.
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -209,7 +209,7 @@
     /// Returns whether the next report decides whether a run is gone.
     pub fn awaits_verdict(&self) -> bool {
         let undecided = |r: &Run| r.absent || (r.stage == Stage::Abandoned && r.cannot_start);
-        self.runs.values().any(undecided)
+        self.runs.values().any(undecided) || self.unwanted.iter().any(|u| u.absent)
     }
 
     /// Returns whether a new owner must hear from the worker before it may start tasks again: the
