Refuse starts whose loss is noted after the worker's restart

Cause: the list of starts that a next process must refuse was made once, when its restart became known. A start that was under way then, and whose response was given up later, wasn't on it: 13 s after the loss its task started elsewhere, and the start came 7 s after that.

Change: a lost start goes to that list as well if it was sent to an earlier process than the present one, or if its run is no longer on the books. Each start is on the lists once, however often it was sent.

--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -39,14 +39,23 @@
             let charge = self.charge(&start.task);
             let worker = self.worker_mut(key);
             worker.note_lost_send(now, start);
-            worker.lost_starts.push(LostStart {
+            let lost = LostStart {
                 task: start.task,
                 run: start.run,
                 resources: charge.unwrap_or(worker.target.capacity),
                 late_until: now.after(LATE_ORDER_MS),
                 expires_at: now.after(LOST_START_MS),
                 stopped_at: None,
-            });
+            };
+            let other = |s: &LostStart| (s.task, s.run) != (start.task, start.run);
+            worker.lost_starts.retain(other);
+            worker.lost_starts.push(lost);
+            let run = worker.runs.get(&start.task).filter(|r| r.run == start.run);
+            // The present process doesn't know of a start that was meant for an earlier one.
+            let stale = run.is_none_or(|r| r.sent_to < worker.target.started_at);
+            if stale && worker.stale_starts.iter().all(other) {
+                worker.stale_starts.push(lost);
+            }
         }
         let worker = self.worker_mut(key);
         let target = Arc::clone(&worker.target);
