Let a worker's second report decide what an earlier owner's runs are

Cause: a new owner believed the first report of each worker. A run that ended while the worker made it is on neither of its lists, so its task started elsewhere before the next report told of its end. Found by the review.

Change: a worker of an earlier owner counts as heard with its second report, which isn't held back; a takeover takes one more exchange with each. The report that decides about missing runs is asked for 10 ms later, so that it isn't sent in the millisecond of the one before, which made a third one necessary, and so that a worker whose reports are dropped isn't asked without a pause. A restart clears what was concluded about runs of the earlier process. The simulation no longer lets a worker's next process finish a report of the earlier one.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -34,6 +34,9 @@
 const ACK_WINDOW_MS: u64 = 250;
 /// How much two readings of a worker's clock may differ by rounding, in milliseconds.
 const CLOCK_ROUNDING_MS: u64 = 2;
+/// The pause before the report that decides whether missing runs are gone, in milliseconds: it must be asked
+/// for later than the one that didn't list them.
+const RECHECK_GAP_MS: u64 = 10;
 /// How often leases are renewed while completions wait for their commit, in milliseconds.
 const RENEW_MS: u64 = 1_250;
 
@@ -83,8 +86,8 @@
             worker.renewal_pending = true;
             worker.renew_at = now.after(RENEW_MS);
             let may_wait = renews || (stopping && responsive);
-            let hurried = worker.awaits_verdict();
-            let wait_ms = if !may_wait || hurried || uncommitted || (unacked && !confirmed) {
+            let rechecks = worker.has_missing_runs();
+            let wait_ms = if !may_wait || rechecks || uncommitted || (unacked && !confirmed) {
                 0
             } else if watched {
                 TAIL_WAIT_MS
@@ -238,6 +241,10 @@
                 worker.renewal_after = now;
                 worker.asked_at = renewal.sent_at;
                 self.apply_report(key, report, out);
+                let worker = self.worker_mut(key);
+                if worker.has_missing_runs() {
+                    worker.renewal_after = now.after(RECHECK_GAP_MS);
+                }
             }
             OrderResponse::Refused(Refusal::Reborn, _) => {
                 self.handle_address_reuse(key);
@@ -330,7 +337,9 @@
         let now = self.now;
         let foreign_ms = self.has_predecessors.then(|| self.foreign_lease_ms());
         let worker = self.worker_mut(key);
-        if !worker.answered {
+        // A run of an earlier owner that ended while the worker made its first report is on neither list.
+        let decided = !worker.inherited || std::mem::replace(&mut worker.heard, true);
+        if !worker.answered && decided {
             worker.answered = true;
             worker.fence(now, foreign_ms);
             let missing = !worker.recorded;
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -46,6 +46,8 @@
     pub fenced: bool,
     /// Whether the worker comes from an earlier owner's list and hasn't restarted since.
     pub inherited: bool,
+    /// Whether the worker has reported to this owner.
+    pub heard: bool,
     /// Until when the worker may have runs that this owner doesn't know of, unless it answers
     /// before.
     pub uncertain_until: UnixMs,
@@ -114,6 +116,7 @@
             answered: false,
             fenced: false,
             inherited: false,
+            heard: false,
             uncertain_until: now,
             clock_reading: None,
             asked_at: UnixMs(0),
@@ -206,8 +209,8 @@
             && starts.all(|s| s.late_until.passed(now))
     }
 
-    /// Returns whether the next report decides whether a run is gone.
-    pub fn awaits_verdict(&self) -> bool {
+    /// Returns whether the last report lacked runs, so that the next one decides whether they are gone.
+    pub fn has_missing_runs(&self) -> bool {
         let undecided = |r: &Run| r.absent || (r.stage == Stage::Abandoned && r.cannot_start);
         self.runs.values().any(undecided) || self.unwanted.iter().any(|u| u.absent)
     }
@@ -255,6 +258,7 @@
         for run in self.runs.values_mut() {
             // The deadline was on the previous incarnation's clock.
             (run.confirmed_at, run.deadline) = (now, 0);
+            (run.cannot_start, run.absent) = (false, false);
             run.restarted = true;
         }
         self.clock_reading = None;
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -816,15 +816,18 @@
                     ..renewal_of(&order)
                 };
                 let response = match self.execute(&target, &Order::Renew(renewal)) {
-                    Some(OrderResponse::Report(later)) => OrderResponse::Report(Report {
-                        clock: later.clock,
-                        running: if late_runs {
-                            later.running
-                        } else {
-                            report.running
-                        },
-                        ..report
-                    }),
+                    // The connections of a process end with it.
+                    Some(OrderResponse::Report(later)) if later.started_at == report.started_at => {
+                        OrderResponse::Report(Report {
+                            clock: later.clock,
+                            running: if late_runs {
+                                later.running
+                            } else {
+                                report.running
+                            },
+                            ..report
+                        })
+                    }
                     _ => OrderResponse::Lost,
                 };
                 let event = Event::OrderResponse(worker, order, response);
