Decide at once about runs that a restarted worker doesn't list

Cause: a run that was young when the restart became known is kept until further reports. These waited for up to 1.25 s each, and after 1.3 s the run counted as stalled, so that its task avoided the worker. The change of the second report for inherited workers had cleared what would have hurried them.

Change: the report that shows the restart counts as the first one that doesn't list such a run, and the second one is asked for at once. An accepted start counts anew.

--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -68,7 +68,7 @@
         };
         match response {
             OrderResponse::Accepted(_) => {
-                run.confirmed_at = now;
+                (run.confirmed_at, run.absent) = (now, false);
                 if matches!(run.stage, Stage::Starting | Stage::Abandoned) {
                     run.stage = if run.stage == Stage::Abandoned {
                         Stage::Stopping
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -545,7 +545,8 @@
             }
             if run.stage == Stage::Abandoned && !run.cannot_start {
                 if report.clock > run.deadline {
-                    (run.cannot_start, run.confirmed_at) = (true, now);
+                    (run.cannot_start, run.absent) = (true, false);
+                    run.confirmed_at = now;
                 }
             } else if run.confirmed_at < asked_at {
                 if run.absent {
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -211,7 +211,11 @@
 
     /// Returns whether the last report lacked runs, so that the next one decides whether they are gone.
     pub fn has_missing_runs(&self) -> bool {
-        let undecided = |r: &Run| r.absent || (r.stage == Stage::Abandoned && r.cannot_start);
+        let undecided = |r: &Run| match r.stage {
+            Stage::Starting => false,
+            Stage::Abandoned => r.absent || r.cannot_start,
+            Stage::Running | Stage::Stopping => r.absent,
+        };
         self.runs.values().any(undecided) || self.unwanted.iter().any(|u| u.absent)
     }
 
@@ -258,7 +262,8 @@
         for run in self.runs.values_mut() {
             // The deadline was on the previous incarnation's clock.
             (run.confirmed_at, run.deadline) = (now, 0);
-            (run.cannot_start, run.absent) = (false, false);
+            // The report that shows the restart clears this for the runs that it lists.
+            (run.cannot_start, run.absent) = (false, true);
             run.restarted = true;
         }
         self.clock_reading = None;
