--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -19,8 +19,8 @@
 /// How late an order that got no response may be carried out, in milliseconds: the platform delays
 /// such orders by 2 to 12 seconds.
 pub(super) const LATE_ORDER_MS: u64 = 13_000;
-/// How long a start that got no response is remembered, in milliseconds: a path that was silent hands over what was sent
-/// before, and TCP sends the data of a closed connection again for about this time.
+/// How long a start that got no response is remembered, in milliseconds: when a silent path recovers, a proxy
+/// on it or the worker's host may still deliver what had left this host before.
 pub(super) const LOST_START_MS: u64 = 120_000;
 
 impl Engine {
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -77,8 +77,8 @@
     pub sends: u32,
     /// When the current order is sent again.
     pub resend_at: UnixMs,
-    /// When the owner last learned that the worker has the run, or can't begin it any more. Only a report
-    /// that was asked for after that shows that the run is gone.
+    /// When the owner last learned that the worker has the run or can't begin it any more, or that a report
+    /// lacks it. Only a report that was asked for after that shows that the run is gone.
     pub confirmed_at: UnixMs,
     /// The start's deadline on the worker's clock.
     pub deadline: u64,
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -46,7 +46,7 @@
     pub fenced: bool,
     /// Whether the worker comes from an earlier owner's list and hasn't restarted since.
     pub inherited: bool,
-    /// Whether the worker has reported to this owner.
+    /// Whether the worker has sent this owner a report, which its next one may correct.
     pub heard: bool,
     /// Until when the worker may have runs that this owner doesn't know of, unless it answers
     /// before.
@@ -95,7 +95,7 @@
     pub pace: Pace,
     /// Starts that got no response.
     pub lost_starts: Vec<LostStart>,
-    /// The same for the log, by run.
+    /// The sends of starts that got no response, by run; only the log uses them.
     pub lost_sends: Vec<LostSends>,
     /// Runs that this incarnation must not begin: their starts were sent to an earlier incarnation,
     /// and their deadlines are on its clock.
