Let a test split the network between daemons, workers and store

What callers saw: nothing, a change of the tests' support.

Change: an endpoint of the stand-in's store may show its clients other values; the cluster puts in the address of a proxy where a daemon or the owner announces its mesh address, one proxy for each pair of daemons. `set_split` sets all paths between two sides. Words of the daemons' records stay in the tests' support, outside platform/.

--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead as _, BufReader, Write as _};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -11,7 +12,7 @@
 use platform_standin::worker::Worker;
 use serde_json::{Value, json};
 use standin::batch_worker::LEASE_LIMIT_MS;
-use standin::proxy::Proxy;
+use standin::proxy::{Flow, Proxy};
 
 /// The time after which a condition that doesn't hold fails the test.
 pub const TIMEOUT: Duration = Duration::from_secs(40);
@@ -57,6 +58,35 @@
     pub workers: Vec<Proxy>,
     /// To the store.
     pub store: Proxy,
+    /// To the mesh addresses of the other daemons, by name.
+    pub mesh: BTreeMap<String, Proxy>,
+}
+
+type Field = (ciborium::Value, ciborium::Value);
+
+fn find_field<'a>(fields: &'a mut [Field], name: &str) -> Option<&'a mut ciborium::Value> {
+    let found = fields.iter_mut().find(|(k, _)| k.as_text() == Some(name));
+    found.map(|(_, value)| value)
+}
+
+/// Returns a daemon's record of itself or of the owner with the address at which its path begins; `None`
+/// if there is no such path or the key holds no such record.
+fn reroute(mesh: &BTreeMap<String, SocketAddr>, key: &str, value: &[u8]) -> Option<Vec<u8>> {
+    let own = key.strip_prefix("mg/live/daemon/");
+    if own.is_none() && key != "mg/live/owner" {
+        return None;
+    }
+    let mut record: ciborium::Value = ciborium::from_reader(value).ok()?;
+    let fields = record.as_map_mut()?;
+    let name = match own {
+        Some(name) => name.to_owned(),
+        None => find_field(fields, "name")?.as_text()?.to_owned(),
+    };
+    let addr = mesh.get(&name)?;
+    *find_field(fields, "addr")? = ciborium::Value::serialized(addr).ok()?;
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&record, &mut bytes).ok()?;
+    Some(bytes)
 }
 
 fn agent() -> ureq::Agent {
@@ -119,23 +149,26 @@
         cluster
     }
 
-    /// Creates a cluster in which every daemon reaches the workers and the store through proxies of its
-    /// own.
+    /// Creates a cluster in which every daemon reaches the workers, the store and the other daemons through
+    /// proxies of its own.
     pub fn with_paths(workers: usize, daemons: usize, lease_limit_ms: u64) -> Self {
         let mut cluster = Self::new(workers, 0);
         cluster.lease_limit_ms = lease_limit_ms;
         for worker in &cluster.workers {
             worker.set_lease_limit(lease_limit_ms);
         }
-        // The store's address is set when the daemon starts.
+        // The addresses of the store and of the daemons are set when the daemons start.
         let unknown = ([127, 0, 0, 1], 1).into();
         let open = |addr| Proxy::start(addr).expect("a port is free");
-        for i in 0..daemons {
+        let names: Vec<String> = (0..daemons).map(|i| format!("daemon-{i}")).collect();
+        for name in &names {
+            let others = names.iter().filter(|n| *n != name);
             let paths = Paths {
                 workers: cluster.workers.iter().map(|w| open(w.addr())).collect(),
                 store: open(unknown),
+                mesh: others.map(|n| (n.clone(), open(unknown))).collect(),
             };
-            cluster.paths.insert(format!("daemon-{i}"), paths);
+            cluster.paths.insert(name.clone(), paths);
         }
         for _ in 0..daemons {
             cluster.start_daemon();
@@ -182,6 +215,9 @@
                 let key = format!("servers/{}", worker.name());
                 endpoint.route(&key, "address", path.addr);
             }
+            let mesh = paths.mesh.iter().map(|(n, p)| (n.clone(), p.addr));
+            let mesh: BTreeMap<String, SocketAddr> = mesh.collect();
+            endpoint.rewrite(move |key, value| reroute(&mesh, key, value));
         }
         let lease_limit_ms = self.lease_limit_ms;
         let text = format!(
@@ -204,6 +240,9 @@
         let first = lines.next().expect("a first line").expect("readable");
         let first: Value = serde_json::from_str(&first).expect("a log line is JSON");
         let addr = |name: &str| first[name].as_str().expect("an address").to_owned();
+        for path in self.paths.values().filter_map(|p| p.mesh.get(name)) {
+            path.set_upstream(addr("mesh").parse().expect("an address"));
+        }
         let log = Arc::new(Mutex::new(Vec::new()));
         let sink = Arc::clone(&log);
         std::thread::spawn(move || {
@@ -237,6 +276,27 @@
         found.expect("found")
     }
 
+    /// Sets what happens to the bytes of all paths between some daemons and workers, by index, and the store
+    /// and all other daemons and workers.
+    pub fn set_split(&self, daemons: &[usize], workers: &[usize], flow: Flow) {
+        let names: Vec<String> = daemons.iter().map(|d| format!("daemon-{d}")).collect();
+        for (name, paths) in &self.paths {
+            let apart = names.contains(name);
+            if apart {
+                paths.store.set_both(flow);
+            }
+            let across = |(i, _): &(usize, _)| workers.contains(i) != apart;
+            for (_, path) in paths.workers.iter().enumerate().filter(across) {
+                path.set_both(flow);
+            }
+            for (other, path) in &paths.mesh {
+                if names.contains(other) != apart {
+                    path.set_both(flow);
+                }
+            }
+        }
+    }
+
     /// Returns how many runs have started on all workers.
     pub fn count_starts(&self) -> usize {
         self.workers.iter().map(|w| w.started_runs().len()).sum()
