Share the soak's checks of the workers' records

Moves the checks for two runs at once and for a start after an acknowledged end to the tests' support, so that another test file can use them. What they check is unchanged: the check of acknowledged ends is now a search, and the soak prints the history and fails on what it finds, as before.

--- a/marigoldgladed/tests/soak.rs
+++ b/marigoldgladed/tests/soak.rs
@@ -7,8 +7,10 @@
 #[path = "support/cluster.rs"]
 #[expect(dead_code, reason = "the cluster serves several test files")]
 mod cluster;
+#[path = "support/record.rs"]
+mod record;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -18,6 +20,7 @@
 use platform_standin::store::Behaviour;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
+use record::{Event, check_runs, events_of, find_overlap, find_repeat, worker_events};
 use rstest::rstest;
 use serde_json::{Value, json};
 use standin::batch_worker::WorkerEvent;
@@ -40,8 +43,6 @@
 const PATHS_TIMES: [Duration; 2] = [Duration::from_secs(11), Duration::from_secs(40)];
 /// The longest lease on the deployments that reported tasks that ran twice, in milliseconds.
 const SHORT_LEASE_MS: u64 = 6_000;
-/// How much earlier than it is recorded an event of a worker may have happened, in milliseconds.
-const RECORD_MS: u64 = 12;
 
 /// How far from a fault its history is printed, in milliseconds.
 const HISTORY_MS: u64 = 3_000;
@@ -381,71 +382,6 @@
     }
 }
 
-/// An event on a worker, by the worker's index, with the milliseconds since the soak's start.
-type Event = (u64, usize, WorkerEvent);
-
-fn worker_events(cluster: &Cluster, start: Instant) -> Vec<Event> {
-    let workers = cluster.workers.iter().enumerate();
-    workers
-        .flat_map(|(i, w)| w.timeline(start).into_iter().map(move |(at, e)| (at, i, e)))
-        .collect()
-}
-
-/// Returns the events that concern a task, for messages.
-fn events_of(events: &[Event], task: TaskId) -> Vec<&Event> {
-    let about = |event: &WorkerEvent| match event {
-        WorkerEvent::Started(t, _) | WorkerEvent::Ended(_, t, _, _) => *t == task,
-        WorkerEvent::Acknowledged(_) => false,
-    };
-    events.iter().filter(|(_, _, e)| about(e)).collect()
-}
-
-/// Checks that no task ever had two runs at once.
-fn check_runs(cluster: &Cluster, start: Instant) {
-    assert_eq!(find_overlap(worker_events(cluster, start)), None);
-}
-
-/// Returns what is known of a task that had two runs at once, if there is one. The events of each worker
-/// come in the order in which they happened.
-fn find_overlap(events: Vec<Event>) -> Option<String> {
-    // The order of events on different workers in the same millisecond isn't known, so ends are put before
-    // starts; but what one worker did with a task stays in its order.
-    let mut phases: BTreeMap<(u64, usize, TaskId), u32> = BTreeMap::new();
-    let mut phase = |(at, worker, event): &Event| {
-        let (task, parity) = match event {
-            WorkerEvent::Ended(_, task, _, _) => (*task, 0),
-            WorkerEvent::Started(task, _) => (*task, 1),
-            WorkerEvent::Acknowledged(_) => return 0,
-        };
-        let phase = phases.entry((*at, *worker, task)).or_insert(parity);
-        *phase += u32::from(*phase % 2 != parity);
-        *phase
-    };
-    let mut events: Vec<(u32, Event)> = events.into_iter().map(|e| (phase(&e), e)).collect();
-    events.sort_by_key(|(phase, (at, _, _))| (*at, *phase));
-    let events: Vec<Event> = events.into_iter().map(|(_, event)| event).collect();
-    let mut running: BTreeMap<TaskId, usize> = BTreeMap::new();
-    for (at, worker, event) in &events {
-        match event {
-            WorkerEvent::Started(task, run) => {
-                if let Some(other) = running.insert(*task, *worker) {
-                    return Some(format!(
-                        "{task} started run {run} on {worker} at {at} ms, while it ran on {other}: {:?}",
-                        events_of(&events, *task)
-                    ));
-                }
-            }
-            WorkerEvent::Ended(_, task, _, _) => {
-                if running.get(task) == Some(worker) {
-                    running.remove(task);
-                }
-            }
-            WorkerEvent::Acknowledged(_) => {}
-        }
-    }
-    None
-}
-
 /// Runs of a task on two workers, with their events in the order in which the workers had them.
 #[rstest]
 #[case::a_worker_restarts_and_gets_the_start_again(&[(10, 0, true), (20, 0, false), (20, 0, true), (30, 0, false)], false)]
@@ -471,41 +407,16 @@
 /// Checks that no task started after a run of it was done whose completion was acknowledged then or
 /// later, unless the worker's leases had expired between the two.
 fn check_acknowledged(soak: &Soak, start: Instant) {
-    let cluster = &soak.cluster;
-    let events = worker_events(cluster, start);
-    let mut done: Vec<(TaskId, u64, usize)> = Vec::new();
-    for (worker, standin) in cluster.workers.iter().enumerate() {
-        let lapses = standin.lapses(start);
-        let has_lapsed =
-            |from: u64, to: u64| lapses.iter().any(|at| at + RECORD_MS >= from && *at <= to);
-        let mut held: Vec<(u64, TaskId, u64)> = Vec::new();
-        for (at, _, event) in events.iter().filter(|(_, i, _)| *i == worker) {
-            match event {
-                WorkerEvent::Ended(number, task, _, Outcome::Done) if *number > 0 => {
-                    held.push((*number, *task, *at));
-                }
-                WorkerEvent::Acknowledged(acked) => {
-                    held.retain(|(_, _, ended_at)| !has_lapsed(*ended_at, *at));
-                    let ended = held.extract_if(.., |(number, _, _)| *number <= *acked);
-                    done.extend(ended.map(|(_, task, at)| (task, at, worker)));
-                }
-                WorkerEvent::Started(..) | WorkerEvent::Ended(..) => {}
-            }
-        }
-    }
-    for (task, ended_at, worker) in done {
-        let again = events.iter().find(|(at, _, event)| {
-            matches!(event, WorkerEvent::Started(t, _) if *t == task) && *at > ended_at + RECORD_MS
-        });
-        if again.is_some() {
-            print_history(soak, &events, task, worker, ended_at);
-        }
-        assert!(
-            again.is_none(),
-            "{task} started again after {ended_at} ms, when it was done on {worker}: {:?}",
-            events_of(&events, task)
-        );
-    }
+    let events = worker_events(&soak.cluster, start);
+    let Some(repeat) = find_repeat(&soak.cluster, &events, start) else {
+        return;
+    };
+    let (task, ended_at, worker) = (repeat.task, repeat.ended_at, repeat.worker);
+    print_history(soak, &events, task, worker, ended_at);
+    panic!(
+        "{task} started again after {ended_at} ms, when it was done on {worker}: {:?}",
+        events_of(&events, task)
+    );
 }
 
 /// Prints what happened around a time on a worker, and the daemons' log lines about it, a task or the
