Take a silent worker's leases as ended only once the ownership is confirmed

Cause: an owner reckons when a silent worker's leases have expired from the renewals that it has sent itself. One that is cut off from the store may act for 9 s without it, and its successor, which it doesn't know of, renews these leases all the while. 6.3 s after its own last renewals it gave the runs up and started their tasks on workers that only it could reach.

Change: the engine knows the latest time by which the store has confirmed that there was no newer owner: the send time of the last renewal of the owner's lease that the store answered (`Event::Confirmed`). Leases, late starts and runs of an earlier owner on a silent worker have ended only if they had ended by then. A successor that claims later finds them ended too.

Without the store a silent worker's tasks now wait for it.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -130,6 +130,8 @@
     CommitOutcome(u64, CommitOutcome),
     /// All earlier owners have certainly ended, so none of them renews leases any more.
     PredecessorsEnded,
+    /// The store has confirmed that no newer owner had claimed the ownership by then.
+    Confirmed(UnixMs),
     /// The placement adviser's response; `None` when no usable one came in time.
     Advised(Option<AdviceResponse>),
     /// Time has passed.
@@ -217,6 +219,9 @@
     term: u64,
     /// Whether there was an owner before this one.
     has_predecessors: bool,
+    /// The latest time by which certainly no newer owner had claimed the ownership. One that claims it
+    /// renews leases that this owner doesn't know of, so only what had ended by then has ended for sure.
+    confirmed_at: UnixMs,
     bounds: Bounds,
     policy: Arc<Policy>,
     jobs: BTreeMap<JobKey, Job>,
@@ -296,6 +301,7 @@
         let mut engine = Self {
             term: initial.term,
             has_predecessors: initial.has_predecessors,
+            confirmed_at: UnixMs(0),
             bounds,
             policy,
             jobs: BTreeMap::new(),
@@ -383,6 +389,7 @@
             Event::OrderResponse(key, order, r) => self.handle_response(key, &order, r, out),
             Event::CommitOutcome(number, outcome) => self.finish_commit(number, outcome, out),
             Event::PredecessorsEnded => self.limit_inherited_leases(),
+            Event::Confirmed(at) => self.confirm(at),
             Event::Advised(response) => self.handle_advice(response),
             Event::Tick => {
                 self.tick();
@@ -392,6 +399,11 @@
         }
     }
 
+    /// Notes that no newer owner had claimed the ownership by `at`.
+    fn confirm(&mut self, at: UnixMs) {
+        self.confirmed_at = self.confirmed_at.max(at.min(self.now));
+    }
+
     /// Returns when the next [`Event::Tick`] is due.
     #[must_use]
     pub fn next_tick(&self) -> UnixMs {
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -132,16 +132,16 @@
         pending.deletes.clone_from(&batch.deletes);
         if self.workers_dirty {
             self.workers_dirty = false;
-            let now = self.now;
+            let (now, confirmed_at) = (self.now, self.confirmed_at);
             let kept: Vec<(WorkerKey, u64)> = self
                 .worker_keys()
-                .filter(|k| self.worker(*k).concerns_successor(self.now))
+                .filter(|k| self.worker(*k).concerns_successor(now, confirmed_at))
                 .map(|k| (k, self.worker(k).target.started_at))
                 .collect();
             // A worker that isn't on the list mustn't get work until a later list has it.
             for key in self.worker_keys() {
                 let worker = self.worker_mut(key);
-                worker.recorded &= worker.concerns_successor(now);
+                worker.recorded &= worker.concerns_successor(now, confirmed_at);
             }
             let targets = kept.iter().map(|(k, _)| (*self.worker(*k).target).clone());
             batch.workers = Some(targets.collect());
@@ -227,13 +227,13 @@
             self.stop_job(key);
         }
         for (key, started_at, mark) in &pending.completions {
-            let now = self.now;
+            let (now, confirmed_at) = (self.now, self.confirmed_at);
             let worker = self.worker_mut(*key);
             if worker.target.started_at == *started_at {
                 worker.acks.settle(*mark);
                 worker.renewal_after = worker.renewal_after.min(now);
             }
-            let leaves = !worker.concerns_successor(now);
+            let leaves = !worker.concerns_successor(now, confirmed_at);
             self.workers_dirty |= leaves;
         }
         for key in &pending.handled {
--- a/marigoldglade/src/batch/engine/late_starts.rs
+++ b/marigoldglade/src/batch/engine/late_starts.rs
@@ -55,15 +55,17 @@
         }
     }
 
-    fn is_over(&self, now: UnixMs) -> bool {
-        self.unanswered == 0 && self.expires_at.passed(now)
+    /// Returns whether nothing that the starts began can have lasted longer than `confirmed_at`, up to which
+    /// the worker certainly had no other owner.
+    fn is_over(&self, confirmed_at: UnixMs) -> bool {
+        self.unanswered == 0 && self.expires_at.passed(confirmed_at)
     }
 }
 
 impl Task {
     /// Returns the binding that restricts where the task may be started.
-    pub fn binding(&self, now: UnixMs) -> Option<&Binding> {
-        self.binding.as_ref().filter(|b| !b.is_over(now))
+    pub fn binding(&self, confirmed_at: UnixMs) -> Option<&Binding> {
+        self.binding.as_ref().filter(|b| !b.is_over(confirmed_at))
     }
 
     /// Returns what the record says about starts that may be carried out late.
@@ -76,7 +78,7 @@
 impl Engine {
     /// Binds a task to the worker that a start of it is sent to.
     pub(super) fn bind_task(&mut self, key: WorkerKey, id: &TaskId, run: u64) {
-        let now = self.now;
+        let confirmed_at = self.confirmed_at;
         let target = &self.worker(key).target;
         let start = LateStart {
             worker: target.name.clone(),
@@ -90,7 +92,7 @@
             return;
         };
         let old = task.binding.take();
-        let old = old.filter(|b| b.start.worker == start.worker && !b.is_over(now));
+        let old = old.filter(|b| b.start.worker == start.worker && !b.is_over(confirmed_at));
         let binding = task
             .binding
             .insert(old.unwrap_or_else(|| Binding::new(start.clone())));
@@ -100,7 +102,8 @@
 
     /// Notes the response to a start, or its loss.
     pub(super) fn settle_start(&mut self, key: WorkerKey, start: &Start, lost: bool) {
-        let (now, lease_ms) = (self.now, self.foreign_lease_ms());
+        let (now, confirmed_at) = (self.now, self.confirmed_at);
+        let lease_ms = self.foreign_lease_ms();
         let worker = self.worker(key).target.name.clone();
         let Some((job_key, job)) = self.job_mut(start.task.job) else {
             return;
@@ -114,7 +117,7 @@
         };
         binding.unanswered = binding.unanswered.saturating_sub(1);
         if !lost {
-            if binding.is_over(now) && !binding.lost {
+            if binding.is_over(confirmed_at) && !binding.lost {
                 task.binding = None;
             }
             return;
@@ -175,7 +178,7 @@
         let known = |id: &TaskId| worker.lost_starts.iter().any(|s| s.task == *id);
         let lost_start = |id: &TaskId| {
             let job = self.jobs.get(self.job_ids.get(&id.job)?)?;
-            let binding = job.find(id)?.binding(now)?;
+            let binding = job.find(id)?.binding(self.confirmed_at)?;
             let here = binding.start.worker == name && !known(id);
             here.then(|| LostStart {
                 task: *id,
@@ -196,8 +199,8 @@
 
     /// Ends the bindings whose starts can't be carried out any more.
     pub(super) fn forget_bindings(&mut self) {
-        let now = self.now;
-        self.end_bindings(|_, b| b.is_over(now));
+        let confirmed_at = self.confirmed_at;
+        self.end_bindings(|_, b| b.is_over(confirmed_at));
     }
 
     /// Ends the bindings to a worker that reports, when the starts can't be carried out any more and none
@@ -227,7 +230,7 @@
     pub(super) fn awaited_workers(&self) -> HashSet<WorkerKey> {
         let awaited = |id: &TaskId| {
             let job = self.jobs.get(self.job_ids.get(&id.job)?)?;
-            let binding = job.find(id)?.binding(self.now)?;
+            let binding = job.find(id)?.binding(self.confirmed_at)?;
             let key = *self.worker_names.get(&binding.start.worker)?;
             let worker = self.worker(key);
             let silent = !worker.answered || worker.failed_renewals > 0;
@@ -312,7 +315,7 @@
         id: &TaskId,
     ) -> Result<Option<WorkerKey>, MustWait> {
         let now = self.now;
-        let Some(binding) = task.binding(now) else {
+        let Some(binding) = task.binding(self.confirmed_at) else {
             return Ok(None);
         };
         let key = self.worker_names.get(&binding.start.worker);
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -329,7 +329,9 @@
                 .zip(tasks)
                 .filter(|(i, t)| job.is_idle(t, now) && !stopping(*i))
                 .partition(|(_, t)| {
-                    !t.avoid.is_empty() || t.is_isolated(now) || t.binding(now).is_some()
+                    !t.avoid.is_empty()
+                        || t.is_isolated(now)
+                        || t.binding(self.confirmed_at).is_some()
                 });
             for (index, task) in single {
                 let Ok(bound) = self.bound_worker(task, &id(index)) else {
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -54,7 +54,8 @@
             }
             // The loss of a renewal to an earlier process may come after the new one's answer.
             let unheard = !worker.answered || worker.failed_renewals > 0;
-            let silent = unheard && (worker.listed || !worker.uncertain_until.passed(now));
+            let silent =
+                unheard && (worker.listed || !worker.uncertain_until.passed(self.confirmed_at));
             let unacked = worker.acks.is_unacked();
             let busy = !worker.runs.is_empty();
             // An unwanted run is stopped again unless the next report shows its end, and only a report
@@ -228,7 +229,7 @@
         response: OrderResponse,
         out: &mut Vec<Action>,
     ) {
-        let now = self.now;
+        let (now, confirmed_at) = (self.now, self.confirmed_at);
         let worker = self.worker_mut(key);
         worker.renewal_pending = false;
         match response {
@@ -260,7 +261,7 @@
             OrderResponse::Lost | OrderResponse::Accepted(_) => {
                 worker.failed_renewals += 1;
                 let busy = !worker.runs.is_empty();
-                let leaves = worker.recorded && !worker.concerns_successor(now);
+                let leaves = worker.recorded && !worker.concerns_successor(now, confirmed_at);
                 let pause = if busy || worker.failed_renewals < SILENT_THRESHOLD {
                     RENEWAL_RETRY_MS
                 } else {
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -209,7 +209,7 @@
             if worker.runs.is_empty() {
                 continue;
             }
-            if worker.has_lapsed(now) {
+            if worker.has_lapsed(self.confirmed_at) {
                 self.expire_leases(key);
                 continue;
             }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -221,16 +221,17 @@
 
     /// Returns whether a new owner must hear from the worker before it may start tasks again: the
     /// worker may run something, or holds completions that aren't durable.
-    pub fn concerns_successor(&self, now: UnixMs) -> bool {
+    pub fn concerns_successor(&self, now: UnixMs, confirmed_at: UnixMs) -> bool {
         (self.listed && !self.is_silent(now))
             || !self.runs.is_empty()
             || self.acks.is_pending()
-            || !self.uncertain_until.passed(now)
+            || !self.uncertain_until.passed(confirmed_at)
     }
 
-    /// Returns whether the worker is silent and its leases have expired, so that nothing runs there.
-    pub fn has_lapsed(&self, now: UnixMs) -> bool {
-        self.failed_renewals > 0 && self.all_leases_expired_at().passed(now)
+    /// Returns whether the worker is silent and its leases had expired by `confirmed_at`, so that nothing
+    /// runs there unless a newer owner has started it.
+    pub fn has_lapsed(&self, confirmed_at: UnixMs) -> bool {
+        self.failed_renewals > 0 && self.all_leases_expired_at().passed(confirmed_at)
     }
 
     /// Adds a run.
@@ -298,7 +299,7 @@
 
     /// Applies the registry's list of workers.
     pub(super) fn update_registry(&mut self, targets: Vec<Target>) {
-        let now = self.now;
+        let (now, confirmed_at) = (self.now, self.confirmed_at);
         let first = !self.workers.iter().any(|w| w.listed);
         if first {
             log::info!(workers = targets.len(), inherited = self.workers.len(), term = self.term; "workers read from the registry");
@@ -321,7 +322,7 @@
                 worker.listed = false;
                 // A worker without runs or completions leaves the stored list, so that a new owner
                 // doesn't wait for it.
-                let leaves = !worker.concerns_successor(now);
+                let leaves = !worker.concerns_successor(now, confirmed_at);
                 self.workers_dirty |= leaves;
             }
         }
@@ -348,7 +349,7 @@
     ///
     /// The workers of the `first` list are logged together.
     fn update_worker(&mut self, key: WorkerKey, target: Target, first: bool) {
-        let now = self.now;
+        let (now, confirmed_at) = (self.now, self.confirmed_at);
         let enforces_capacity = self.policy.enforces_capacity(&target.pool);
         let worker = self.worker_mut(key);
         if target.addr != worker.target.addr {
@@ -404,7 +405,7 @@
                 worker.recorded = false;
             }
         }
-        if !worker.recorded && worker.concerns_successor(now) {
+        if !worker.recorded && worker.concerns_successor(now, confirmed_at) {
             self.workers_dirty = true;
         }
     }
@@ -478,12 +479,12 @@
 
     /// Returns how many workers may have runs or completions that this owner doesn't know.
     pub(super) fn count_unknown(&self) -> usize {
-        let now = self.now;
+        let confirmed_at = self.confirmed_at;
         let unknown = |w: &&Worker| {
             if w.answered {
-                w.partial && !w.has_lapsed(now)
+                w.partial && !w.has_lapsed(confirmed_at)
             } else {
-                !w.uncertain_until.passed(now)
+                !w.uncertain_until.passed(confirmed_at)
             }
         };
         self.workers.iter().filter(unknown).count()
@@ -491,7 +492,8 @@
 
     /// Returns the tasks of runs that aren't wanted and may go on.
     pub(super) fn stopping_tasks(&self) -> HashSet<TaskId> {
-        let workers = self.workers.iter().filter(|w| !w.has_lapsed(self.now));
+        let workers = self.workers.iter();
+        let workers = workers.filter(|w| !w.has_lapsed(self.confirmed_at));
         workers.flat_map(|w| &w.unwanted).map(|u| u.task).collect()
     }
 }
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -750,11 +750,20 @@
                 self.send_heartbeats(before);
             }
             for owner in 0..self.owners.len() {
+                if self.is_confirmed(owner) {
+                    self.deliver(owner, Event::Confirmed(UnixMs(self.now)));
+                }
                 self.deliver(owner, Event::Tick);
             }
         }
     }
 
+    /// Returns whether the store confirms to an owner that there is no newer one.
+    fn is_confirmed(&self, owner: usize) -> bool {
+        let answers = !self.store_down && !self.store_silent && !self.turned_away.contains(&owner);
+        answers && self.owners[owner].seq == self.seq
+    }
+
     fn advance_workers(&mut self) {
         let names: Vec<String> = self.workers.keys().cloned().collect();
         for name in names {
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -19,7 +19,7 @@
 use marigoldglade::store::{
     self, Body, Compare, Fault, Op, Outcome, Pair, Revision, Txn, TxnResult,
 };
-use marigoldglade::time::SECOND_MS;
+use marigoldglade::time::{SECOND_MS, UnixMs};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, spawn_local};
 
@@ -106,6 +106,16 @@
     predecessors: Vec<Owner>,
 }
 
+impl Ownership {
+    /// Returns a time by which the store has confirmed that there was no newer owner, on the engine's clock.
+    /// Unlike [`boot_ms`], that doesn't count suspends; the time is then earlier than needed.
+    fn confirmed_at(&self) -> UnixMs {
+        let confirmed = self.confirmed.get();
+        let age_ms = confirmed.map_or(u64::MAX, |at| boot_ms().saturating_sub(at));
+        clock::now().before(age_ms)
+    }
+}
+
 /// Returns the condition that a key is as it was when it was read.
 pub(super) fn unchanged(key: &str, pair: Option<&Pair>) -> Compare {
     match pair {
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -70,7 +70,7 @@
             if self.has_lost(ownership) {
                 return;
             }
-            let mut events = Vec::new();
+            let mut events = vec![Event::Confirmed(ownership.confirmed_at())];
             let mut next = input;
             while let Some(input) = next {
                 driver.convert(input, &mut events);
