Ask for no confirmation for workers that can't have unknown runs

What callers would have seen: jobs of an earlier owner that wait up to 0.3 s whenever a worker joins or restarts idle.

Cause: such a worker's uncertain time ended at its creation, which the ownership's last confirmation comes before.

Change: that time is zero for workers that joined or had no runs.

--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -319,6 +319,7 @@
                 self.answer_polls();
             }
             if self.engine.next_tick().passed(UnixMs(self.now)) {
+                events.push(Event::Confirmed(UnixMs(self.now)));
                 events.push(Event::Tick);
             }
             if !events.is_empty() {
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -117,12 +117,12 @@
             fenced: false,
             inherited: false,
             heard: false,
-            uncertain_until: now,
+            uncertain_until: UnixMs(0),
             clock_reading: None,
             asked_at: UnixMs(0),
             moved_until: now,
             lease_expires_at: 0,
-            foreign_until: now,
+            foreign_until: UnixMs(0),
             late_until: now,
             confirmed_until: now,
             acks: Acks::default(),
@@ -451,12 +451,11 @@
         let worker = self.worker_mut(key);
         worker.expect_late_orders(now, lease);
         // A worker cuts the deadline of a start meant for another incarnation to the longest lease.
-        let left = if worker.runs.is_empty() {
-            0
+        worker.uncertain_until = if worker.runs.is_empty() {
+            UnixMs(0)
         } else {
-            lease + lease * CLOCK_DRIFT_PERCENT / 100
+            now.after(lease + lease * CLOCK_DRIFT_PERCENT / 100)
         };
-        worker.uncertain_until = now.after(left);
         self.workers_dirty = true;
         self.replan = true;
     }
