Split the network in the property test of the owner's engine

Cause: a replaced owner that is cut off from the store and its busy workers reckons their leases as expired. No disturbance of the test had the owner and some workers on one side and the store, the next owner and the others on the other side. A new one has: for 3 to 12 s, a random subset of the workers, a new owner after 0.7 to 1.6 s, the former one acting for 9 s after its last confirmation at most. It mixes with the existing ones; checks and bounds are unchanged.

--- a/marigoldglade/tests/batch_networks.rs
+++ b/marigoldglade/tests/batch_networks.rs
@@ -4,6 +4,8 @@
 #[expect(dead_code, reason = "the simulation serves several test files")]
 mod simulation;
 
+use std::collections::BTreeSet;
+
 use marigoldglade::batch::engine::Event;
 use marigoldglade::batch::spec::Step;
 use proptest::prelude::*;
@@ -14,6 +16,8 @@
 const LEASE_LIMIT_MS: u64 = 6_000;
 /// How long a replaced owner that can't reach the store goes on at most, in milliseconds.
 const REPLACED_LIMIT_MS: u64 = 10_000;
+/// How long an owner that the store has stopped confirming goes on at most, in milliseconds.
+const UNCONFIRMED_LIMIT_MS: u64 = 9_000;
 
 /// Something that happens to the network or to the processes at its ends.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +50,9 @@
     OwnerReplaced,
     /// Another daemon becomes the owner, which can't reach a worker that the former one reaches.
     OwnerReplacedAndCut,
+    /// The network splits: the owner and some workers on one side, the store, the next owner and the other
+    /// workers on the other side.
+    NetworkSplit,
     /// The store refuses commits.
     StoreDown,
     /// The newest job is cancelled.
@@ -65,14 +72,29 @@
     Listed(Vec<String>),
     Announce,
     PathsReturn,
+    /// The key of an owner that is split off from the store has expired.
+    KeyExpires(usize),
+    SplitEnds,
     StoreReturns,
 }
 
+/// A split of the network.
+struct Split {
+    /// The owner that can't reach the store.
+    former: usize,
+    /// When the store confirmed its ownership for the last time.
+    confirmed_at: u64,
+    /// The workers on its side.
+    workers: BTreeSet<String>,
+}
+
 /// A case: the platform and what happens to it.
 struct Case {
     sim: Simulation,
     /// The replaced owners that go on, and until when.
     replaced: Vec<(usize, u64)>,
+    /// The split of the network, if there is one.
+    split: Option<Split>,
     /// What happens later, and when.
     changes: Vec<(u64, Change)>,
     /// The number of the newest job.
@@ -96,6 +118,7 @@
         Self {
             sim,
             replaced: Vec::new(),
+            split: None,
             changes: Vec::new(),
             last_job: 0,
         }
@@ -165,14 +188,64 @@
 
     fn replace_owner(&mut self) -> usize {
         let former = self.sim.newest_owner();
-        let until = self.sim.now + REPLACED_LIMIT_MS;
+        let blind = self.split.as_ref().filter(|s| s.former == former);
+        let until = blind.map_or(self.sim.now + REPLACED_LIMIT_MS, |s| {
+            s.confirmed_at + UNCONFIRMED_LIMIT_MS
+        });
         if self.sim.owners[former].alive {
             self.replaced.push((former, until));
         }
         self.sim.predecessors_ended = self.replaced.is_empty();
+        let next = self.sim.newest_owner() + 1;
+        self.cut_split(next);
         self.sim.elect()
     }
 
+    /// Cuts the paths of a split network between the former owner's side and the other one, where `newest`
+    /// is the newest owner.
+    fn cut_split(&mut self, newest: usize) {
+        let Some(split) = &self.split else {
+            return;
+        };
+        for worker in self.sim.workers.keys() {
+            if !split.workers.contains(worker) {
+                self.sim.cut_paths.insert((split.former, worker.clone()));
+                continue;
+            }
+            let others = (0..=newest).filter(|o| *o != split.former);
+            let cut = others.map(|o| (o, worker.clone()));
+            self.sim.cut_paths.extend(cut);
+        }
+    }
+
+    /// Splits the network for `ms`, unless it is split.
+    fn split(&mut self, ms: u64) {
+        let former = self.sim.newest_owner();
+        if self.split.is_some() || !self.sim.owners[former].alive {
+            return;
+        }
+        let names: Vec<String> = self.sim.workers.keys().cloned().collect();
+        let rng = &mut self.sim.rng;
+        let workers = names.into_iter().filter(|_| rng.random_bool(0.5)).collect();
+        let key_ms = rng.random_range(700..1_600);
+        self.split = Some(Split {
+            former,
+            confirmed_at: self.sim.now,
+            workers,
+        });
+        self.sim.turned_away.insert(former);
+        self.cut_split(former);
+        self.later(key_ms, Change::KeyExpires(former));
+        self.later(ms, Change::SplitEnds);
+    }
+
+    fn end_split(&mut self) {
+        if let Some(split) = self.split.take() {
+            self.sim.turned_away.remove(&split.former);
+        }
+        self.sim.cut_paths.clear();
+    }
+
     /// Has something happen after some milliseconds.
     fn later(&mut self, ms: u64, change: Change) {
         self.changes.push((self.sim.now + ms, change));
@@ -235,6 +308,10 @@
                 self.sim.cut_paths.insert((owner, name.clone()));
                 self.later(ms, Change::PathsReturn);
             }
+            D::NetworkSplit => {
+                let ms = self.sim.rng.random_range(3_000..=12_000);
+                self.split(ms);
+            }
             D::StoreDown => {
                 self.sim.store_down = true;
                 self.later(ms, Change::StoreReturns);
@@ -266,7 +343,17 @@
                 self.announce();
             }
             Change::Announce => self.announce(),
-            Change::PathsReturn => self.sim.cut_paths.clear(),
+            Change::PathsReturn => {
+                self.sim.cut_paths.clear();
+                self.cut_split(self.sim.newest_owner());
+            }
+            Change::KeyExpires(former) => {
+                let unclaimed = self.sim.newest_owner() == former;
+                if unclaimed && self.split.as_ref().is_some_and(|s| s.former == former) {
+                    self.replace_owner();
+                }
+            }
+            Change::SplitEnds => self.end_split(),
             Change::StoreReturns => self.sim.store_down = false,
         }
     }
@@ -292,7 +379,7 @@
 }
 
 /// What a network does while no worker restarts.
-const WITHOUT_RESTARTS: [(u32, Disturbance); 14] = [
+const WITHOUT_RESTARTS: [(u32, Disturbance); 15] = [
     (2, Disturbance::PathHeld),
     (2, Disturbance::OrdersHeld),
     (2, Disturbance::ResponsesLost),
@@ -304,6 +391,7 @@
     (1, Disturbance::OwnerKilled),
     (1, Disturbance::OwnerReplaced),
     (2, Disturbance::OwnerReplacedAndCut),
+    (2, Disturbance::NetworkSplit),
     (1, Disturbance::StoreDown),
     (1, Disturbance::Cancelled),
     (1, Disturbance::Urgent),
