Test workers that leave before the next confirmation of an ownership

What callers would have seen: after an owner's loss, jobs that wait 16 s for workers which have long left.

Cause, in: a new worker counted as uncertain until its own joining, which the confirmation, 0 to 300 ms and a round trip old, hadn't passed; so it stayed on the stored list when it left. The simulation confirmed at once and didn't show it. Simulation::confirm_ms is the age of the last confirmation; it is 0 by default, so other tests play as before.

--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -156,6 +156,8 @@
     /// The owners that the store turns away: their commits are refused, and they see no new entries of the
     /// inbox.
     pub turned_away: BTreeSet<usize>,
+    /// The age of the store's last confirmation of an ownership, in milliseconds.
+    pub confirm_ms: u64,
     /// Whether the store leaves commits without an answer; it carries them out when it is back.
     pub store_silent: bool,
     /// How much longer than usual the store takes for a commit, in milliseconds.
@@ -342,6 +344,7 @@
             stored_at: HashMap::new(),
             store_down: false,
             turned_away: BTreeSet::new(),
+            confirm_ms: 0,
             store_silent: false,
             store_ms: 0,
             held_commits: Vec::new(),
@@ -751,7 +754,8 @@
             }
             for owner in 0..self.owners.len() {
                 if self.is_confirmed(owner) {
-                    self.deliver(owner, Event::Confirmed(UnixMs(self.now)));
+                    let at = UnixMs(self.now - self.confirm_ms);
+                    self.deliver(owner, Event::Confirmed(at));
                 }
                 self.deliver(owner, Event::Tick);
             }
--- a/marigoldglade/tests/batch_split.rs
+++ b/marigoldglade/tests/batch_split.rs
@@ -36,3 +36,18 @@
     assert_eq!(sim.starts, 1);
     assert!(sim.all_done([1]));
 }
+
+/// Guards against a next owner that waits for workers which have left: they joined shortly before, since the
+/// last confirmation of the ownership, and stay on the stored list for good.
+#[test]
+fn workers_that_leave_before_a_confirmation_leave_the_stored_list() {
+    let mut sim = Simulation::new(92, 1, 2);
+    sim.confirm_ms = 300;
+    sim.run_for(200);
+    assert_eq!(sim.stored_workers.len(), 2);
+    sim.listed.clear();
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.run_for(5_000);
+    assert!(sim.stored_workers.is_empty());
+}
