Read the steady clock before the boot clock for confirmations

Cause: the age of the confirmation was taken before the present time, so a freeze between the two readings made the confirmation later by its length.

Evidence: found in review, by reading; no test can stop the process between the two lines. Read in the other order a freeze makes it earlier.

--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -110,9 +110,11 @@
     /// Returns a time by which the store has confirmed that there was no newer owner, on the engine's clock.
     /// Unlike [`boot_ms`], that doesn't count suspends; the time is then earlier than needed.
     fn confirmed_at(&self) -> UnixMs {
+        // A freeze between the two readings makes the time earlier.
+        let now = clock::now();
         let confirmed = self.confirmed.get();
         let age_ms = confirmed.map_or(u64::MAX, |at| boot_ms().saturating_sub(at));
-        clock::now().before(age_ms)
+        now.before(age_ms)
     }
 }
 
