Begin JSON log lines with the message and with what was decided

A line now begins with `message` and `at_ms`, then has the fields that decide in a fixed order, then the others, and ends with `module`. The keys and the text format are as before; `module` keeps its full name, which log.modules uses.

--- a/marigoldgladed/src/logs.rs
+++ b/marigoldgladed/src/logs.rs
@@ -24,6 +24,14 @@
 /// The time that the process gives its last lines to be written, in milliseconds.
 const FLUSH_MS: u64 = 100;
 
+/// The fields that a JSON line begins with, and the one that it ends with: collectors cut long lines, and what
+/// was decided about what, and why, must be left.
+const FIRST_FIELDS: [&str; 16] = [
+    "message", "at_ms", "task", "run", "before", "why", "how", "from", "heard_ms", "worker", "job",
+    "term", "daemon", "kind", "sent", "level",
+];
+const LAST_FIELD: &str = "module";
+
 static QUEUE: OnceLock<SyncSender<String>> = OnceLock::new();
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 /// The current second, and the lines below the level of warnings that were logged in it.
@@ -103,7 +111,7 @@
         if dropped > 0 {
             let at = crate::clock::now().0;
             batch.push_str(&format!(
-                "{{\"at_ms\":{at},\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n"
+                "{{\"message\":\"log lines dropped\",\"at_ms\":{at},\"level\":\"WARN\",\"lines\":{dropped}}}\n"
             ));
         }
         // A failure to write the log can't be reported anywhere.
@@ -149,7 +157,16 @@
     line.insert("module".to_owned(), record.target().into());
     line.insert("message".to_owned(), message.to_string().into());
     line.extend(fields(record));
-    serde_json::Value::Object(line).to_string()
+    let mut pairs: Vec<_> = line.into_iter().collect();
+    pairs.sort_by_key(|(key, _)| {
+        let first = FIRST_FIELDS.iter().position(|f| f == key);
+        first.unwrap_or(FIRST_FIELDS.len() + usize::from(key == LAST_FIELD))
+    });
+    let pairs: Vec<String> = pairs
+        .into_iter()
+        .map(|(key, value)| format!("{}:{value}", serde_json::Value::String(key)))
+        .collect();
+    format!("{{{}}}", pairs.join(","))
 }
 
 fn text_line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -29,6 +29,8 @@
     pub endpoint: Endpoint,
     /// The lines that the daemon has logged after the first one.
     log: Arc<Mutex<Vec<Value>>>,
+    /// The same lines as they were written.
+    raw_log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Drop for Daemon {
@@ -244,10 +246,12 @@
             path.set_upstream(addr("mesh").parse().expect("an address"));
         }
         let log = Arc::new(Mutex::new(Vec::new()));
-        let sink = Arc::clone(&log);
+        let raw_log = Arc::new(Mutex::new(Vec::new()));
+        let (sink, raw_sink) = (Arc::clone(&log), Arc::clone(&raw_log));
         std::thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
                 let value = serde_json::from_str(&line).expect("every log line is JSON");
+                raw_sink.lock().expect("no panic").push(line);
                 sink.lock().expect("no panic").push(value);
             }
         });
@@ -259,6 +263,7 @@
             child,
             endpoint,
             log,
+            raw_log,
         }
     }
 
@@ -401,6 +406,11 @@
         self.log.lock().expect("no panic").clone()
     }
 
+    /// Returns the log lines after the first one as they were written.
+    pub fn raw_log_lines(&self) -> Vec<String> {
+        self.raw_log.lock().expect("no panic").clone()
+    }
+
     /// Returns the messages of the log lines whose field has this value.
     pub fn logged(&self, field: &str, value: &str) -> Vec<String> {
         let log = self.log.lock().expect("no panic");
