Log why a task starts again

Runs that ended with a restart, another process at their worker's address or a lost start were removed without a line.

A task remembers how its last run was removed: worker, reason and when that worker's last report had come. The start of the next run logs it ("task starts again"). Each run that is given up without an end has one warning with the task, the run, the reason, the worker and the time since its last report; the lines about silent and restarted workers carry that time too. `why` of "worker restarted" is a short name now. No decision of the engine changes.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -12,6 +12,7 @@
 mod commit;
 mod completions;
 mod crashes;
+mod gone;
 mod job;
 mod late_starts;
 mod leases;
--- a/marigoldglade/src/batch/engine/completions.rs
+++ b/marigoldglade/src/batch/engine/completions.rs
@@ -1,5 +1,6 @@
 //! Completions of runs and their effect on the task, its job and the worker.
 
+use crate::batch::engine::gone::Gone;
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::record::State;
@@ -31,9 +32,10 @@
         );
         let stopping = current && self.is_stopping(key, &completion.task);
         if current {
-            self.remove_run(key, &completion.task);
+            self.remove_run(key, &completion.task, Gone::from(completion.outcome));
         }
         self.update_health(key, completion);
+        let gone = self.gone_run(key, Gone::from(completion.outcome));
         let Some((job_key, job)) = self.job_mut(completion.task.job) else {
             return;
         };
@@ -44,6 +46,9 @@
         let Some(task) = job.task(&completion.task) else {
             return;
         };
+        if task.worker.is_none() && completion.run > task.last_run {
+            task.gone = Some(gone);
+        }
         task.last_run = task.last_run.max(completion.run);
         if !completion.checkpoint.is_empty() && (current || task.checkpoint.is_empty()) {
             task.checkpoint.clone_from(&completion.checkpoint);
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -1,5 +1,6 @@
 //! Jobs, rounds, steps and tasks as the owner keeps them in memory.
 
+use crate::batch::engine::gone::GoneRun;
 use crate::batch::engine::late_starts::Binding;
 use crate::batch::engine::{CallId, WorkerKey};
 use crate::batch::id::TaskId;
@@ -33,6 +34,8 @@
     pub checkpoint: String,
     /// The highest run number that this owner has given it or seen.
     pub last_run: u64,
+    /// How the last run that this owner knew of came to be gone; only the log uses it.
+    pub gone: Option<GoneRun>,
     /// The worker where a run of it is, or may be.
     pub worker: Option<WorkerKey>,
     /// The workers where it last failed or stalled.
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::batch::engine::gone::Gone;
 use crate::batch::engine::runs::{LostStart, Stage};
 use crate::batch::engine::{Engine, WorkerKey};
 use crate::batch::id::TaskId;
@@ -116,7 +117,7 @@
                         run.resend_at = now;
                     }
                     _ => {
-                        self.remove_run(key, &start.task);
+                        self.remove_run(key, &start.task, Gone::Refused);
                     }
                 }
                 self.handle_refusal(key, &start.task, refusal);
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use crate::batch::engine::gone::Gone;
 use crate::batch::engine::leases::{ClockReading, LEASE_MS};
 use crate::batch::engine::orders::UNHEALTHY_PAUSE_MS;
 use crate::batch::engine::runs::{LostStart, Run, Stage, UnwantedRun};
@@ -271,7 +272,7 @@
                 if worker.failed_renewals == 1 {
                     log::warn!(
                         worker = worker.target.name.as_str(), runs = worker.runs.len(),
-                        expires_at = renewal.expires_at, lease_expires_at = worker.lease_expires_at;
+                        heard_ms = worker.heard_at.map(|at| now.since(at)), expires_at = renewal.expires_at, lease_expires_at = worker.lease_expires_at;
                         "worker doesn't answer renewals"
                     );
                 }
@@ -290,13 +291,9 @@
             return;
         }
         if report.started_at > known && known > 0 {
-            self.handle_restart(
-                key,
-                report.started_at,
-                Some(&report),
-                "its report shows a new process",
-            );
+            self.handle_restart(key, report.started_at, Some(&report), Gone::Restart);
         }
+        self.worker_mut(key).heard_at = Some(self.now);
         let target = Arc::clone(&self.worker(key).target);
         self.settle_silent_runs(&target, true);
         let worker = self.worker_mut(key);
@@ -557,15 +554,18 @@
             }
         }
         for (task, stage) in tasks {
-            if stage != Stage::Abandoned {
-                log::warn!(task:% = task, worker = self.worker(key).target.name.as_str(); "run missing from the worker's report");
-            }
+            let why = if stage == Stage::Abandoned {
+                Gone::LostStart
+            } else {
+                Gone::Missing
+            };
+            self.log_given_up(key, &task, why);
             let restarted = |r: &Run| r.restarted && !r.listed;
             if self.worker(key).runs.get(&task).is_some_and(restarted) {
                 let runs = self.ended_with_process(key, &[task]);
                 self.blame(&runs);
             }
-            self.remove_run(key, &task);
+            self.remove_run(key, &task, why);
         }
     }
 }
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::batch::engine::gone::Gone;
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::pace::FULL_PERCENT;
@@ -119,11 +120,16 @@
             return;
         };
         let mut isolated = false;
+        let (mut before, mut gone) = (0, None);
         if let Some(task) = job.task(&id) {
+            (before, gone) = (task.last_run, task.gone);
             task.worker = Some(key);
             task.last_run = run;
             isolated = task.is_isolated(now);
         }
+        if before > 0 {
+            self.log_next_run(key, &id, run, before, gone);
+        }
         let run = Run {
             job: job_key,
             run,
@@ -346,8 +352,10 @@
         }
     }
 
-    /// Removes a run from a worker, which makes its task idle.
-    pub(super) fn remove_run(&mut self, key: WorkerKey, id: &TaskId) -> Option<Run> {
+    /// Removes a run from a worker, which makes its task idle; the log says `why` when the task is started
+    /// again.
+    pub(super) fn remove_run(&mut self, key: WorkerKey, id: &TaskId, why: Gone) -> Option<Run> {
+        let gone = self.gone_run(key, why);
         let worker = self.worker_mut(key);
         let run = worker.remove(id)?;
         let unlisted_idle = !worker.listed && worker.runs.is_empty();
@@ -357,6 +365,7 @@
             && task.worker == Some(key)
         {
             task.worker = None;
+            task.gone = Some(gone);
         }
         self.replan = true;
         Some(run)
@@ -370,19 +379,15 @@
             worker = worker.target.name.as_str(), started_at = worker.target.started_at, runs = worker.runs.len(),
             lost = worker.failed_renewals, term = self.term, inherited = worker.inherited,
             lease_expires_at = worker.lease_expires_at, clock = reading.map_or(0, |r| r.clock),
-            clock_age_ms = reading.map_or(0, |r| self.now.since(r.at));
+            heard_ms = worker.heard_at.map(|at| self.now.since(at)),
+            confirmed_ms = self.now.since(self.confirmed_at), clock_age_ms = reading.map_or(0, |r| self.now.since(r.at));
             "leases of a silent worker have expired"
         );
         let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
         self.remember_silent_runs(key);
         for id in tasks {
-            if let Some(run) = self.remove_run(key, &id) {
-                log::warn!(
-                    task:% = id, run = run.run, listed = run.listed, ran_ms = self.now.since(run.started_at),
-                    worker = self.worker(key).target.name.as_str();
-                    "run given up with a silent worker"
-                );
-            }
+            self.log_given_up(key, &id, Gone::Lease);
+            self.remove_run(key, &id, Gone::Lease);
         }
         self.worker_mut(key).answered = false;
     }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::batch::engine::acks::Acks;
+use crate::batch::engine::gone::Gone;
 use crate::batch::engine::leases::{CLOCK_DRIFT_PERCENT, ClockReading};
 use crate::batch::engine::lost_sends::LostSends;
 use crate::batch::engine::reports::REORDER_LIMIT_MS;
@@ -48,6 +49,8 @@
     pub inherited: bool,
     /// Whether the worker has sent this owner a report, which its next one may correct.
     pub heard: bool,
+    /// When its last report came; only the log uses it.
+    pub heard_at: Option<UnixMs>,
     /// Until when the worker may have runs that this owner doesn't know of, unless it answers
     /// before.
     pub uncertain_until: UnixMs,
@@ -117,6 +120,7 @@
             fenced: false,
             inherited: false,
             heard: false,
+            heard_at: None,
             uncertain_until: UnixMs(0),
             clock_reading: None,
             asked_at: UnixMs(0),
@@ -419,12 +423,17 @@
         key: WorkerKey,
         started_at: u64,
         report: Option<&Report>,
-        why: &str,
+        why: Gone,
     ) {
         let now = self.now;
         let lease = self.bounds.lease_limit_ms;
         let worker = self.worker_mut(key);
-        log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(), why = why; "worker restarted");
+        let name: &'static str = why.into();
+        log::warn!(
+            why = name, worker = worker.target.name.as_str(), runs = worker.runs.len(),
+            heard_ms = worker.heard_at.map(|at| now.since(at));
+            "worker restarted"
+        );
         let asked_at = worker.asked_at;
         let lost = |(task, run): &(&TaskId, &Run)| {
             let Some(report) = report else {
@@ -437,6 +446,9 @@
         };
         let tasks: Vec<TaskId> = worker.runs.iter().filter(lost).map(|(t, _)| *t).collect();
         let ended = self.ended_with_process(key, &tasks);
+        for task in &tasks {
+            self.log_given_up(key, task, why);
+        }
         let worker = self.worker_mut(key);
         worker.lost_starts.retain(|s| !s.expires_at.passed(now));
         let mut target = (*worker.target).clone();
@@ -445,7 +457,7 @@
         worker.reset_incarnation(now);
         worker.renewal_after = now;
         for task in tasks {
-            self.remove_run(key, &task);
+            self.remove_run(key, &task, why);
         }
         self.blame(&ended);
         let worker = self.worker_mut(key);
@@ -465,12 +477,7 @@
         let worker = self.worker_mut(key);
         let started_at = worker.target.started_at;
         worker.listed = false;
-        self.handle_restart(
-            key,
-            started_at,
-            None,
-            "another process answers at its address",
-        );
+        self.handle_restart(key, started_at, None, Gone::Address);
         let target = Arc::clone(&self.worker(key).target);
         self.blame_silent_runs(target.addr, &target.name);
         self.unbind_replaced(target.addr, &target.name);
--- a/marigoldgladed/tests/logs.rs
+++ b/marigoldgladed/tests/logs.rs
@@ -4,13 +4,45 @@
 #[expect(dead_code, reason = "the cluster serves several test files")]
 mod cluster;
 
-use cluster::{Cluster, job, wait_until};
+use std::time::Duration;
+
+use cluster::{Cluster, Daemon, job, wait_until};
+use rstest::rstest;
 use serde_json::Value;
+use standin::batch_worker::LEASE_LIMIT_MS;
+use standin::proxy::Flow;
+
+/// What the users' collector leaves of a line.
+const CUT: usize = 200;
+
+/// Returns the lines with this message, as they were written; prints them.
+fn lines(daemon: &Daemon, message: &str) -> Vec<String> {
+    let start = format!("{{\"message\":\"{message}\",");
+    let mut lines = daemon.raw_log_lines();
+    lines.retain(|l| l.starts_with(&start));
+    for line in &lines {
+        println!("{} {line}", line.len());
+    }
+    lines
+}
 
 fn parse(line: &str) -> Value {
     serde_json::from_str(line).expect("a line is JSON")
 }
 
+/// Checks that a cut line still has these fields.
+fn assert_survive(line: &str, fields: &[&str]) {
+    let cut: String = line.chars().take(CUT).collect();
+    for field in fields {
+        let value = &parse(line)[*field];
+        assert!(!value.is_null(), "{field} is missing in {line}");
+        // Whole: followed by another field or the end of the line.
+        let pair = format!("\"{field}\":{value}");
+        let whole = cut.contains(&format!("{pair},")) || cut.contains(&format!("{pair}}}"));
+        assert!(whole, "{field} is lost in {cut}");
+    }
+}
+
 #[test]
 fn every_line_begins_with_its_message_and_keeps_its_keys() {
     let c = Cluster::new(1, 1);
@@ -28,3 +60,55 @@
         assert!(value["at_ms"].is_u64(), "{line}");
     }
 }
+
+/// The record of two runs of one task named neither the task nor why it had been started again.
+#[rstest]
+#[case::lease("lease", "run given up with a silent worker")]
+#[case::restart("restart", "run given up")]
+fn a_task_that_starts_again_is_logged_with_the_reason(#[case] why: &str, #[case] given_up: &str) {
+    let c = Cluster::with_paths(2, 1, LEASE_LIMIT_MS);
+    let daemon = &c.daemons[0];
+    assert_eq!(daemon.submit(1, &job("run_ms=60000", 4)), 200);
+    wait_until("the starts", || c.count_starts() == 4);
+    // The runs are reported.
+    std::thread::sleep(Duration::from_millis(1_500));
+    let lost = c
+        .workers
+        .iter()
+        .position(|w| !w.started_runs().is_empty())
+        .expect("a worker has runs");
+    let runs = c.workers[lost].started_runs().len();
+    if why == "lease" {
+        c.paths["daemon-0"].workers[lost].set_both(Flow::Cut);
+    } else {
+        c.workers[lost].restart();
+    }
+    wait_until("the second runs", || {
+        lines(daemon, "task starts again").len() >= runs
+    });
+    for line in lines(daemon, "task starts again") {
+        assert_survive(
+            &line,
+            &["task", "run", "before", "why", "from", "heard_ms", "at_ms"],
+        );
+        let value = parse(&line);
+        assert_eq!(value["why"], why);
+        assert_eq!(value["level"], "WARN");
+        assert_eq!(value["from"], c.workers[lost].name());
+        assert_eq!((&value["before"], &value["run"]), (&1.into(), &2.into()));
+        if why == "lease" {
+            assert!(value["heard_ms"].as_u64().is_some_and(|ms| ms > 4_000));
+        }
+    }
+    let given_up = lines(daemon, given_up);
+    assert_eq!(given_up.len(), runs);
+    for line in given_up {
+        assert_survive(&line, &["task", "run", "why", "worker", "heard_ms"]);
+        assert_eq!(parse(&line)["why"], why);
+    }
+    if why == "lease" {
+        for line in lines(daemon, "worker doesn't answer renewals") {
+            assert_survive(&line, &["worker", "heard_ms", "runs"]);
+        }
+    }
+}
