Log a refused call once, and repeated ones every ten seconds

One line has what both had: why, kind, path, host and version. Calls refused for the same reason whose paths differ only in their last part share a line in 10 s, which counts those left out.

Measured: tests/logs.rs, 20 calls to unknown paths of one prefix write one line, the next one after 11 s says left_out 19.

--- a/marigoldgladed/src/batch.rs
+++ b/marigoldgladed/src/batch.rs
@@ -13,6 +13,7 @@
 mod owner;
 mod peers;
 mod policy;
+mod refused_calls;
 mod relay;
 mod store;
 
@@ -40,6 +41,7 @@
 use orders::OrderSlots;
 use owner::Input;
 use peers::Peers;
+use refused_calls::RefusedCalls;
 use store::Store;
 
 /// How long a stopping daemon still takes calls, in milliseconds. The platform checks readiness once
@@ -78,6 +80,7 @@
     unsure_until: UnixMs,
     /// When this daemon, as the owner, may next hand over to one on a larger VM.
     handover_after: Cell<UnixMs>,
+    refused_calls: RefCell<RefusedCalls>,
     stop: Stop,
     metrics: Metrics,
 }
@@ -135,6 +138,7 @@
         attempts: RefCell::default(),
         unsure_until: clock::now().after(if platform.restarted { ATTEMPT_MS } else { 0 }),
         handover_after: Cell::default(),
+        refused_calls: RefCell::default(),
         stop: Stop::new(),
         name: settings.name.clone(),
         incarnation,
--- a/marigoldgladed/src/batch/front.rs
+++ b/marigoldgladed/src/batch/front.rs
@@ -159,7 +159,7 @@
     let (kind, answer) = match handle(&node, &parts, body).await {
         Ok(answered) => answered,
         Err(e) => {
-            log::info!(path = parts.uri.path(), kind:% = e.kind, why = e.detail.as_str(); "call refused");
+            log_refused(&node, &parts, &e);
             ("refused", front::encode_error(&e))
         }
     };
@@ -174,6 +174,19 @@
     answer
 }
 
+/// Logs a refused call, unless such a call was logged shortly before.
+fn log_refused(node: &Node, parts: &Parts, error: &Error) {
+    let path = parts.uri.path();
+    let mut refused = node.refused_calls.borrow_mut();
+    if let Some(left_out) = refused.note(clock::now(), error, path) {
+        log::info!(
+            why = error.detail.as_str(), kind:% = error.kind, path, host = front::host(parts),
+            version = node.policy().map(|p| p.version), left_out;
+            "call refused"
+        );
+    }
+}
+
 /// Checks a call against the configuration and makes it; returns the call's kind for the metrics, and
 /// the answer.
 async fn handle(
@@ -187,7 +200,6 @@
     };
     let path = parts.uri.path();
     let Some((queue, rest)) = policy.route(front::host(parts), path) else {
-        log::info!(host = front::host(parts), path = path, version = policy.version; "call to an unknown queue refused");
         return Err(Error::new(
             Kind::NotFound,
             "no queue for this host and path",
--- a/marigoldgladed/tests/logs.rs
+++ b/marigoldgladed/tests/logs.rs
@@ -112,3 +112,27 @@
         }
     }
 }
+
+#[test]
+fn a_refused_call_is_one_line_and_repeated_ones_are_counted() {
+    let c = Cluster::new(0, 1);
+    let daemon = &c.daemons[0];
+    let call = |path: &str| daemon.call("GET", path, "hidden", None).0;
+    for n in 0..20 {
+        assert_eq!(call(&format!("/nowhere/{n}")), 404);
+    }
+    assert_eq!(call("/elsewhere/1"), 404);
+    wait_until("the lines", || lines(daemon, "call refused").len() >= 2);
+    let refused = lines(daemon, "call refused");
+    assert_eq!(refused.len(), 2);
+    assert_survive(&refused[0], &["why", "kind", "path", "host"]);
+    let first = parse(&refused[0]);
+    assert_eq!(first["path"], "/nowhere/0");
+    assert_eq!(first["host"], "h.example");
+    assert!(first["version"].is_u64());
+    std::thread::sleep(Duration::from_secs(11));
+    assert_eq!(call("/nowhere/20"), 404);
+    wait_until("a line", || lines(daemon, "call refused").len() == 3);
+    assert_eq!(parse(&lines(daemon, "call refused")[2])["left_out"], 19);
+    assert!(daemon.raw_log_lines().iter().all(|l| !l.contains("hidden")));
+}
