Log when the process stood still

A task looks at the clocks five times a second. If it is late by more than 500 ms, or the time since boot went ahead of the steady clock by that much, a warning says for how long the process stood still and the machine was suspended.

No suspend of a machine was tried.

--- a/marigoldgladed/src/batch.rs
+++ b/marigoldgladed/src/batch.rs
@@ -15,6 +15,7 @@
 mod policy;
 mod refused_calls;
 mod relay;
+mod stalls;
 mod store;
 
 use std::cell::{Cell, RefCell};
@@ -153,6 +154,7 @@
         version = env!("CARGO_PKG_VERSION");
         "daemon started"
     );
+    spawn_local(stalls::watch_stalls());
     spawn_local(Rc::clone(&node).follow_policy());
     spawn_local(Rc::clone(&node).follow_live());
     spawn_local(Rc::clone(&node).poll_peers());
--- a/marigoldgladed/tests/logs.rs
+++ b/marigoldgladed/tests/logs.rs
@@ -136,3 +136,19 @@
     assert_eq!(parse(&lines(daemon, "call refused")[2])["left_out"], 19);
     assert!(daemon.raw_log_lines().iter().all(|l| !l.contains("hidden")));
 }
+
+#[test]
+fn a_daemon_that_stood_still_says_so() {
+    let c = Cluster::new(0, 1);
+    let daemon = &c.daemons[0];
+    daemon.signal("STOP");
+    std::thread::sleep(Duration::from_secs(2));
+    daemon.signal("CONT");
+    wait_until("a line", || {
+        !lines(daemon, "the process stood still").is_empty()
+    });
+    let line = &lines(daemon, "the process stood still")[0];
+    assert_survive(line, &["stalled_ms", "suspended_ms"]);
+    let stalled_ms = parse(line)["stalled_ms"].as_u64();
+    assert!(stalled_ms.is_some_and(|ms| (1_500..10_000).contains(&ms)));
+}
