Log the end of an ownership in one line

Operators saw a different line for each way in which an ownership ends, some of them several times, and none said how long the owner had acted without the store or what ran then.

One line names the term, why it ends, how long ago the store had confirmed it and how many runs the owner knew. The line of a new owner names the one before and counts the earlier owners that may still act.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -436,6 +436,12 @@
         self.jobs.values().filter(|j| j.is_open()).count()
     }
 
+    /// Returns the number of runs that are, or may be, on workers.
+    #[must_use]
+    pub fn count_runs(&self) -> usize {
+        self.workers.iter().map(|w| w.runs.len()).sum()
+    }
+
     /// Applies a new configuration, also to the jobs of the queues that it contains.
     fn set_policy(&mut self, policy: Arc<Policy>) {
         let queues: HashMap<&str, &Queue> =
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -20,6 +20,7 @@
     self, Body, Compare, Fault, Op, Outcome, Pair, Revision, Txn, TxnResult,
 };
 use marigoldglade::time::{SECOND_MS, UnixMs};
+use strum::IntoStaticStr;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, spawn_local};
 
@@ -89,6 +90,24 @@
     Lost,
 }
 
+/// Why an ownership ends.
+#[derive(Clone, Copy, Debug, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum EndReason {
+    /// The daemon stops.
+    Planned,
+    /// A daemon on a larger VM is to be the owner.
+    Handover,
+    /// The store hasn't confirmed it for too long.
+    Unconfirmed,
+    /// The store says that the lease has expired.
+    LeaseExpired,
+    /// A newer owner is known.
+    Replaced,
+    /// A worker, or a commit, has seen a newer owner.
+    Fenced,
+}
+
 /// The ownership of the jobs in one term.
 struct Ownership {
     term: u64,
@@ -104,9 +123,32 @@
     confirmed: Cell<Option<u64>>,
     /// The earlier owners that may still act.
     predecessors: Vec<Owner>,
+    /// Why it ends, and how long ago the store had last confirmed it then; only the log uses it.
+    end: Cell<Option<(EndReason, u64)>>,
 }
 
 impl Ownership {
+    /// Notes why the ownership ends; the first reason counts.
+    fn note_end(&self, why: EndReason) {
+        if self.end.get().is_none() {
+            let confirmed = self.confirmed.get().unwrap_or_default();
+            self.end
+                .set(Some((why, boot_ms().saturating_sub(confirmed))));
+        }
+    }
+
+    /// Logs the end of the ownership, when the engine knew this many runs.
+    fn log_end(&self, runs: usize) {
+        if let Some((why, confirmed_ms)) = self.end.get() {
+            let level = match why {
+                EndReason::Planned | EndReason::Handover => log::Level::Info,
+                _ => log::Level::Warn,
+            };
+            let why: &'static str = why.into();
+            log::log!(level, why, term = self.term, confirmed_ms, runs; "the ownership ends");
+        }
+    }
+
     /// Returns a time by which the store has confirmed that there was no newer owner, on the engine's clock.
     /// Unlike [`boot_ms`], that doesn't count suspends; the time is then earlier than needed.
     fn confirmed_at(&self) -> UnixMs {
@@ -240,7 +282,12 @@
             Err(Fault::Unknown) => self.confirm_claim(&owner).await?,
             Err(_) => return None,
         };
-        log::info!(term, daemon = self.name.as_str(); "this daemon is the owner");
+        let former = history.last();
+        log::info!(
+            term, daemon = self.name.as_str(), former = former.map_or("", |o| o.name.as_str()),
+            former_term = former.map_or(0, |o| o.term), predecessors = predecessors.len();
+            "this daemon is the owner"
+        );
         Some(Ownership {
             term,
             lease,
@@ -249,6 +296,7 @@
             key_revision: revision,
             confirmed: Cell::new(Some(confirmed)),
             predecessors,
+            end: Cell::default(),
         })
     }
 
@@ -286,7 +334,10 @@
         };
         let loaded = tokio::select! {
             loaded = load => loaded,
-            _ = self.wait_ended(ownership) => return,
+            _ = self.wait_ended(ownership) => {
+                ownership.log_end(0);
+                return;
+            }
         };
         let (records, workers, inbox, inbox_since, entries) = loaded;
         let (entries, entries_since, read_after) = entries;
@@ -373,15 +424,16 @@
     /// been confirmed for too long, or a newer owner is known.
     fn has_lost(&self, ownership: &Ownership) -> bool {
         let Some(confirmed) = ownership.confirmed.get() else {
+            ownership.note_end(EndReason::LeaseExpired);
             return true;
         };
         let unconfirmed_ms = boot_ms().saturating_sub(confirmed);
         if unconfirmed_ms > STEP_DOWN_AFTER_MS {
-            log::warn!(term = ownership.term, blind_ms = unconfirmed_ms; "the ownership hasn't been confirmed for too long");
+            ownership.note_end(EndReason::Unconfirmed);
             return true;
         }
         if self.known_term() > ownership.term {
-            log::warn!(term = ownership.term; "another daemon has become the owner");
+            ownership.note_end(EndReason::Replaced);
             return true;
         }
         false
@@ -394,6 +446,7 @@
         let mut view = self.view.subscribe();
         loop {
             if self.stop.is_stopping() {
+                ownership.note_end(EndReason::Planned);
                 return Ending::Planned;
             }
             if self.has_lost(ownership) {
@@ -405,7 +458,7 @@
                 && self.has_larger_daemon()
                 && self.store.lost_ms() == 0
             {
-                log::info!(term = ownership.term; "handing the ownership over to a daemon on a larger VM");
+                ownership.note_end(EndReason::Handover);
                 self.handover_after.set(now.after(HANDOVER_GAP_MS));
                 return Ending::Planned;
             }
@@ -435,9 +488,8 @@
         };
         match self.store.call(&call).await.map(|r| r.body) {
             Ok(Body::Lease { ttl_s: 0, .. }) => {
-                if ownership.confirmed.take().is_some() {
-                    log::warn!(term = ownership.term; "the owner's lease has expired");
-                }
+                ownership.note_end(EndReason::LeaseExpired);
+                ownership.confirmed.set(None);
             }
             Ok(_) => {
                 let confirmed = ownership.confirmed.get().map(|c| c.max(sent));
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -23,7 +23,7 @@
 use crate::batch::live::{decode, encode};
 use crate::batch::orders::{response_limit_ms, send_order};
 use crate::batch::owner::relays::RelayLinks;
-use crate::batch::owner::{Ending, Input, Ownership, SEQ_KEY, Seq, first_pair};
+use crate::batch::owner::{EndReason, Ending, Input, Ownership, SEQ_KEY, Seq, first_pair};
 use crate::batch::store::pause;
 use crate::batch::{Node, boot_ms, clock, wall_ms};
 
@@ -60,7 +60,7 @@
                     releasing = true;
                     *self.engine.borrow_mut() = None;
                     if ending == Ending::Lost {
-                        return;
+                        break;
                     }
                     continue;
                 }
@@ -68,7 +68,7 @@
             // The inputs may have been taken before the end of the ownership was noticed, as after a
             // freeze of the process. The engine's step and its actions don't wait for anything.
             if self.has_lost(ownership) {
-                return;
+                break;
             }
             let mut events = vec![Event::Confirmed(ownership.confirmed_at())];
             let mut next = input;
@@ -79,14 +79,16 @@
             let mut out = Vec::new();
             engine.step_all(clock::now(), wall_ms(), events, &mut out);
             if !driver.perform(out) {
-                return;
+                ownership.note_end(EndReason::Fenced);
+                break;
             }
             self.metrics
                 .update_engine(engine.counts(), engine.open_jobs(), driver.links.in_use());
             if releasing && (engine.is_settled() || driver.callers.is_empty()) {
-                return;
+                break;
             }
         }
+        ownership.log_end(engine.count_runs());
     }
 }
 
--- a/marigoldgladed/tests/logs.rs
+++ b/marigoldgladed/tests/logs.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cluster::{Cluster, Daemon, job, wait_until};
+use marigoldglade::batch::messages::Owner;
 use rstest::rstest;
 use serde_json::Value;
 use standin::batch_worker::LEASE_LIMIT_MS;
@@ -152,3 +153,49 @@
     let stalled_ms = parse(line)["stalled_ms"].as_u64();
     assert!(stalled_ms.is_some_and(|ms| (1_500..10_000).contains(&ms)));
 }
+
+#[rstest]
+#[case::replaced("replaced", "WARN")]
+#[case::planned("planned", "INFO")]
+#[case::unconfirmed("unconfirmed", "WARN")]
+fn the_end_of_an_ownership_is_one_line(#[case] why: &str, #[case] level: &str) {
+    let c = Cluster::with_paths(1, 1, LEASE_LIMIT_MS);
+    let daemon = &c.daemons[0];
+    assert_eq!(daemon.submit(1, &job("run_ms=60000", 4)), 200);
+    wait_until("the starts", || c.count_starts() == 4);
+    for line in lines(daemon, "this daemon is the owner") {
+        assert_survive(&line, &["term", "daemon", "former", "predecessors"]);
+    }
+    match why {
+        "replaced" => {
+            let owner = Owner {
+                name: "successor".to_owned(),
+                incarnation: 1,
+                addr: ([127, 0, 0, 1], 1).into(),
+                term: 2,
+                since: 0,
+            };
+            let mut value = Vec::new();
+            ciborium::into_writer(&owner, &mut value).expect("it can be encoded");
+            c.store.put("mg/live/owner", &value);
+        }
+        "planned" => daemon.signal("TERM"),
+        _ => c.paths["daemon-0"].store.set_both(Flow::Cut),
+    }
+    wait_until("the end", || {
+        !lines(daemon, "the ownership ends").is_empty()
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    let ends = lines(daemon, "the ownership ends");
+    assert_eq!(ends.len(), 1);
+    assert_survive(&ends[0], &["why", "term", "confirmed_ms", "runs", "level"]);
+    let end = parse(&ends[0]);
+    assert_eq!((&end["why"], &end["level"]), (&why.into(), &level.into()));
+    assert_eq!((&end["term"], &end["runs"]), (&1.into(), &4.into()));
+    let confirmed_ms = end["confirmed_ms"].as_u64().expect("a number");
+    if why == "unconfirmed" {
+        assert!((5_000..12_000).contains(&confirmed_ms), "{confirmed_ms}");
+    } else {
+        assert!(confirmed_ms < 2_000, "{confirmed_ms}");
+    }
+}
