Count the time to send orders from the check of the ownership

What callers would have seen: two runs of a task, after a freeze of an owner's process inside one step.

Cause: an owner checks its ownership, takes the engine's step and then gave each order its full margin from that moment. A freeze inside the step, for seconds, moved the limit by its length; later owners rely on orders that end 10 s after the last confirmation.

Evidence: found in review, by reading; no test stops the process inside the step.

--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -49,6 +49,7 @@
             relays: RelayLinks::new(inputs),
             outgoing: BTreeMap::new(),
             candidates_at: clock::now(),
+            checked_at: boot_ms(),
         };
         let mut ended = std::pin::pin!(self.wait_ended(ownership));
         let mut releasing = false;
@@ -66,7 +67,9 @@
                 }
             };
             // The inputs may have been taken before the end of the ownership was noticed, as after a
-            // freeze of the process. The engine's step and its actions don't wait for anything.
+            // freeze of the process. The engine's step and its actions don't wait for anything, but a freeze
+            // may come between, so the time to send orders counts from this check.
+            driver.checked_at = boot_ms();
             if self.has_lost(ownership) {
                 break;
             }
@@ -107,6 +110,8 @@
     outgoing: BTreeMap<RelayKey, Vec<RelayedOrder>>,
     /// When the daemons that can relay orders are looked at again.
     candidates_at: UnixMs,
+    /// When the ownership was last checked, by [`boot_ms`].
+    checked_at: u64,
 }
 
 impl Driver {
@@ -182,7 +187,8 @@
             }
         }
         for (relay, orders) in std::mem::take(&mut self.outgoing) {
-            self.relays.send(&self.node, self.links.addr(relay), orders);
+            let addr = self.links.addr(relay);
+            self.relays.send(&self.node, addr, orders, self.checked_at);
         }
         true
     }
@@ -207,7 +213,7 @@
         let permit = Permit {
             term: self.ownership.term,
             relayed: false,
-            send_by: boot_ms() + ORDER_MARGIN_MS,
+            send_by: self.checked_at + ORDER_MARGIN_MS,
         };
         spawn_local(async move {
             let answer = send_order(&node, &target.name, target.addr, &order, permit).await;
--- a/marigoldgladed/src/batch/owner/relays.rs
+++ b/marigoldgladed/src/batch/owner/relays.rs
@@ -54,8 +54,15 @@
         }
     }
 
-    /// Sends orders to a relay, over a new link if there is none.
-    pub(super) fn send(&mut self, node: &Rc<Node>, addr: SocketAddr, orders: Vec<RelayedOrder>) {
+    /// Sends orders to a relay, over a new link if there is none. The ownership was checked at `checked_at`, by
+    /// [`boot_ms`].
+    pub(super) fn send(
+        &mut self,
+        node: &Rc<Node>,
+        addr: SocketAddr,
+        orders: Vec<RelayedOrder>,
+        checked_at: u64,
+    ) {
         let link = self.links.entry(addr).or_insert_with(|| {
             self.last_number += 1;
             let (sender, queue) = mpsc::unbounded_channel();
@@ -71,7 +78,7 @@
                 _task: AbortOnDrop(task),
             }
         });
-        let send_by = boot_ms() + SEND_LIMIT_MS;
+        let send_by = checked_at + SEND_LIMIT_MS;
         // A closed link reports its failure, which also covers these orders.
         let _ = link.orders.send(WaitingOrders { orders, send_by });
     }
