Split the network at random in the soak

The soak's paths failed for all daemons at once or for one worker, never between two sides of the network.

Change: a test of its own, no_task_runs_twice_on_a_network_that_splits. Every 5 to 12 s a daemon, in three of four cases the owner, and about a third of the workers are cut off from all others and from the store. The existing tests draw the same faults and jobs as before, and the bounds of all checks stay.

Tried first and dropped: splits among the other faults, in the long form of no_task_runs_twice_behind. So splits are the only fault, with a quarter of the jobs and tasks of up to 16 s.

--- a/marigoldgladed/tests/soak.rs
+++ b/marigoldgladed/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Random faults against daemons that run as processes: daemons are killed, paused, stopped and
-//! restarted, the store fails for single daemons, workers restart or lose answers, and the paths to
-//! workers and store are silent, delayed or reset. Faults overlap.
+//! restarted, the store fails for single daemons, workers restart or lose answers, the paths to workers
+//! and store are silent, delayed or reset, or the network splits. Faults overlap.
 //!
 //! `SOAK_SEEDS=100..150` runs other seeds than the short run, of all tests.
 
@@ -39,6 +39,8 @@
 const OUTAGES_TIME: Duration = Duration::from_secs(20);
 /// The seeds of the short run with faults of the paths to workers and store.
 const PATH_SEEDS: [u64; 2] = [1, 2];
+/// The seeds of the short run with splits of the network.
+const SPLIT_SEEDS: [u64; 1] = [1];
 /// How long such faults are injected for one seed, in the short run and with `SOAK_SEEDS`.
 const PATHS_TIMES: [Duration; 2] = [Duration::from_secs(11), Duration::from_secs(40)];
 /// The longest lease on the deployments that reported tasks that ran twice, in milliseconds.
@@ -97,6 +99,8 @@
     Path(usize, usize),
     /// The path from this daemon to the store fails.
     StorePath(usize),
+    /// The network is split between this daemon with these workers, and all others with the store.
+    Split(usize, Vec<usize>),
     /// This worker's registry entry is gone.
     Entry(usize),
     /// This worker restarts when the fault ends.
@@ -305,6 +309,32 @@
         }
     }
 
+    /// Cuts a daemon, in most cases the owner, and some workers off from all others and from the store, unless
+    /// the network is split.
+    fn split_network(&mut self) {
+        let is_split = |(_, fault): &(Instant, Fault)| matches!(fault, Fault::Split(..));
+        if self.open_faults.iter().any(is_split) {
+            return;
+        }
+        let daemons = self.cluster.daemons.iter();
+        let owner = daemons.map(Daemon::term).position(|term| term > 0);
+        let any = self.rng.random_range(0..self.cluster.daemons.len());
+        let apart = match owner {
+            Some(owner) if self.rng.random_range(0..4) > 0 => owner,
+            _ => any,
+        };
+        let workers = 0..self.cluster.workers.len();
+        let workers: Vec<usize> = workers
+            .filter(|_| self.rng.random_range(0..3) == 0)
+            .collect();
+        let end = self.pick_end(5_000..12_000);
+        self.note(format!(
+            "{apart} (owner {owner:?}) is split off with {workers:?}"
+        ));
+        self.cluster.set_split(&[apart], &workers, Flow::Held);
+        self.open_faults.push((end, Fault::Split(apart, workers)));
+    }
+
     /// Kills or pauses daemons.
     fn fail_daemons(&mut self) {
         let all = self.cluster.daemons.len();
@@ -346,6 +376,10 @@
                 path.set_refuses(false);
                 path.set_both(Flow::Open);
             }
+            Fault::Split(daemon, ref workers) => {
+                self.note("the network is whole".to_owned());
+                self.cluster.set_split(&[daemon], workers, Flow::Open);
+            }
             Fault::Entry(worker) => self.cluster.workers[worker].register(),
             Fault::Restart(worker) => {
                 self.note(format!("worker {worker} restarts"));
@@ -610,12 +644,12 @@
     println!("seed {seed}: {} jobs", outcomes.len());
 }
 
-/// Returns a job of up to 20 tasks, some of them a gang.
-fn mixed_job(rng: &mut ChaCha8Rng) -> Value {
+/// Returns a job of up to 20 tasks of less than `longest_ms` each, some of them a gang.
+fn mixed_job(rng: &mut ChaCha8Rng, longest_ms: u64) -> Value {
     let gang = rng.random_range(0..5) == 0;
     let count = rng.random_range(1..if gang { 7 } else { 21 });
     let gpu = [1, 1, 1, 2, 4, 8][rng.random_range(0..if gang { 5 } else { 6 })];
-    let run_ms = rng.random_range(500..8_000);
+    let run_ms = rng.random_range(500..longest_ms);
     json!({
         "spec": format!("run_ms={run_ms}"),
         "steps": [{"count": count, "cpu": 500, "mem_mb": 256, "gpu": gpu, "estimate_ms": run_ms, "gang": gang}],
@@ -653,32 +687,38 @@
 }
 
 /// Injects faults of the paths to workers and store, and of daemons, while callers fill the workers with
-/// jobs, then checks that no task has run twice.
-fn run_paths(seed: u64) {
+/// jobs, then checks that no task has run twice. If the network `splits`, that is the only fault, and the
+/// work is less, so that owners that are cut off have idle workers, and takes longer.
+fn run_paths(seed: u64, splits: bool) {
     let (start, began_ms) = (Instant::now(), wall_ms());
     let mut cluster = Cluster::with_paths(20, 5, SHORT_LEASE_MS);
     add_queue(&mut cluster);
     let mut soak = Soak::with_cluster(seed, began_ms, cluster);
+    let longest_ms = if splits { 16_000 } else { 8_000 };
     let is_long = std::env::var_os("SOAK_SEEDS").is_some();
     let end = Instant::now() + PATHS_TIMES[usize::from(is_long)];
     let mut callers = Vec::new();
     while Instant::now() < end {
         soak.end_due_faults(false);
-        let queue = ["urgent", "sweep", "sweep", "night"][soak.rng.random_range(0..4)];
-        let path = format!("/{queue}/{:016x}", callers.len() + 1);
-        let body = mixed_job(&mut soak.rng);
-        let (fronts, pick) = (Arc::clone(&soak.fronts), soak.rng.random_range(0..5));
-        let cancel_after = (soak.rng.random_range(0..8) == 0)
-            .then(|| Duration::from_millis(soak.rng.random_range(0..4_000)));
-        callers.push(std::thread::spawn(move || {
-            let outcome = submit(&fronts, &path, &body, pick);
-            if let Some(pause) = cancel_after {
-                std::thread::sleep(pause);
-                cancel(&fronts, &path, pick + 1);
-            }
-            (path, outcome)
-        }));
+        if !splits || soak.rng.random_range(0..4) == 0 {
+            let queue = ["urgent", "sweep", "sweep", "night"][soak.rng.random_range(0..4)];
+            let path = format!("/{queue}/{:016x}", callers.len() + 1);
+            let body = mixed_job(&mut soak.rng, longest_ms);
+            let (fronts, pick) = (Arc::clone(&soak.fronts), soak.rng.random_range(0..5));
+            let cancel_after = (soak.rng.random_range(0..8) == 0)
+                .then(|| Duration::from_millis(soak.rng.random_range(0..4_000)));
+            callers.push(std::thread::spawn(move || {
+                let outcome = submit(&fronts, &path, &body, pick);
+                if let Some(pause) = cancel_after {
+                    std::thread::sleep(pause);
+                    cancel(&fronts, &path, pick + 1);
+                }
+                (path, outcome)
+            }));
+        }
         match soak.rng.random_range(0..10) {
+            0..4 if splits => soak.split_network(),
+            _ if splits => {}
             0..5 => soak.fail_paths(),
             5 => soak.fail_store_paths(),
             6 => soak.fail_daemons(),
@@ -761,6 +801,15 @@
 #[test]
 fn no_task_runs_twice_behind_silent_or_cut_links() {
     for seed in seeds(&PATH_SEEDS) {
-        run_paths(seed);
+        run_paths(seed, false);
+    }
+}
+
+/// Owners that were cut off together with some workers started tasks there that their successors kept: they
+/// ran twice at once, or again after they were done.
+#[test]
+fn no_task_runs_twice_on_a_network_that_splits() {
+    for seed in seeds(&SPLIT_SEEDS) {
+        run_paths(seed, true);
     }
 }
