Let the stand-ins' workers stand still for a while

One explanation is a worker whose process is paused: its clock goes on, but its answers, the kill at the end of its lease and the ends of its runs come late, in any order. No test could play that: all our workers' timers are never late.

SimWorker has a pause with what comes first after it: the lease (all runs end as lapsed), the ends that fell due (reported as done, then the lease is looked at), or the requests that waited in the sockets (no timer fires for 40 ms).

--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -14,6 +14,29 @@
 pub const LEASE_LIMIT_MS: u64 = 10_000;
 /// The most completions in one report.
 pub const REPORTED_COMPLETIONS: usize = 500;
+/// How long after a pause a worker that reads requests first lets no timer fire, in milliseconds.
+const READ_MS: u64 = 40;
+
+/// What a worker does first when it goes on after a pause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum First {
+    /// It ends all runs if its leases have expired.
+    Lease,
+    /// It reports the runs that fell due as ended, and only then looks at its leases.
+    Ends,
+    /// It reads the requests that wait in its sockets; a renewal among them revives expired leases. The
+    /// ends that fell due come next.
+    Requests,
+}
+
+/// A time in which a worker's process stands still while its clock goes on.
+#[derive(Clone, Copy, Debug)]
+pub struct Pause {
+    /// When the process goes on, on the caller's clock.
+    pub until: u64,
+    /// What it does first then.
+    pub first: First,
+}
 
 /// A run on a simulated worker.
 #[derive(Clone, Debug)]
@@ -78,6 +101,8 @@
     pub exited: bool,
     /// When a crashed process is back, on the caller's clock; `None` while it is up.
     pub back_at: Option<u64>,
+    /// The pause of a process that stands still, until the first timer has fired after it.
+    pub pause: Option<Pause>,
     /// Whether all of its runs fail.
     pub fails_all: bool,
     /// Whether its runs make no progress.
@@ -123,6 +148,7 @@
             unreachable: false,
             exited: false,
             back_at: None,
+            pause: None,
             fails_all: false,
             hung: false,
             enforces_capacity: true,
@@ -207,9 +233,25 @@
         }
     }
 
+    /// Returns until when the process stands still, if it does.
+    #[must_use]
+    pub fn paused_until(&self, now: u64) -> Option<u64> {
+        self.pause.map(|p| p.until).filter(|until| now < *until)
+    }
+
     /// Advances the worker to `now`: restarts a crashed process that is due, ends runs that are done or
-    /// stopped, and all runs once the leases have expired.
+    /// stopped, and all runs once the leases have expired. After a pause, what fell due in it comes late.
     pub fn advance(&mut self, now: u64) {
+        if let Some(pause) = self.pause {
+            let reads = pause.first == First::Requests;
+            if now < pause.until + if reads { READ_MS } else { 0 } {
+                return;
+            }
+            self.pause = None;
+            if pause.first != First::Lease {
+                self.end_due_runs(now);
+            }
+        }
         if let Some(at) = self.back_at {
             if at <= now {
                 self.restart(now);
@@ -227,6 +269,11 @@
             }
             return;
         }
+        self.end_due_runs(now);
+    }
+
+    /// Ends the runs that are done or stopped by `now`.
+    fn end_due_runs(&mut self, now: u64) {
         let due: Vec<(TaskId, Outcome)> = self
             .runs
             .iter()
