Add failing tests of ticks that frequent events put off

A task of a worker that stood still for 8 and 12 s wasn't started elsewhere while its job's state was asked for every 25 ms.

Cause: Engine::next_tick reckons from the last step, whatever it was for, so each event puts the tick off by 50 ms. An owner that gets an event at least every 50 ms has no ticks: it gives up no runs of silent workers, resends no starts or stops, refuses and forgets nothing.

No logic has changed; the smallest change is to store when the tick is due and to move that only by the tick.

--- a/marigoldgladed/tests/pauses.rs
+++ b/marigoldgladed/tests/pauses.rs
@@ -29,6 +29,8 @@
 
 /// How long after a pause its effects have certainly come.
 const AWAKE: Duration = Duration::from_secs(2);
+/// A pause that outlasts what an owner waits for any lease, in milliseconds.
+const LONG_PAUSE_MS: u64 = 20_000;
 
 /// What rule TWICE says of a play.
 #[derive(Debug, Default)]
@@ -120,6 +122,7 @@
             paused_until.insert(i, now + pause_ms);
         }
     }
+    // Not asked meanwhile: an owner that is asked all the time checks nothing (see below).
     std::thread::sleep(Duration::from_millis(pause_ms) + AWAKE);
     wait_until("the job", || c.daemons[0].state(1) == "completed");
     let verdict = judge(&c, origin, &paused_until);
@@ -164,3 +167,29 @@
         }
     }
 }
+
+/// An owner that got a call more often than its timer was due never gave up the runs of a silent worker, as
+/// each call put the timer off: the task waited until the worker went on.
+#[test]
+fn frequent_calls_hold_up_no_task_of_a_silent_worker() {
+    let c = Cluster::with_paths(2, 1, LEASE_LIMIT_MS);
+    let job = json!({
+        "spec": format!("run_ms={RUN_MS}"),
+        "steps": [{"count": 1, "cpu": 500, "mem_mb": 256, "gpu": 8, "estimate_ms": RUN_MS}],
+    });
+    assert_eq!(c.daemons[0].submit(1, &job), 200);
+    wait_until("the run", || c.count_starts() == 1);
+    let busy = c.workers.iter().find(|w| !w.started_runs().is_empty());
+    let busy = busy.expect("a worker has started the run");
+    busy.pause(Duration::from_millis(LONG_PAUSE_MS), First::Lease);
+    let ended = || {
+        let timeline = busy.timeline(Instant::now());
+        timeline
+            .iter()
+            .any(|(_, e)| matches!(e, WorkerEvent::Ended(..)))
+    };
+    while c.count_starts() == 1 {
+        assert!(!ended(), "the task has waited until its worker went on");
+        c.daemons[0].state(1);
+    }
+}
