Keep the owner's tick due when other events come before it

What callers saw: tasks of a silent worker that weren't started elsewhere, starts and stops that weren't sent again, and jobs without an end, as long as their states were asked for often. The soak's "a job hasn't ended 40 s after the faults" asks every 20 ms.

Cause: the time of the next tick counted from the engine's last step, whatever it was for. An owner that got an event at least every 50 ms had no ticks, on which it checks leases, sends orders again and forgets old records.

Evidence: events_put_no_tick_off failed in each run. Over processes frequent_calls_hold_up_no_task_of_a_silent_worker depends on the gaps between calls: without the change the task waited for its worker in 2 of 4 plays.

Change: the engine stores when its tick is due, and only the tick moves that.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -253,6 +253,8 @@
     commit_after: UnixMs,
     /// Until when submissions get [`Reply::NotOwner`] because the store refused a commit.
     closed_until: UnixMs,
+    /// When the next tick is due, whatever other events come before it.
+    tick_at: UnixMs,
     /// Whether something changed since the last planning pass.
     replan: bool,
     /// When the next planning pass may run.
@@ -322,6 +324,7 @@
             last_commit: 0,
             commit_after: now,
             closed_until: now,
+            tick_at: now,
             replan: true,
             plan_after: now,
             runs_due: true,
@@ -393,6 +396,7 @@
             Event::Confirmed(at) => self.confirm(at),
             Event::Advised(response) => self.handle_advice(response),
             Event::Tick => {
+                self.tick_at = self.now.after(TICK_MS);
                 self.tick();
                 self.refuse_unsent(out);
                 self.give_up_refusals(out);
@@ -408,7 +412,7 @@
     /// Returns when the next [`Event::Tick`] is due.
     #[must_use]
     pub fn next_tick(&self) -> UnixMs {
-        let mut next = self.now.after(TICK_MS);
+        let mut next = self.tick_at;
         if self.replan {
             next = next.min(self.plan_after);
         }
