Log what holds back the work that has waited longest

Callers saw accepted jobs with nothing running beside free workers, and no line of the owner named such a job or the reason.

Every 2 s the owner names, for each reason, the job that has waited longest: since when it has had nothing running, how many of its tasks fit on the listed workers, and the first rule that leaves these workers out. The reason, the wait and the job are in the first 200 characters. No decision changes; the grouping of a step's tasks and the test of a worker's pool and label became functions of their own so that the log asks the same questions as the planner.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -23,6 +23,7 @@
 mod refusals;
 mod reports;
 mod runs;
+mod waits;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -265,6 +266,8 @@
     rack_reservations: Vec<plan::RackReservation>,
     /// Capacity reserved for work while the runs that it preempts are stopping.
     reservations: Vec<plan::Reservation>,
+    /// When the log next says what holds back work that waits.
+    report_after: UnixMs,
     /// What the placement adviser allows, by step.
     advice: HashMap<plan::StepKey, Advice>,
     /// The request to the adviser that is under way.
@@ -330,6 +333,7 @@
             runs_due: true,
             rack_reservations: Vec::new(),
             reservations: Vec::new(),
+            report_after: now,
             advice: HashMap::new(),
             advice_request: None,
             ask_after: now,
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -82,7 +82,7 @@
 
     /// Returns the workers that may take tasks of a step, without those to avoid and those of a
     /// worse health grade than `worst`.
-    fn collect_bins(
+    pub(super) fn collect_bins(
         &self,
         step_key: &StepKey,
         shape: &Shape,
@@ -95,9 +95,7 @@
         for key in self.worker_keys() {
             let worker = self.worker(key);
             let target = &worker.target;
-            let fits = target.pool == shape.pool
-                && (shape.label.is_empty() || target.labels.contains(&shape.label));
-            if !fits
+            if !worker.matches(shape)
                 || !worker.is_usable(now)
                 || avoid.contains(&key)
                 || shape.bound.is_some_and(|only| only != key)
@@ -150,14 +148,7 @@
         pass: &Pass,
     ) -> Vec<Bin> {
         let mut bins = all.to_vec();
-        if shape.priority > 0 {
-            let kept = |rack| {
-                self.rack_reservations
-                    .iter()
-                    .any(|r| r.rack == rack && r.step_key != step_key)
-            };
-            bins.retain(|b| !kept(b.rack));
-        }
+        self.exclude_reserved_racks(step_key, shape, &mut bins);
         if shape.priority > 1 && !step.gang && pass.top_priority < shape.priority {
             exclude_last_racks(&mut bins, GANG_RACKS_DIVISOR);
         }
@@ -167,6 +158,22 @@
         bins
     }
 
+    /// Removes the workers on racks that are kept free for other gangs, unless the work is of the most
+    /// urgent priority.
+    pub(super) fn exclude_reserved_racks(
+        &self,
+        step_key: StepKey,
+        shape: &Shape,
+        bins: &mut Vec<Bin>,
+    ) {
+        let kept = |rack| {
+            self.rack_reservations
+                .iter()
+                .any(|r| r.rack == rack && r.step_key != step_key)
+        };
+        bins.retain(|b| shape.priority == 0 || !kept(b.rack));
+    }
+
     /// Preempts less urgent runs to free capacity for tasks of a step, if the cost is within a limit;
     /// returns whether it did.
     pub(super) fn preempt(
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -78,6 +78,8 @@
     pub reporters: Vec<(WorkerKey, u64)>,
     /// The state on record; `None` until the acceptance is durable.
     pub durable_state: Option<State>,
+    /// Since when it has had nothing running although a task's turn has come.
+    pub idle_since: UnixMs,
     /// Whether a task of the job has started.
     pub started: bool,
     /// Whether an earlier owner may have started tasks of the job.
@@ -149,6 +151,7 @@
             durable_changes: 0,
             reporters: Vec::new(),
             durable_state: None,
+            idle_since: accepted_at,
             started,
             inherited,
             submit_calls: Vec::new(),
@@ -215,6 +218,20 @@
         self.record.spec.steps[step].depends_on.iter().all(done)
     }
 
+    /// Returns whether a run of the job is, or may be, on a worker.
+    pub fn has_runs(&self) -> bool {
+        let steps = self.rounds.iter().flat_map(|r| &r.steps);
+        steps.flat_map(|s| &s.tasks).any(|t| t.worker.is_some())
+    }
+
+    /// Returns whether a step of a round isn't done and those that it depends on are.
+    pub fn has_turn(&self, round: &Round) -> bool {
+        let steps = self.record.spec.steps.iter().enumerate();
+        let open =
+            |(i, step): (usize, &Step)| round.steps[i].done < step.count && self.is_ready(round, i);
+        steps.into_iter().any(open)
+    }
+
     /// Returns the status that callers are told; `None` while the acceptance isn't durable.
     pub fn status(&self) -> Option<JobStatus> {
         Some(match self.durable_state? {
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::batch::engine::job::Job;
+use crate::batch::engine::waits::REPORT_INTERVAL_MS;
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::pack::{
@@ -77,6 +78,18 @@
         self.reservations.push(reservation);
     }
 
+    /// Returns the state as it would be without reservations.
+    pub fn without_reservations(&self) -> Self {
+        Self {
+            used: self.used.clone(),
+            top_priority: self.top_priority,
+            unplaceable: HashSet::new(),
+            reservations: Vec::new(),
+            reserved: vec![Resources::default(); self.reserved.len()],
+            stopping: self.stopping.clone(),
+        }
+    }
+
     /// Removes the reservation of a step and returns it; `None` if the step has none.
     fn release(&mut self, step_key: StepKey) -> Option<Reservation> {
         let i = self
@@ -106,7 +119,7 @@
 
 /// Tasks of a step that are placed together.
 #[derive(Debug, Default)]
-struct TaskGroup {
+pub(super) struct TaskGroup {
     indices: Vec<u32>,
     /// How often the task that failed most has failed.
     fails: usize,
@@ -119,11 +132,11 @@
 }
 
 /// A request to place a gang or some single tasks of a step.
-struct PlacementRequest {
-    demand: Demand,
-    shape: Shape,
+pub(super) struct PlacementRequest {
+    pub demand: Demand,
+    pub shape: Shape,
     /// Workers to avoid because tasks of the request failed or stalled there.
-    avoid: Vec<WorkerKey>,
+    pub avoid: Vec<WorkerKey>,
     /// Tasks that may only be started on one worker, by their positions.
     bound: Vec<(usize, WorkerKey)>,
     /// How long the job has waited since it was accepted, in milliseconds.
@@ -169,6 +182,7 @@
     /// Runs a planning pass: starts the tasks that fit, and preempts or reserves capacity for
     /// others.
     pub(super) fn plan(&mut self, out: &mut Vec<Action>) {
+        self.update_idle_times();
         let mut steps = self.ready_steps();
         steps.sort_unstable();
         let now = self.now;
@@ -196,6 +210,10 @@
         for (_, step_key) in steps {
             self.place_step(step_key, &mut pass, out);
         }
+        if self.report_after.passed(now) {
+            self.report_after = now.after(REPORT_INTERVAL_MS);
+            self.report_waits(&pass);
+        }
         self.reservations = pass.reservations;
     }
 
@@ -292,6 +310,26 @@
             return;
         };
         let step = job.record.spec.steps[usize::from(step_key.step)].clone();
+        for group in self.group_tasks(step_key, &step, pass) {
+            let request = self.make_request(step_key, &step, &group);
+            let indices = group.indices;
+            if let Some(workers) = self.find_workers(step_key, &step, &request, pass, out) {
+                let assignments = indices.into_iter().zip(workers).collect();
+                self.start_step(step_key, assignments, &request.demand, pass, out);
+            }
+        }
+    }
+
+    /// Returns the tasks of a step that may be started now, in groups that are placed together.
+    pub(super) fn group_tasks(
+        &self,
+        step_key: StepKey,
+        step: &Step,
+        pass: &Pass,
+    ) -> Vec<TaskGroup> {
+        let Some(job) = self.jobs.get(&step_key.job) else {
+            return Vec::new();
+        };
         let round = &job.rounds[usize::try_from(step_key.round).unwrap_or(0)];
         let tasks = &round.steps[usize::from(step_key.step)].tasks;
         let now = self.now;
@@ -305,14 +343,14 @@
         let mut groups: Vec<TaskGroup> = Vec::new();
         if step.gang {
             if (0..step.count).any(stopping) {
-                return;
+                return groups;
             }
             let Ok(bound) = (0u32..)
                 .zip(tasks)
                 .map(|(i, t)| self.bound_worker(t, &id(i)))
                 .collect::<Result<Vec<_>, _>>()
             else {
-                return;
+                return groups;
             };
             let bound = bound.into_iter().enumerate();
             groups.push(TaskGroup {
@@ -352,18 +390,16 @@
                 });
             }
         }
-        for group in groups {
-            let request = self.make_request(step_key, &step, &group);
-            let indices = group.indices;
-            if let Some(workers) = self.find_workers(step_key, &step, &request, pass, out) {
-                let assignments = indices.into_iter().zip(workers).collect();
-                self.start_step(step_key, assignments, &request.demand, pass, out);
-            }
-        }
+        groups
     }
 
     /// Returns the request to place tasks of a step.
-    fn make_request(&self, step_key: StepKey, step: &Step, group: &TaskGroup) -> PlacementRequest {
+    pub(super) fn make_request(
+        &self,
+        step_key: StepKey,
+        step: &Step,
+        group: &TaskGroup,
+    ) -> PlacementRequest {
         let count = u32::try_from(group.indices.len()).unwrap_or(u32::MAX);
         let fails = group.fails;
         let job = &self.jobs[&step_key.job];
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -7,6 +7,7 @@
 use crate::batch::engine::gone::Gone;
 use crate::batch::engine::leases::{CLOCK_DRIFT_PERCENT, ClockReading};
 use crate::batch::engine::lost_sends::LostSends;
+use crate::batch::engine::plan::Shape;
 use crate::batch::engine::reports::REORDER_LIMIT_MS;
 use crate::batch::engine::runs::{LostStart, Run, Stage, UnwantedRun};
 use crate::batch::engine::{Engine, Heartbeat, WorkerKey};
@@ -198,6 +199,13 @@
             && self.start_valid_ms(now, 1) > 0
     }
 
+    /// Returns whether the worker is of the pool and has the label that work needs.
+    pub fn matches(&self, shape: &Shape) -> bool {
+        let target = &self.target;
+        target.pool == shape.pool
+            && (shape.label.is_empty() || target.labels.contains(&shape.label))
+    }
+
     /// Returns whether the worker may not be there for a new owner to ask.
     pub fn may_be_gone(&self) -> bool {
         !self.listed || !self.answered || self.target.draining || self.failed_renewals > 0
--- a/marigoldgladed/tests/logs.rs
+++ b/marigoldgladed/tests/logs.rs
@@ -114,6 +114,23 @@
     }
 }
 
+/// A job had nothing running for a minute beside free workers, and no line named it or the reason.
+#[test]
+fn work_that_waits_is_logged_with_what_holds_it_back() {
+    let c = Cluster::new(1, 1);
+    let daemon = &c.daemons[0];
+    assert_eq!(daemon.submit(1, &job("run_ms=60000", 8)), 200);
+    wait_until("the starts", || c.count_starts() == 8);
+    assert_eq!(daemon.submit(2, &job("run_ms=100", 1)), 200);
+    wait_until("a line", || !lines(daemon, "work waits").is_empty());
+    let line = &lines(daemon, "work waits")[0];
+    assert_survive(line, &["why", "idle_ms", "fitting", "count", "job"]);
+    let value = parse(line);
+    assert_eq!(value["why"], "room");
+    assert!(value["idle_ms"].as_u64().is_some_and(|ms| ms >= 1_000));
+    assert_eq!((&value["fitting"], &value["count"]), (&0.into(), &1.into()));
+}
+
 #[test]
 fn a_refused_call_is_one_line_and_repeated_ones_are_counted() {
     let c = Cluster::new(0, 1);
