--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -83,8 +83,8 @@
         }
     }
 
-    /// Returns the share of the usable workers of a pool that is taken, in thousandths of the scarcest
-    /// resource.
+    /// Returns the share of the usable workers of a pool that is taken, in thousandths of their weighted
+    /// cores.
     pub(super) fn pool_share(&self, pool: &str, pass: &Pass) -> u64 {
         let mut total = Resources::default();
         let mut used = Resources::default();
@@ -95,7 +95,8 @@
                 used = used.plus(&pass.used[usize::from(key.0)]);
             }
         }
-        used.dominant_share(&total)
+        let share = used.weighted_cores().saturating_mul(1_000);
+        share.checked_div(total.weighted_cores()).unwrap_or(0)
     }
 
     /// Logs, for each reason, the job that has waited longest with nothing running.
