--- /dev/null
+++ b/marigoldglade/tests/batch_waits.rs
@@ -0,0 +1,109 @@
+//! Checks that nothing holds work back for long while workers with room for it are free.
+
+#[path = "batch/world.rs"]
+#[expect(dead_code, reason = "the simulation serves several test files")]
+mod simulation;
+
+use marigoldglade::batch::messages::JobStatus;
+use marigoldglade::batch::spec::Step;
+use simulation::{Simulation, job_id, spec, step};
+
+/// How long work may have nothing running beside free workers, in milliseconds: the platform's bound.
+const WAIT_LIMIT_MS: u64 = 3_000;
+
+fn gang(count: u32, accels: u64, estimate_ms: u64) -> Step {
+    Step {
+        gang: true,
+        one_rack: true,
+        ..step(count, accels, estimate_ms)
+    }
+}
+
+/// Occupies one accelerator on each of these racks, so that none of them is free as a whole.
+fn occupy(sim: &mut Simulation, racks: std::ops::Range<u64>, ms: u64) {
+    for rack in racks {
+        let task = Step {
+            label: format!("r{rack}"),
+            ..step(1, 1, ms)
+        };
+        sim.submit(900 + rack, "survey", "w3", spec(vec![task]), ms);
+    }
+    sim.run_for(300);
+}
+
+/// Asserts that a job starts within the bound.
+fn assert_starts_soon(sim: &mut Simulation, n: u64) {
+    let began = sim.now;
+    sim.run_for(WAIT_LIMIT_MS);
+    let at = sim.started_at.get(&job_id(n)).copied();
+    assert!(
+        at.is_some(),
+        "job {n} has nothing running {WAIT_LIMIT_MS} ms after {began}: {:?}",
+        sim.status(n)
+    );
+}
+
+/// Guards against small work that waits as long as gangs do: half of the racks were kept free for gangs,
+/// another one for urgent work, and the least urgent work took no other racks than the first two.
+#[test]
+fn small_work_runs_beside_racks_that_are_kept_free_for_gangs() {
+    let mut sim = Simulation::new(101, 6, 4);
+    sim.submit(800, "urgent", "w0", spec(vec![step(1, 1, 60_000)]), 60_000);
+    occupy(&mut sim, 0..6, 60_000);
+    for n in 0..8 {
+        sim.submit(n, "sweep", "w1", spec(vec![gang(4, 8, 6_000)]), 6_000);
+    }
+    sim.run_for(4_000);
+    sim.submit(100, "survey", "w2", spec(vec![step(61, 1, 60_000)]), 60_000);
+    sim.run_for(2_000);
+    sim.submit(101, "survey", "w2", spec(vec![step(8, 1, 6_000)]), 6_000);
+    assert_starts_soon(&mut sim, 101);
+}
+
+/// Guards against a kept rack that idles: a gang was passed over on the rack kept for it because another
+/// one like it, which ranks before it, couldn't be placed.
+#[test]
+fn a_gang_starts_on_its_rack_though_another_like_it_has_none() {
+    let mut sim = Simulation::new(102, 2, 2);
+    occupy(&mut sim, 0..1, 60_000);
+    occupy(&mut sim, 1..2, 3_400);
+    sim.submit(1, "sweep", "w1", spec(vec![gang(2, 8, 900)]), 900);
+    sim.run_for(2_000);
+    // Both can only finish late, and this one has less work left.
+    sim.submit(2, "sweep", "w1", spec(vec![gang(2, 8, 300)]), 300);
+    sim.run_for(500);
+    assert_eq!(sim.status(1), Some(JobStatus::Queued));
+    assert_starts_soon(&mut sim, 1);
+}
+
+/// Guards against a fleet that is kept free as a whole: racks whose workers had left still counted for the
+/// half that may be kept free for gangs.
+#[test]
+fn racks_without_workers_count_for_none_that_may_be_kept_free() {
+    let mut sim = Simulation::new(103, 4, 4);
+    for rack in 2..4 {
+        for i in 0..4 {
+            sim.listed.remove(&format!("worker-{rack}-{i}"));
+        }
+    }
+    let owner = sim.newest_owner();
+    sim.send_registry(owner);
+    sim.run_for(500);
+    occupy(&mut sim, 0..2, 60_000);
+    for n in 0..4 {
+        sim.submit(n, "sweep", "w1", spec(vec![gang(4, 8, 6_000)]), 6_000);
+    }
+    sim.run_for(3_000);
+    sim.submit(100, "sweep", "w2", spec(vec![step(1, 1, 900)]), 900);
+    sim.run_for(500);
+    assert!(sim.started_at.contains_key(&job_id(100)));
+}
+
+/// Guards against gangs that wait until a whole rack is free, though the fleet has room for them twice over.
+#[test]
+fn a_late_gang_is_spread_over_racks_rather_than_wait_beside_free_workers() {
+    let mut sim = Simulation::new(104, 6, 4);
+    occupy(&mut sim, 0..6, 60_000);
+    sim.submit(1, "sweep", "w1", spec(vec![gang(4, 8, 300)]), 300);
+    assert_starts_soon(&mut sim, 1);
+}
