Count only racks with workers for those that may be kept free

Cause: at most half of the racks are kept free for gangs, but racks whose workers had left still counted, as did those of other pools. After a shrink to half all racks that were left were kept free.

The limit counts the racks with listed workers that match the step, and the reservations among them.

--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -1,9 +1,10 @@
 //! Capacity for planned work: the workers that may take it, preemption, and reserved racks.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::batch::engine::plan::{Pass, RackReservation, Reservation, Shape, StepKey};
 use crate::batch::engine::runs::{Run, Stage};
+use crate::batch::engine::workers::Worker;
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::health::Grade;
 use crate::batch::id::TaskId;
@@ -25,7 +26,7 @@
 /// The maximum time that a rack is kept free for one gang, in milliseconds: about the longest task
 /// of the deployments.
 const RACK_RESERVATION_MS: u64 = 9_000;
-/// At most one in this many racks is kept free for waiting gangs: keeping all of them would starve
+/// At most one in this many racks with workers is kept free for waiting gangs: keeping all of them would starve
 /// small work in a fleet with many gangs.
 const RESERVED_RACKS_DIVISOR: usize = 2;
 /// One in this many racks takes only the most urgent work while there is any: a gang that waits for
@@ -297,14 +298,22 @@
             .saturating_sub(step.count.saturating_sub(here))
     }
 
-    /// Returns whether one more rack may be kept free and the step has none yet.
-    pub(super) fn may_reserve_rack(&self, step_key: StepKey) -> bool {
-        let limit = self.racks.len() / RESERVED_RACKS_DIVISOR;
-        self.rack_reservations.len() < limit.max(1)
-            && self
-                .rack_reservations
-                .iter()
-                .all(|r| r.step_key != step_key)
+    /// Returns whether one more of the racks that may run a step may be kept free, and the step has none
+    /// yet.
+    pub(super) fn may_reserve_rack(&self, step_key: StepKey, shape: &Shape) -> bool {
+        let listed = |w: &&Worker| w.listed && !w.target.draining && w.matches(shape);
+        let workers = self.workers.iter().filter(listed);
+        let racks: BTreeSet<RackKey> = workers.map(|w| w.rack).collect();
+        let reservations = self.rack_reservations.iter();
+        let kept = reservations.filter(|r| racks.contains(&r.rack)).count();
+        kept < (racks.len() / RESERVED_RACKS_DIVISOR).max(1) && !self.has_rack(step_key)
+    }
+
+    /// Returns whether a rack is kept free for a step.
+    pub(super) fn has_rack(&self, step_key: StepKey) -> bool {
+        self.rack_reservations
+            .iter()
+            .any(|r| r.step_key == step_key)
     }
 
     /// Keeps a rack free for a gang that can't be placed: the one near its data if it is large
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -460,13 +460,10 @@
     ) -> Option<Vec<WorkerKey>> {
         let PlacementRequest { demand, shape, .. } = request;
         let no_reservation = shape.priority == 0 || request.waited_ms <= RACK_RESERVATION_AFTER_MS;
-        let may_reserve = step.gang && !no_reservation && self.may_reserve_rack(step_key);
+        let may_reserve = step.gang && !no_reservation && self.may_reserve_rack(step_key, shape);
         // What is reserved for the step may hold it though others of this shape found no room.
-        let has_reservation = pass.reservations.iter().any(|r| r.step_key == step_key)
-            || self
-                .rack_reservations
-                .iter()
-                .any(|r| r.step_key == step_key);
+        let has_reservation =
+            self.has_rack(step_key) || pass.reservations.iter().any(|r| r.step_key == step_key);
         if pass.unplaceable.contains(shape) && !has_reservation {
             if may_reserve {
                 let bins = self.candidate_bins(&step_key, shape, &request.avoid, pass);
