Limit how long capacity that is kept free holds back other work

Cause: racks kept for gangs, the racks for urgent work and those that the least urgent work leaves to gangs add up, and nothing ends the wait behind them. A reservation passes to the next gang when it ends, so that a queue of gangs keeps half of the fleet idle for as long as it lasts. Workers that are avoided or in worse health than others without room hold work back in the same way.

A job that has had nothing running for 1.5 s, half of the platform's bound, is overdue. While its pool is under half taken, it may use all workers that are usable; others come first. Endless tasks are overdue each by itself and however busy the pool is, as the platform's rule has it. In a busy pool racks are kept for gangs as before.

--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -81,6 +81,20 @@
         Vec::new()
     }
 
+    /// Returns the workers that may take tasks of an overdue step: no racks are kept from it, and suspect
+    /// workers aren't left out for healthy ones without room.
+    pub(super) fn open_bins(
+        &self,
+        step_key: &StepKey,
+        shape: &Shape,
+        avoid: &[WorkerKey],
+        pass: &Pass,
+    ) -> Vec<Bin> {
+        let mut bins = self.collect_bins(step_key, shape, avoid, Grade::Suspect, pass);
+        bins.retain(|b| !shape.near_only || Some(b.rack) == shape.near_rack);
+        bins
+    }
+
     /// Returns the workers that may take tasks of a step, without those to avoid and those of a
     /// worse health grade than `worst`.
     pub(super) fn collect_bins(
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -42,6 +42,8 @@
     pub avoid: Vec<WorkerKey>,
     /// When it may be started again.
     pub retry_at: UnixMs,
+    /// Since when it has had no run; zero before it is planned, and used for endless tasks only.
+    pub idle_since: UnixMs,
 }
 
 /// The state of one step in one round.
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -163,12 +163,29 @@
     pub advised: Option<StepKey>,
     /// Whether only workers near the step's data are considered for now.
     pub near_only: bool,
+    /// Whether capacity that is kept free for other work may be taken, as the step has been held back for
+    /// too long.
+    pub overdue: bool,
     /// Whether the tasks may crash workers, so that they start only where no other run is new.
     pub isolated: bool,
     /// The only worker that the task may be started on.
     pub bound: Option<WorkerKey>,
 }
 
+/// Returns workers among some for a whole gang, or for as many single tasks as fit.
+fn place(step: &Step, request: &PlacementRequest, bins: &[Bin]) -> Option<Vec<WorkerKey>> {
+    let PlacementRequest { demand, bound, .. } = request;
+    if !step.gang {
+        let workers = place_some(&mut bins.to_vec(), demand);
+        return Some(workers).filter(|workers| !workers.is_empty());
+    }
+    if bound.is_empty() {
+        place_gang(bins, demand)
+    } else {
+        place_bound_gang(bins, demand, bound)
+    }
+}
+
 impl Engine {
     /// Returns the key of the step that a task belongs to.
     pub(super) fn step_key(&self, id: &TaskId) -> Option<StepKey> {
@@ -311,7 +328,7 @@
         };
         let step = job.record.spec.steps[usize::from(step_key.step)].clone();
         for group in self.group_tasks(step_key, &step, pass) {
-            let request = self.make_request(step_key, &step, &group);
+            let request = self.make_request(step_key, &step, &group, pass);
             let indices = group.indices;
             if let Some(workers) = self.find_workers(step_key, &step, &request, pass, out) {
                 let assignments = indices.into_iter().zip(workers).collect();
@@ -399,6 +416,7 @@
         step_key: StepKey,
         step: &Step,
         group: &TaskGroup,
+        pass: &Pass,
     ) -> PlacementRequest {
         let count = u32::try_from(group.indices.len()).unwrap_or(u32::MAX);
         let fails = group.fails;
@@ -428,6 +446,7 @@
             priority: queue.priority,
             guaranteed: self.guaranteed_jobs.contains(&step_key.job),
             prefer_healthy: fails > 0 && fails + 1 >= attempts,
+            overdue: self.is_overdue(step_key, step, pass),
             near_only: near.is_some() && waited_ms < near_wait_ms && group.bound.is_empty(),
             advised: queue.advice.map(|_| step_key),
             isolated: group.isolated,
@@ -476,15 +495,12 @@
         if shape.advised.is_some() {
             all = self.allowed_bins(step_key, all, demand, out);
         }
-        let mut bins = self.unreserved_bins(step_key, step, shape, &all, pass);
+        let unreserved = self.unreserved_bins(step_key, step, shape, &all, pass);
         let bound_gang = step.gang && !request.bound.is_empty();
-        let workers = if bound_gang {
-            place_bound_gang(&bins, demand, &request.bound)
-        } else if step.gang {
-            place_gang(&bins, demand)
-        } else {
-            Some(place_some(&mut bins, demand)).filter(|workers| !workers.is_empty())
-        };
+        let mut workers = place(step, request, &unreserved);
+        if workers.is_none() && shape.overdue {
+            (all, workers) = self.find_open_workers(step_key, step, request, pass, out);
+        }
         if workers.is_some() {
             return workers;
         }
@@ -524,6 +540,31 @@
         None
     }
 
+    /// Returns workers for an overdue request, whatever capacity is kept free for other work, with the
+    /// workers considered.
+    fn find_open_workers(
+        &mut self,
+        step_key: StepKey,
+        step: &Step,
+        request: &PlacementRequest,
+        pass: &Pass,
+        out: &mut Vec<Action>,
+    ) -> (Vec<Bin>, Option<Vec<WorkerKey>>) {
+        let PlacementRequest { demand, shape, .. } = request;
+        let mut bins = Vec::new();
+        for avoid in [&request.avoid[..], &[]] {
+            bins = self.open_bins(&step_key, shape, avoid, pass);
+            if shape.advised.is_some() {
+                bins = self.allowed_bins(step_key, bins, demand, out);
+            }
+            let workers = place(step, request, &bins);
+            if workers.is_some() {
+                return (bins, workers);
+            }
+        }
+        (bins, None)
+    }
+
     /// Returns the workers that the placement adviser allows, and asks it about the others if the
     /// allowed ones can't take all tasks.
     fn allowed_bins(
--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -16,6 +16,11 @@
 use crate::batch::worker::Resources;
 use crate::time::UnixMs;
 
+/// How long work may be held back by capacity that is kept free for other work, in milliseconds: half of
+/// the platform's bound for work that could run.
+const HOLD_LIMIT_MS: u64 = 1_500;
+/// The share of a pool above which that limit doesn't apply, in thousandths.
+const BUSY_SHARE: u64 = 500;
 /// How long a job has nothing running before the log names it, in milliseconds.
 const LOGGED_AFTER_MS: u64 = 1_000;
 /// The time between two reports in the log, in milliseconds.
@@ -80,7 +85,32 @@
             if !waits {
                 job.idle_since = now;
             }
+            let rounds = job.rounds.iter_mut();
+            let steps = rounds.flat_map(|r| job.record.spec.steps.iter().zip(&mut r.steps));
+            for (_, state) in steps.filter(|(step, _)| step.endless) {
+                for task in &mut state.tasks {
+                    if task.worker.is_some() || task.idle_since == UnixMs(0) {
+                        task.idle_since = now;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns whether a step has been held back for too long, so that capacity that is kept free for other
+    /// work is open to it. Unless its tasks are endless, that takes a pool that isn't busy, since kept
+    /// capacity is meant for floods.
+    pub(super) fn is_overdue(&self, step_key: StepKey, step: &Step, pass: &Pass) -> bool {
+        let job = &self.jobs[&step_key.job];
+        let limit_passed = |since: UnixMs| since.after(HOLD_LIMIT_MS).passed(self.now);
+        if step.endless {
+            let round = &job.rounds[usize::try_from(step_key.round).unwrap_or(0)];
+            let tasks = &round.steps[usize::from(step_key.step)].tasks;
+            return tasks
+                .iter()
+                .any(|t| job.is_idle(t, self.now) && limit_passed(t.idle_since));
         }
+        limit_passed(job.idle_since) && self.pool_share(&job.record.queue.pool, pass) < BUSY_SHARE
     }
 
     /// Returns the share of the usable workers of a pool that is taken, in thousandths of their weighted
@@ -180,7 +210,7 @@
         }
         let groups = self.group_tasks(step_key, step, pass);
         let holds = groups.iter().map(|group| {
-            let request = self.make_request(step_key, step, group);
+            let request = self.make_request(step_key, step, group, pass);
             self.find_group_hold(step_key, step, &request, pass)
         });
         // The group that is closest to a start says what the job waits for.
--- a/marigoldglade/tests/batch_waits.rs
+++ b/marigoldglade/tests/batch_waits.rs
@@ -19,18 +19,24 @@
     }
 }
 
-/// Occupies one accelerator on each of these racks, so that none of them is free as a whole.
-fn occupy(sim: &mut Simulation, racks: std::ops::Range<u64>, ms: u64) {
+/// Runs such tasks on each of these racks.
+fn run_on_racks(sim: &mut Simulation, racks: std::ops::Range<u64>, tasks: &Step) {
     for rack in racks {
-        let task = Step {
+        let tasks = Step {
             label: format!("r{rack}"),
-            ..step(1, 1, ms)
+            ..tasks.clone()
         };
-        sim.submit(900 + rack, "survey", "w3", spec(vec![task]), ms);
+        let ms = tasks.estimate_ms;
+        sim.submit(900 + rack, "survey", "w3", spec(vec![tasks]), ms);
     }
     sim.run_for(300);
 }
 
+/// Occupies one accelerator on each of these racks, so that none of them is free as a whole.
+fn occupy(sim: &mut Simulation, racks: std::ops::Range<u64>, ms: u64) {
+    run_on_racks(sim, racks, &step(1, 1, ms));
+}
+
 /// Asserts that a job starts within the bound.
 fn assert_starts_soon(sim: &mut Simulation, n: u64) {
     let began = sim.now;
@@ -107,3 +113,39 @@
     sim.submit(1, "sweep", "w1", spec(vec![gang(4, 8, 300)]), 300);
     assert_starts_soon(&mut sim, 1);
 }
+
+/// Guards against endless tasks that wait as long as gangs do in a busy fleet.
+#[test]
+fn endless_tasks_run_beside_racks_that_are_kept_free_in_a_busy_fleet() {
+    let mut sim = Simulation::new(105, 6, 4);
+    sim.submit(800, "urgent", "w0", spec(vec![step(1, 1, 60_000)]), 60_000);
+    run_on_racks(&mut sim, 0..6, &step(3, 8, 60_000));
+    for n in 0..8 {
+        sim.submit(n, "sweep", "w1", spec(vec![gang(4, 8, 6_000)]), 6_000);
+    }
+    sim.run_for(3_000);
+    sim.submit(100, "survey", "w2", spec(vec![step(15, 1, 60_000)]), 60_000);
+    sim.run_for(2_000);
+    let endless = Step {
+        endless: true,
+        ..step(1, 1, 0)
+    };
+    sim.submit(101, "survey", "w2", spec(vec![endless]), 60_000);
+    assert_starts_soon(&mut sim, 101);
+}
+
+/// Guards the racks of gangs in a flood: other work takes none of them while the fleet is busy.
+#[test]
+fn small_work_leaves_racks_to_gangs_in_a_busy_fleet() {
+    let mut sim = Simulation::new(106, 6, 4);
+    sim.submit(800, "urgent", "w0", spec(vec![step(1, 1, 60_000)]), 60_000);
+    run_on_racks(&mut sim, 0..6, &step(3, 8, 60_000));
+    for n in 0..8 {
+        sim.submit(n, "sweep", "w1", spec(vec![gang(4, 8, 6_000)]), 6_000);
+    }
+    sim.run_for(3_000);
+    sim.submit(100, "survey", "w2", spec(vec![step(32, 1, 60_000)]), 60_000);
+    sim.run_for(6_000);
+    let free = |rack: u64| sim.workers[&format!("worker-{rack}-3")].runs.is_empty();
+    assert!((2..5).all(free), "a kept rack was taken");
+}
