Spread a late gang over racks when no rack has room for it

Cause: a gang that should run within one rack waits for one as long as any rack could hold it if it were empty, however much of the fleet is free.

Evidence: a_late_gang_is_spread_over_racks_rather_than_wait_beside_free_workers failed in each run before and passes now.

An overdue gang that can't meet its objective any more is spread if the usable workers have room for it twice over. Requests of one shape share a failure, so the shape says whether it may be spread.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -8,9 +8,9 @@
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::pack::{
-    Bin, Demand, RackKey, count_fitting, place_bound_gang, place_gang, place_some,
+    Bin, Demand, RackKey, count_fitting, place_all, place_bound_gang, place_gang, place_some,
 };
-use crate::batch::rank::{Rank, RankInputs, rank};
+use crate::batch::rank::{Outlook, Rank, RankInputs, outlook, rank};
 use crate::batch::spec::Step;
 use crate::batch::worker::Resources;
 use crate::time::UnixMs;
@@ -166,6 +166,8 @@
     /// Whether capacity that is kept free for other work may be taken, as the step has been held back for
     /// too long.
     pub overdue: bool,
+    /// Whether the step is an overdue gang that may be spread over racks.
+    pub spread: bool,
     /// Whether the tasks may crash workers, so that they start only where no other run is new.
     pub isolated: bool,
     /// The only worker that the task may be started on.
@@ -435,6 +437,7 @@
             one_rack: step.gang && step.one_rack,
             near_rack: near,
         };
+        let overdue = self.is_overdue(step_key, step, pass);
         let attempts = usize::try_from(queue.attempts).unwrap_or(usize::MAX);
         let shape = Shape {
             pool: queue.pool.clone(),
@@ -446,7 +449,8 @@
             priority: queue.priority,
             guaranteed: self.guaranteed_jobs.contains(&step_key.job),
             prefer_healthy: fails > 0 && fails + 1 >= attempts,
-            overdue: self.is_overdue(step_key, step, pass),
+            overdue,
+            spread: overdue && demand.one_rack && group.bound.is_empty() && self.is_late(step_key),
             near_only: near.is_some() && waited_ms < near_wait_ms && group.bound.is_empty(),
             advised: queue.advice.map(|_| step_key),
             isolated: group.isolated,
@@ -540,6 +544,13 @@
         None
     }
 
+    /// Returns whether a step's job can't meet its objective any more.
+    fn is_late(&self, step_key: StepKey) -> bool {
+        let round = usize::try_from(step_key.round).unwrap_or(0);
+        let inputs = self.rank_inputs(step_key.job, &self.jobs[&step_key.job], round);
+        outlook(&inputs, self.now) != Outlook::InTime
+    }
+
     /// Returns workers for an overdue request, whatever capacity is kept free for other work, with the
     /// workers considered.
     fn find_open_workers(
@@ -557,7 +568,13 @@
             if shape.advised.is_some() {
                 bins = self.allowed_bins(step_key, bins, demand, out);
             }
-            let workers = place(step, request, &bins);
+            let mut workers = place(step, request, &bins);
+            // A gang runs slower on several racks, but one that is late gains little by waiting for one
+            // while the workers have room for it twice over.
+            let room = count_fitting(&bins, demand, |b| b.used);
+            if workers.is_none() && shape.spread && room >= demand.count.saturating_mul(2) {
+                workers = place_all(&bins, demand);
+            }
             if workers.is_some() {
                 return (bins, workers);
             }
