Keep at most half of the usable racks of a pool free for gangs

Only racks with usable workers count, and the limit holds for the pool as a whole as well as for the racks with the gang's label.

--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -26,7 +26,7 @@
 /// The maximum time that a rack is kept free for one gang, in milliseconds: about the longest task
 /// of the deployments.
 const RACK_RESERVATION_MS: u64 = 9_000;
-/// At most one in this many racks with workers is kept free for waiting gangs: keeping all of them would starve
+/// At most one in this many racks with usable workers is kept free for waiting gangs: keeping all of them would starve
 /// small work in a fleet with many gangs.
 const RESERVED_RACKS_DIVISOR: usize = 2;
 /// One in this many racks takes only the most urgent work while there is any: a gang that waits for
@@ -313,14 +313,21 @@
     }
 
     /// Returns whether one more of the racks that may run a step may be kept free, and the step has none
-    /// yet.
+    /// yet. The limit holds for the racks of its pool, and for those with its label.
     pub(super) fn may_reserve_rack(&self, step_key: StepKey, shape: &Shape) -> bool {
-        let listed = |w: &&Worker| w.listed && !w.target.draining && w.matches(shape);
-        let workers = self.workers.iter().filter(listed);
-        let racks: BTreeSet<RackKey> = workers.map(|w| w.rack).collect();
-        let reservations = self.rack_reservations.iter();
-        let kept = reservations.filter(|r| racks.contains(&r.rack)).count();
-        kept < (racks.len() / RESERVED_RACKS_DIVISOR).max(1) && !self.has_rack(step_key)
+        let usable = |w: &&Worker| w.target.pool == shape.pool && w.is_usable(self.now);
+        let workers = self.workers.iter().filter(usable);
+        let pool: BTreeSet<RackKey> = workers.clone().map(|w| w.rack).collect();
+        let matching: BTreeSet<RackKey> = workers
+            .filter(|w| w.matches(shape))
+            .map(|w| w.rack)
+            .collect();
+        let below_limit = |racks: &BTreeSet<RackKey>| {
+            let reservations = self.rack_reservations.iter();
+            let kept = reservations.filter(|r| racks.contains(&r.rack)).count();
+            kept < (racks.len() / RESERVED_RACKS_DIVISOR).max(1)
+        };
+        below_limit(&pool) && below_limit(&matching) && !self.has_rack(step_key)
     }
 
     /// Returns whether a rack is kept free for a step.
--- a/marigoldglade/tests/batch_waits.rs
+++ b/marigoldglade/tests/batch_waits.rs
@@ -149,3 +149,42 @@
     let free = |rack: u64| sim.workers[&format!("worker-{rack}-3")].runs.is_empty();
     assert!((2..5).all(free), "a kept rack was taken");
 }
+
+/// Guards against a fleet whose usable racks are all kept free, as silent ones count for the half that may
+/// be, and whose share seems busy, as the room of silent workers doesn't count.
+#[test]
+fn small_work_runs_beside_kept_racks_when_other_racks_are_silent() {
+    let mut sim = Simulation::new(204, 6, 4);
+    run_on_racks(&mut sim, 0..3, &step(4, 6, 60_000));
+    for rack in 3..6 {
+        for i in 0..4 {
+            sim.lost_renewals.insert(format!("worker-{rack}-{i}"));
+            sim.lost_orders.insert(format!("worker-{rack}-{i}"));
+        }
+    }
+    sim.run_for(10_000);
+    for n in 0..7 {
+        sim.submit(n, "sweep", "w1", spec(vec![gang(4, 8, 6_000)]), 6_000);
+    }
+    sim.run_for(3_000);
+    sim.submit(100, "sweep", "w2", spec(vec![step(1, 1, 10_000)]), 10_000);
+    assert_starts_soon(&mut sim, 100);
+}
+
+/// Guards against a fleet that is kept free as a whole: each gang with a label may keep half of the racks
+/// that have it, and at least one.
+#[test]
+fn gangs_with_labels_keep_no_more_than_half_of_the_racks() {
+    let mut sim = Simulation::new(205, 6, 4);
+    run_on_racks(&mut sim, 0..6, &step(4, 6, 60_000));
+    for n in 0..6 {
+        let gang = Step {
+            label: format!("r{n}"),
+            ..gang(4, 8, 6_000)
+        };
+        sim.submit(n, "sweep", "w1", spec(vec![gang]), 6_000);
+    }
+    sim.run_for(3_000);
+    sim.submit(100, "sweep", "w2", spec(vec![step(1, 1, 10_000)]), 10_000);
+    assert_starts_soon(&mut sim, 100);
+}
