--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -173,20 +173,21 @@
         bins
     }
 
-    /// Removes the workers on racks that are kept free for other gangs, unless the work is of the most
-    /// urgent priority.
+    /// Removes the workers on racks that are kept free for other gangs of the pool, unless the work is of
+    /// the most urgent priority.
     pub(super) fn exclude_reserved_racks(
         &self,
         step_key: StepKey,
         shape: &Shape,
         bins: &mut Vec<Bin>,
     ) {
-        let kept = |rack| {
-            self.rack_reservations
-                .iter()
-                .any(|r| r.rack == rack && r.step_key != step_key)
+        let same_pool = |key: StepKey| {
+            let job = self.jobs.get(&key.job);
+            job.is_some_and(|j| j.record.queue.pool == shape.pool)
         };
-        bins.retain(|b| shape.priority == 0 || !kept(b.rack));
+        let mut others = self.rack_reservations.clone();
+        others.retain(|r| r.step_key != step_key && same_pool(r.step_key));
+        bins.retain(|b| shape.priority == 0 || others.iter().all(|r| r.rack != b.rack));
     }
 
     /// Preempts less urgent runs to free capacity for tasks of a step, if the cost is within a limit;
--- a/marigoldglade/tests/batch_waits.rs
+++ b/marigoldglade/tests/batch_waits.rs
@@ -4,9 +4,11 @@
 #[expect(dead_code, reason = "the simulation serves several test files")]
 mod simulation;
 
+use std::sync::Arc;
+
 use marigoldglade::batch::messages::JobStatus;
 use marigoldglade::batch::spec::Step;
-use simulation::{Simulation, job_id, spec, step};
+use simulation::{Simulation, job_id, queue, spec, step};
 
 /// How long work may have nothing running beside free workers, in milliseconds: the platform's bound.
 const WAIT_LIMIT_MS: u64 = 3_000;
@@ -188,3 +190,32 @@
     sim.submit(100, "sweep", "w2", spec(vec![step(1, 1, 10_000)]), 10_000);
     assert_starts_soon(&mut sim, 100);
 }
+
+/// Guards against a rack that is kept free for a gang of one pool and idles for another pool's work.
+#[test]
+fn a_rack_kept_for_a_gang_takes_work_of_other_pools() {
+    let mut sim = Simulation::new(206, 2, 4);
+    let mut policy = (*sim.policy).clone();
+    policy.version += 1;
+    let mut other = queue("other", 1, 3.0, 1_000);
+    other.pool = "other".to_owned();
+    policy.queues.push(other);
+    sim.policy = Arc::new(policy);
+    for i in 2..4 {
+        let name = format!("worker-1-{i}");
+        sim.workers.get_mut(&name).expect("known").target.pool = "other".to_owned();
+    }
+    sim.kill_newest_owner();
+    sim.predecessors_ended = true;
+    sim.elect();
+    sim.run_for(6_000);
+    sim.submit(50, "other", "w2", spec(vec![step(2, 6, 60_000)]), 60_000);
+    run_on_racks(&mut sim, 0..1, &step(4, 6, 60_000));
+    run_on_racks(&mut sim, 1..2, &step(2, 6, 60_000));
+    for n in 0..2 {
+        sim.submit(n, "sweep", "w1", spec(vec![gang(2, 8, 6_000)]), 6_000);
+    }
+    sim.run_for(3_000);
+    sim.submit(100, "other", "w2", spec(vec![step(1, 1, 10_000)]), 10_000);
+    assert_starts_soon(&mut sim, 100);
+}
