Let overdue work run far from its data

Work that is overdue, so that its pool isn't busy, no longer waits for a worker near its data; it still prefers one.

--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -90,9 +90,7 @@
         avoid: &[WorkerKey],
         pass: &Pass,
     ) -> Vec<Bin> {
-        let mut bins = self.collect_bins(step_key, shape, avoid, Grade::Suspect, pass);
-        bins.retain(|b| !shape.near_only || Some(b.rack) == shape.near_rack);
-        bins
+        self.collect_bins(step_key, shape, avoid, Grade::Suspect, pass)
     }
 
     /// Returns the workers that may take tasks of a step, without those to avoid and those of a
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -16,7 +16,7 @@
 use crate::time::UnixMs;
 
 /// How long work waits for a worker near its data before it takes any other, in percent of its
-/// objective.
+/// objective; less if it is overdue.
 const NEAR_PERCENT: u64 = 15;
 /// The fixed part of the limit on the work that one step may destroy by preemption, in
 /// core-milliseconds. The limit applies to steps of the most urgent priority that the guarantee of
@@ -451,7 +451,10 @@
             prefer_healthy: fails > 0 && fails + 1 >= attempts,
             overdue,
             spread: overdue && demand.one_rack && group.bound.is_empty() && self.is_late(step_key),
-            near_only: near.is_some() && waited_ms < near_wait_ms && group.bound.is_empty(),
+            near_only: near.is_some()
+                && waited_ms < near_wait_ms
+                && group.bound.is_empty()
+                && !overdue,
             advised: queue.advice.map(|_| step_key),
             isolated: group.isolated,
             bound: group
--- a/marigoldglade/tests/batch_waits.rs
+++ b/marigoldglade/tests/batch_waits.rs
@@ -219,3 +219,22 @@
     sim.submit(100, "other", "w2", spec(vec![step(1, 1, 10_000)]), 10_000);
     assert_starts_soon(&mut sim, 100);
 }
+
+/// Guards against work that waits for a worker near its data for longer than the bound: 15% of the
+/// objective of a task of 10 s.
+#[test]
+fn long_work_goes_far_from_its_data_rather_than_wait_beside_free_workers() {
+    let mut sim = Simulation::new(201, 6, 4);
+    run_on_racks(&mut sim, 0..1, &step(4, 8, 60_000));
+    let near = Step {
+        near_rack: "r0".to_owned(),
+        ..step(1, 1, 10_000)
+    };
+    let rack = sim.workers["worker-0-0"].target.rack().to_owned();
+    let near = Step {
+        near_rack: rack,
+        ..near
+    };
+    sim.submit(1, "survey", "w2", spec(vec![near]), 10_000);
+    assert_starts_soon(&mut sim, 1);
+}
