Spread late gangs with bound members or with advice, too

Cause: the other members of a gang of which one is bound to a worker by a lost start had to find room in that worker's rack, until the start can't be carried out any more. The log didn't ask for the bound members. A gang that needs tickets was spread only if twice as many workers as it needs had some, but no more are asked about than it needs.

The members that aren't bound may go to other racks under the same conditions as a gang without any; the room that counts is that of all usable workers. The log places a request as the planner does.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -8,7 +8,7 @@
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::pack::{
-    Bin, Demand, RackKey, count_fitting, place_all, place_bound_gang, place_gang, place_some,
+    Bin, Demand, RackKey, count_fitting, place_bound_gang, place_gang, place_some,
 };
 use crate::batch::rank::{Outlook, Rank, RankInputs, outlook, rank};
 use crate::batch::spec::Step;
@@ -175,12 +175,26 @@
 }
 
 /// Returns workers among some for a whole gang, or for as many single tasks as fit.
-fn place(step: &Step, request: &PlacementRequest, bins: &[Bin]) -> Option<Vec<WorkerKey>> {
+pub(super) fn place(
+    step: &Step,
+    request: &PlacementRequest,
+    bins: &[Bin],
+) -> Option<Vec<WorkerKey>> {
     let PlacementRequest { demand, bound, .. } = request;
-    if !step.gang {
-        let workers = place_some(&mut bins.to_vec(), demand);
-        return Some(workers).filter(|workers| !workers.is_empty());
+    if step.gang {
+        return place_gang_with(bins, demand, bound);
     }
+    let workers = place_some(&mut bins.to_vec(), demand);
+    Some(workers).filter(|workers| !workers.is_empty())
+}
+
+/// Returns workers among some for a whole gang, of which some tasks, given by their positions, may be
+/// bound to a worker.
+fn place_gang_with(
+    bins: &[Bin],
+    demand: &Demand,
+    bound: &[(usize, WorkerKey)],
+) -> Option<Vec<WorkerKey>> {
     if bound.is_empty() {
         place_gang(bins, demand)
     } else {
@@ -450,7 +464,7 @@
             guaranteed: self.guaranteed_jobs.contains(&step_key.job),
             prefer_healthy: fails > 0 && fails + 1 >= attempts,
             overdue,
-            spread: overdue && demand.one_rack && group.bound.is_empty() && self.is_late(step_key),
+            spread: overdue && demand.one_rack && self.is_late(step_key),
             near_only: near.is_some()
                 && waited_ms < near_wait_ms
                 && group.bound.is_empty()
@@ -568,15 +582,19 @@
         let mut bins = Vec::new();
         for avoid in [&request.avoid[..], &[]] {
             bins = self.open_bins(&step_key, shape, avoid, pass);
+            let room = count_fitting(&bins, demand, |b| b.used);
             if shape.advised.is_some() {
                 bins = self.allowed_bins(step_key, bins, demand, out);
             }
             let mut workers = place(step, request, &bins);
             // A gang runs slower on several racks, but one that is late gains little by waiting for one
             // while the workers have room for it twice over.
-            let room = count_fitting(&bins, demand, |b| b.used);
             if workers.is_none() && shape.spread && room >= demand.count.saturating_mul(2) {
-                workers = place_all(&bins, demand);
+                let demand = Demand {
+                    one_rack: false,
+                    ..*demand
+                };
+                workers = place_gang_with(&bins, &demand, &request.bound);
             }
             if workers.is_some() {
                 return (bins, workers);
--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -8,10 +8,10 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::batch::engine::job::Round;
-use crate::batch::engine::plan::{Pass, PlacementRequest, StepKey};
+use crate::batch::engine::plan::{Pass, PlacementRequest, StepKey, place};
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::health::Grade;
-use crate::batch::pack::{Bin, count_fitting, place_gang, place_one};
+use crate::batch::pack::{Bin, count_fitting};
 use crate::batch::spec::Step;
 use crate::batch::worker::Resources;
 use crate::time::UnixMs;
@@ -225,13 +225,7 @@
         pass: &Pass,
     ) -> (Hold, u32) {
         let PlacementRequest { demand, shape, .. } = request;
-        let fits = |bins: &[Bin]| {
-            if step.gang {
-                place_gang(bins, demand).is_some()
-            } else {
-                place_one(bins, demand).is_some()
-            }
-        };
+        let fits = |bins: &[Bin]| place(step, request, bins).is_some();
         let bin = |key: WorkerKey| {
             let worker = self.worker(key);
             Bin {
--- a/marigoldglade/tests/batch_waits.rs
+++ b/marigoldglade/tests/batch_waits.rs
@@ -238,3 +238,33 @@
     sim.submit(1, "survey", "w2", spec(vec![near]), 10_000);
     assert_starts_soon(&mut sim, 1);
 }
+
+/// Guards against a gang that waits beside free workers until a lost start of one member can't be carried
+/// out any more, as the other members have no room in that member's rack.
+#[test]
+fn a_gang_with_a_bound_member_runs_on_other_racks_as_well() {
+    let mut sim = Simulation::new(211, 3, 2);
+    sim.lost_orders.insert("worker-2-0".to_owned());
+    sim.submit(1, "sweep", "w1", spec(vec![gang(2, 8, 6_000)]), 6_000);
+    sim.run_for(650);
+    let other = Step {
+        label: "r2".to_owned(),
+        ..step(1, 8, 60_000)
+    };
+    sim.submit(2, "urgent", "w0", spec(vec![other]), 60_000);
+    sim.run_for(1_350);
+    sim.lost_orders.clear();
+    sim.started_at.clear();
+    sim.run_for(4_000);
+    assert_starts_soon(&mut sim, 1);
+}
+
+/// Guards against a late gang that the adviser has allowed enough workers for, but not twice as many.
+#[test]
+fn a_late_gang_that_needs_advice_is_spread_over_racks() {
+    let mut sim = Simulation::new(203, 6, 4);
+    sim.allowed = sim.workers.keys().cloned().collect();
+    run_on_racks(&mut sim, 0..6, &step(1, 1, 60_000));
+    sim.submit(1, "judged", "w1", spec(vec![gang(4, 8, 300)]), 300);
+    assert_starts_soon(&mut sim, 1);
+}
