--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -42,7 +42,7 @@
     pub avoid: Vec<WorkerKey>,
     /// When it may be started again.
     pub retry_at: UnixMs,
-    /// Since when it has had no run; zero before it is planned, and used for endless tasks only.
+    /// Since when it has had no run although its turn has come; kept for endless tasks only.
     pub idle_since: UnixMs,
 }
 
@@ -118,7 +118,13 @@
         let progress = std::mem::take(&mut record.tasks);
         let spec = &record.spec;
         let step = |s: &Step| StepState {
-            tasks: vec![Task::default(); usize::try_from(s.count).unwrap_or(0)],
+            tasks: vec![
+                Task {
+                    idle_since: accepted_at,
+                    ..Task::default()
+                };
+                usize::try_from(s.count).unwrap_or(0)
+            ],
             done: 0,
         };
         let mut rounds: Vec<Round> = (0..spec.round_count())
@@ -234,6 +240,26 @@
         steps.into_iter().any(open)
     }
 
+    /// Updates since when each endless task has had no run although its turn has come.
+    pub fn update_endless_tasks(&mut self, now: UnixMs, wall_ms: u64) {
+        let steps = &self.record.spec.steps;
+        if !steps.iter().any(|s| s.endless) {
+            return;
+        }
+        for r in 0..self.rounds.len() {
+            let due = self.rounds[r].due.is_none_or(|due| due <= wall_ms);
+            for s in 0..self.record.spec.steps.len() {
+                let turn = due && self.is_ready(&self.rounds[r], s);
+                let waits = |t: &Task| turn && t.worker.is_none();
+                for task in &mut self.rounds[r].steps[s].tasks {
+                    if !waits(task) {
+                        task.idle_since = now;
+                    }
+                }
+            }
+        }
+    }
+
     /// Returns the status that callers are told; `None` while the acceptance isn't durable.
     pub fn status(&self) -> Option<JobStatus> {
         Some(match self.durable_state? {
--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -85,15 +85,7 @@
             if !waits {
                 job.idle_since = now;
             }
-            let rounds = job.rounds.iter_mut();
-            let steps = rounds.flat_map(|r| job.record.spec.steps.iter().zip(&mut r.steps));
-            for (_, state) in steps.filter(|(step, _)| step.endless) {
-                for task in &mut state.tasks {
-                    if task.worker.is_some() || task.idle_since == UnixMs(0) {
-                        task.idle_since = now;
-                    }
-                }
-            }
+            job.update_endless_tasks(now, wall_ms);
         }
     }
 
--- a/marigoldglade/tests/batch_waits.rs
+++ b/marigoldglade/tests/batch_waits.rs
@@ -268,3 +268,34 @@
     sim.submit(1, "judged", "w1", spec(vec![gang(4, 8, 300)]), 300);
     assert_starts_soon(&mut sim, 1);
 }
+
+/// Guards kept racks against endless tasks whose turn has only just come.
+#[test]
+fn endless_tasks_whose_turn_has_just_come_leave_kept_racks_alone() {
+    let mut sim = Simulation::new(208, 6, 4);
+    run_on_racks(&mut sim, 0..6, &step(3, 8, 60_000));
+    for n in 0..8 {
+        sim.submit(n, "sweep", "w1", spec(vec![gang(4, 8, 6_000)]), 6_000);
+    }
+    sim.run_for(3_000);
+    let endless = Step {
+        endless: true,
+        depends_on: vec![0],
+        ..step(40, 1, 0)
+    };
+    sim.submit(
+        101,
+        "survey",
+        "w2",
+        spec(vec![step(1, 1, 2_000), endless]),
+        2_000,
+    );
+    sim.run_for(2_900);
+    let busy = (0..6)
+        .filter(|r| !sim.workers[&format!("worker-{r}-3")].runs.is_empty())
+        .count();
+    let runs: usize = (0..6)
+        .map(|r| sim.workers[&format!("worker-{r}-3")].runs.len())
+        .sum();
+    assert!(busy <= 3, "{busy} of 6 racks taken, by {runs} runs");
+}
