Limit how long a gang that can be in time waits for a rack

A gang is spread after the time for which a rack is kept for one: longer than the tasks of the deployments, so that a rack would have been free by then.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 
+use crate::batch::engine::capacity::RACK_RESERVATION_MS;
 use crate::batch::engine::job::Job;
 use crate::batch::engine::waits::REPORT_INTERVAL_MS;
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
@@ -569,6 +570,7 @@
         let round = usize::try_from(step_key.round).unwrap_or(0);
         let inputs = self.rank_inputs(step_key.job, job, round);
         outlook(&inputs, self.now) != Outlook::InTime
+            || job.idle_since.after(RACK_RESERVATION_MS).passed(self.now)
     }
 
     /// Returns workers for an overdue request, whatever capacity is kept free for other work, with the
--- a/marigoldglade/tests/batch_waits.rs
+++ b/marigoldglade/tests/batch_waits.rs
@@ -299,3 +299,14 @@
         .sum();
     assert!(busy <= 3, "{busy} of 6 racks taken, by {runs} runs");
 }
+
+/// Guards against gangs that wait for a whole rack as long as they can still be in time.
+#[test]
+fn a_gang_that_can_be_in_time_waits_for_a_rack_no_longer_than_one_is_kept() {
+    let mut sim = Simulation::new(202, 6, 4);
+    occupy(&mut sim, 0..6, 60_000);
+    sim.submit(1, "sweep", "w1", spec(vec![gang(4, 8, 6_000)]), 6_000);
+    sim.run_for(8_000);
+    assert_eq!(sim.status(1), Some(JobStatus::Queued));
+    assert_starts_soon(&mut sim, 1);
+}
