Count a pool's share once a pass, and name the reason of a wait exactly

The pass adds the shares up once and keeps them up to date; tasks of steps that are done aren't looked at, nor racks for a gang that has one. Workers that are listed and stay count for a pool's capacity, whether or not they can be given work now, as the service's capacity does. The log leaves out jobs with runs, names "shape" only where one of that shape failed, and the shape says whether it is a gang's.

--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -313,6 +313,9 @@
     /// Returns whether one more of the racks that may run a step may be kept free, and the step has none
     /// yet. The limit holds for the racks of its pool, and for those with its label.
     pub(super) fn may_reserve_rack(&self, step_key: StepKey, pool: &str, label: &str) -> bool {
+        if self.has_rack(step_key) {
+            return false;
+        }
         let workers = self.workers.iter();
         let usable = workers.filter(|w| w.matches(pool, "") && w.is_usable(self.now));
         let labelled = usable.clone().filter(|w| w.matches(pool, label));
@@ -323,7 +326,7 @@
             let kept = reservations.filter(|r| racks.contains(&r.rack)).count();
             kept < (racks.len() / RESERVED_RACKS_DIVISOR).max(1)
         };
-        below_limit(&racks_of_pool) && below_limit(&racks_with_label) && !self.has_rack(step_key)
+        below_limit(&racks_of_pool) && below_limit(&racks_with_label)
     }
 
     /// Ends the reservations of racks that have expired or whose gangs are no longer ready, and the newest
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -226,10 +226,12 @@
         self.record.spec.steps[step].depends_on.iter().all(done)
     }
 
-    /// Returns whether a run of the job is, or may be, on a worker.
+    /// Returns whether a run of a task that isn't done is, or may be, on a worker.
     pub fn has_runs(&self) -> bool {
-        let steps = self.rounds.iter().flat_map(|r| &r.steps);
-        steps.flat_map(|s| &s.tasks).any(|t| t.worker.is_some())
+        let steps = &self.record.spec.steps;
+        let states = self.rounds.iter().flat_map(|r| steps.iter().zip(&r.steps));
+        let mut open = states.filter(|(step, state)| state.done < step.count);
+        open.any(|(_, state)| state.tasks.iter().any(|t| t.worker.is_some()))
     }
 
     /// Returns whether a step of a round isn't done and those that it depends on are.
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -67,6 +67,8 @@
     pub reserved: Vec<Resources>,
     /// Tasks with a run that isn't wanted: they wait for its end.
     pub stopping: HashSet<TaskId>,
+    /// What is taken of each pool, and its capacity.
+    pub pools: HashMap<String, (Resources, Resources)>,
 }
 
 impl Pass {
@@ -88,6 +90,7 @@
             reservations: Vec::new(),
             reserved: vec![Resources::default(); self.reserved.len()],
             stopping: self.stopping.clone(),
+            pools: self.pools.clone(),
         }
     }
 
@@ -153,6 +156,7 @@
     pub label: String,
     /// The rack near the step's data.
     pub near_rack: Option<RackKey>,
+    pub gang: bool,
     pub one_rack: bool,
     /// The queue's priority, on which preemption depends; zero is the most urgent.
     pub priority: u32,
@@ -234,6 +238,7 @@
             reservations: Vec::new(),
             reserved: vec![Resources::default(); self.workers.len()],
             stopping: self.stopping_tasks(),
+            pools: self.measure_pools(),
         };
         for reservation in std::mem::take(&mut self.reservations) {
             if !reservation.expires_at.passed(now) && ready.contains(&reservation.step_key) {
@@ -459,6 +464,7 @@
             count: if step.gang { count } else { 1 },
             label: step.label.clone(),
             near_rack: near,
+            gang: step.gang,
             one_rack: demand.one_rack,
             priority: queue.priority,
             guaranteed: self.guaranteed_jobs.contains(&step_key.job),
@@ -592,8 +598,7 @@
                 bins = self.allowed_bins(step_key, bins, demand, out);
             }
             let mut workers = place(step, request, &bins);
-            // A gang runs slower on several racks, but mustn't wait without end while the workers have
-            // room for it twice over.
+            // A gang runs slower on several racks, but mustn't wait without end beside free workers.
             if workers.is_none() && shape.spread && room >= demand.count.saturating_mul(2) {
                 let demand = Demand {
                     one_rack: false,
@@ -666,6 +671,9 @@
         for ((index, key), run) in assignments.into_iter().zip(runs) {
             let used = &mut pass.used[usize::from(key.0)];
             *used = used.plus(&demand.resources);
+            if let Some((taken, _)) = pass.pools.get_mut(&self.worker(key).target.pool) {
+                *taken = taken.plus(&demand.resources);
+            }
             self.start_task(key, TaskId { index, ..id }, run, out);
         }
     }
--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -3,7 +3,7 @@
 //! A planning pass only finds that a request can't be placed now. The log names the reason, for the job
 //! that has waited longest for each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use strum::{Display, IntoStaticStr};
 
@@ -19,14 +19,14 @@
 /// How long work may be held back by capacity that is kept free for other work, in milliseconds: half of
 /// the platform's bound for work that could run.
 const HOLD_LIMIT_MS: u64 = 1_500;
-/// The share of a pool above which that limit doesn't apply, in thousandths.
+/// The share of a pool from which that limit doesn't apply, in thousandths: half, by the platform's rule.
 const BUSY_SHARE: u64 = 500;
 /// How long a job has nothing running before the log names it, in milliseconds.
 const LOGGED_AFTER_MS: u64 = 1_000;
 /// The time between two reports in the log, in milliseconds.
 pub(super) const REPORT_INTERVAL_MS: u64 = 2_000;
 
-/// What holds back work whose turn has come. An earlier reason applies whatever the later ones say.
+/// What holds back work whose turn has come: the first of these that applies.
 #[derive(Clone, Copy, Debug, Display, IntoStaticStr, PartialEq, Eq, PartialOrd, Ord)]
 #[strum(serialize_all = "kebab-case")]
 pub(super) enum Hold {
@@ -60,8 +60,10 @@
     ReservedRacks,
     /// The room is on racks that take no single tasks of the least urgent work.
     GangRacks,
-    /// Nothing does: the pass has taken it for a request of the same shape that couldn't be placed.
+    /// The pass took it for a request of the same shape that couldn't be placed.
     Shape,
+    /// None of these.
+    Unknown,
 }
 
 /// The job that has waited longest for a reason.
@@ -74,6 +76,17 @@
     count: u32,
 }
 
+impl Pass {
+    /// Returns the share of a pool that is taken, in thousandths of its weighted cores.
+    fn pool_share(&self, pool: &str) -> u64 {
+        let Some((taken, capacity)) = self.pools.get(pool) else {
+            return 0;
+        };
+        let share = taken.weighted_cores().saturating_mul(1_000);
+        share.checked_div(capacity.weighted_cores()).unwrap_or(0)
+    }
+}
+
 impl Engine {
     /// Updates since when each job has had nothing running although a task's turn has come.
     pub(super) fn update_idle_times(&mut self) {
@@ -102,23 +115,22 @@
                 .iter()
                 .any(|t| job.is_idle(t, self.now) && limit_passed(t.idle_since));
         }
-        limit_passed(job.idle_since) && self.pool_share(&job.record.queue.pool, pass) < BUSY_SHARE
+        limit_passed(job.idle_since) && pass.pool_share(&job.record.queue.pool) < BUSY_SHARE
     }
 
-    /// Returns the share of the usable workers of a pool that is taken, in thousandths of their weighted
-    /// cores.
-    pub(super) fn pool_share(&self, pool: &str, pass: &Pass) -> u64 {
-        let mut total = Resources::default();
-        let mut used = Resources::default();
-        for key in self.worker_keys() {
-            let worker = self.worker(key);
-            if worker.target.pool == pool && worker.is_usable(self.now) {
-                total = total.plus(&worker.target.capacity);
-                used = used.plus(&pass.used[usize::from(key.0)]);
+    /// Returns what is taken of each pool, and its capacity: that of all workers that are there and stay,
+    /// whether or not they can be given work now.
+    pub(super) fn measure_pools(&self) -> HashMap<String, (Resources, Resources)> {
+        let mut pools: HashMap<String, (Resources, Resources)> = HashMap::new();
+        for worker in &self.workers {
+            let target = &worker.target;
+            if worker.listed && !target.draining {
+                let (taken, capacity) = pools.entry(target.pool.clone()).or_default();
+                *taken = taken.plus(&worker.taken());
+                *capacity = capacity.plus(&target.capacity);
             }
         }
-        let share = used.weighted_cores().saturating_mul(1_000);
-        share.checked_div(total.weighted_cores()).unwrap_or(0)
+        pools
     }
 
     /// Logs, for each reason, the job that has waited longest with nothing running.
@@ -127,7 +139,8 @@
         let mut waiting = 0;
         for (key, job) in &self.jobs {
             let since = job.idle_since;
-            if !job.is_active() || !since.after(LOGGED_AFTER_MS).passed(self.now) {
+            let waits = since.after(LOGGED_AFTER_MS).passed(self.now) && !job.has_runs();
+            if !job.is_active() || !waits {
                 continue;
             }
             waiting += 1;
@@ -154,7 +167,7 @@
             log::info!(
                 job = job.record.id.as_str(), why:% = hold, idle_ms = self.now.since(wait.since),
                 fitting = wait.fitting, count = wait.count, gang, priority = queue.priority,
-                used = self.pool_share(&queue.pool, pass), kept = self.rack_reservations.len(),
+                used = pass.pool_share(&queue.pool), kept = self.rack_reservations.len(),
                 need:% = need, step = wait.step_key.step, jobs = waiting;
                 "work waits"
             );
@@ -196,8 +209,8 @@
         }
         let round = &job.rounds[usize::try_from(step_key.round).unwrap_or(0)];
         let tasks = &round.steps[usize::from(step_key.step)].tasks;
-        let mut open = tasks.iter().filter(|t| step.gang || !t.done);
-        if !open.any(|t| job.is_idle(t, self.now)) {
+        let idle = tasks.iter().filter(|t| job.is_idle(t, self.now)).count();
+        if idle == 0 || (step.gang && idle < tasks.len()) {
             return (Hold::Retry, 0);
         }
         let groups = self.group_tasks(step_key, step, pass);
@@ -282,6 +295,9 @@
         if !fits(&bins) {
             return (Hold::GangRacks, fitting);
         }
-        (Hold::Shape, fitting)
+        if pass.unplaceable.contains(shape) {
+            return (Hold::Shape, fitting);
+        }
+        (Hold::Unknown, fitting)
     }
 }
