Leave kept racks to gangs unless there is room twice over

Overdue work takes kept capacity only if there is room for it twice over, as the platform's rule has it.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -594,12 +594,16 @@
         for avoid in [&request.avoid[..], &[]] {
             bins = self.open_bins(&step_key, shape, avoid, pass);
             let room = count_fitting(&bins, demand, |b| b.used);
+            // Without more room than that, what is kept free is little, and gangs need all of it.
+            if !step.endless && room < shape.count.saturating_mul(2) {
+                continue;
+            }
             if shape.advised.is_some() {
                 bins = self.allowed_bins(step_key, bins, demand, out);
             }
             let mut workers = place(step, request, &bins);
             // A gang runs slower on several racks, but mustn't wait without end beside free workers.
-            if workers.is_none() && shape.spread && room >= demand.count.saturating_mul(2) {
+            if workers.is_none() && shape.spread {
                 let demand = Demand {
                     one_rack: false,
                     ..*demand
--- a/marigoldglade/tests/batch_waits.rs
+++ b/marigoldglade/tests/batch_waits.rs
@@ -8,6 +8,8 @@
 
 use marigoldglade::batch::messages::JobStatus;
 use marigoldglade::batch::spec::Step;
+use marigoldglade::batch::worker::Resources;
+use rstest::rstest;
 use simulation::{Simulation, job_id, queue, spec, step};
 
 /// How long work may have nothing running beside free workers, in milliseconds: the platform's bound.
@@ -21,6 +23,17 @@
     }
 }
 
+/// Tasks of which a worker's memory holds one, as those of the deployment's sweeps.
+fn large(count: u32, estimate_ms: u64) -> Step {
+    let mut step = step(count, 1, estimate_ms);
+    step.resources = Resources {
+        cpu: 13_000,
+        mem: 68_000,
+        accels: 1,
+    };
+    step
+}
+
 /// Runs such tasks on each of these racks.
 fn run_on_racks(sim: &mut Simulation, racks: std::ops::Range<u64>, tasks: &Step) {
     for rack in racks {
@@ -310,3 +323,30 @@
     assert_eq!(sim.status(1), Some(JobStatus::Queued));
     assert_starts_soon(&mut sim, 1);
 }
+
+/// Guards gangs in a fleet without free memory: its share of cores is low, but that leaves no more room.
+#[rstest]
+fn small_work_leaves_racks_to_gangs_in_a_fleet_without_free_memory(
+    #[values(207, 217, 227)] seed: u64,
+) {
+    let mut sim = Simulation::new(seed, 6, 4);
+    for n in 0..400 {
+        let ms = 3_000 + n % 7 * 300;
+        sim.submit(100 + n, "survey", "w2", spec(vec![large(1, ms)]), ms);
+    }
+    sim.run_for(500);
+    let gang = Step {
+        gang: true,
+        one_rack: true,
+        ..large(4, 4_000)
+    };
+    sim.submit(1, "sweep", "w1", spec(vec![gang]), 4_000);
+    let began = sim.now;
+    sim.run_for(40_000);
+    let waited = sim.started_at.get(&job_id(1)).map(|at| at - began);
+    // Its rack is kept free after 1.5 s, and four tasks of at most 4.8 s have to end there.
+    assert!(
+        waited.is_some_and(|ms| ms < 9_000),
+        "the gang waited {waited:?} ms"
+    );
+}
