Answer requests that came whole behind another one on a stop

A caller that wrote several requests back to back on one connection got the answer to the first one with `connection: close` when the daemon was stopping, and none to those behind it, though they had been read long before.

Cause: every answer of a stopping daemon, and the HTTP library's graceful shutdown, close the connection after the answer in progress; what the library had read ahead was dropped.

A connection now counts the requests that came whole and those that were answered. Only the answer to the last one closes it, and the graceful shutdown waits until all were answered. A request of which only a part has come is dropped as before, and so are those behind a chunked request, whose end isn't looked for. RFC 9112 lets a server drop such requests; the rule on planned work doesn't.

--- a/marigoldgladed/src/batch/front.rs
+++ b/marigoldgladed/src/batch/front.rs
@@ -25,6 +25,7 @@
 
 use crate::batch::calls::RETRY_AFTER_MS;
 use crate::batch::{Node, clock};
+use crate::pipeline::Pipeline;
 
 /// How long a caller waits when its call names no deadline, in milliseconds; the deadline that
 /// deployments use.
@@ -126,11 +127,12 @@
 async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
     let close = node.stop.wait_close();
     let limits = node.policy().map_or_else(Limits::default, |p| p.limits);
+    let (pipeline, stream) = Pipeline::new(stream);
     let service = {
-        let node = Rc::clone(&node);
+        let (node, pipeline) = (Rc::clone(&node), pipeline.clone());
         service_fn(move |request| {
-            let node = Rc::clone(&node);
-            async move { Ok::<_, Infallible>(respond(node, request).await) }
+            let (node, pipeline) = (Rc::clone(&node), pipeline.clone());
+            async move { Ok::<_, Infallible>(respond(node, request, &pipeline).await) }
         })
     };
     let connection = http1::Builder::new()
@@ -140,6 +142,11 @@
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    // Requests that have come whole are answered first.
+    let close = async {
+        close.await;
+        pipeline.wait_answered().await;
+    };
     tokio::select! {
         _ = connection.as_mut() => {}
         () = close => {
@@ -152,7 +159,7 @@
 /// The smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-async fn respond(node: Rc<Node>, request: Request<Incoming>) -> HttpResponse {
+async fn respond(node: Rc<Node>, request: Request<Incoming>, pipeline: &Pipeline) -> HttpResponse {
     let _in_flight = node.stop.track();
     let began = clock::now();
     let (parts, body) = request.into_parts();
@@ -167,7 +174,8 @@
     node.metrics
         .record_call(kind, answer.status().as_u16(), took_ms);
     let mut answer = answer.map(Full::new);
-    if node.stop.is_stopping() {
+    let is_last = !pipeline.answer();
+    if is_last && node.stop.is_stopping() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
     }
--- a/marigoldgladed/src/front.rs
+++ b/marigoldgladed/src/front.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,6 +25,7 @@
 use tokio::sync::Semaphore;
 
 use crate::app::App;
+use crate::pipeline::Pipeline;
 use crate::{clock, spans};
 
 /// The most headers of a request.
@@ -61,11 +62,12 @@
 async fn serve_connection(app: Arc<App>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let read_timeout = Duration::from_millis(app.settings.limits.read_ms);
+    let (pipeline, stream) = Pipeline::new(stream);
     let service = {
-        let app = Arc::clone(&app);
+        let (app, pipeline) = (Arc::clone(&app), pipeline.clone());
         service_fn(move |request| {
-            let app = Arc::clone(&app);
-            async move { Ok::<_, Infallible>(handle(app, request).await) }
+            let (app, pipeline) = (Arc::clone(&app), pipeline.clone());
+            async move { Ok::<_, Infallible>(handle(app, request, &pipeline).await) }
         })
     };
     let connection = http1::Builder::new()
@@ -75,16 +77,21 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    // Requests that have come whole are answered first.
+    let stop = async {
+        app.stop.wait_begun().await;
+        pipeline.wait_answered().await;
+    };
     tokio::select! {
         _ = connection.as_mut() => {}
-        () = app.stop.wait_begun() => {
+        () = stop => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
     }
 }
 
-async fn handle(app: Arc<App>, request: Request<Incoming>) -> Answer {
+async fn handle(app: Arc<App>, request: Request<Incoming>, pipeline: &Pipeline) -> Answer {
     let _in_flight = app.stop.track();
     let (parts, body) = request.into_parts();
     let work = async {
@@ -93,7 +100,13 @@
     };
     let call = spans::in_span("call", SpanKind::Server, parts.uri.path().to_owned(), work);
     let result = call.with_context(spans::extract(&parts.headers)).await;
-    result.unwrap_or_else(|e| problem(&e))
+    let mut answer = result.unwrap_or_else(|e| problem(&e));
+    let is_last = !pipeline.answer();
+    if is_last && app.stop.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
 }
 
 /// Reads a complete body within the limits of size and time.
--- a/marigoldgladed/src/main.rs
+++ b/marigoldgladed/src/main.rs
@@ -17,6 +17,7 @@
 mod logs;
 mod mesh;
 mod operators;
+mod pipeline;
 mod pool;
 mod requests;
 mod roles;
--- /dev/null
+++ b/marigoldgladed/src/pipeline.rs
@@ -0,0 +1,196 @@
+//! Requests that callers write back to back on one connection (HTTP pipelining, RFC 9112, section 9.3.2).
+//!
+//! The HTTP library reads them together and drops those behind an answer that closes the connection. A
+//! [`Pipeline`] counts the requests that came whole, so that only the answer to the last one closes it.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// The most bytes of a header that are kept, to find the length of a body.
+const KEPT_BYTES: usize = 64;
+
+/// How many requests on a connection came whole, and how many were answered.
+#[derive(Clone, Copy, Default)]
+struct Counts {
+    received: u64,
+    answered: u64,
+}
+
+/// The requests of one connection.
+#[derive(Clone)]
+pub(crate) struct Pipeline(Arc<watch::Sender<Counts>>);
+
+impl Pipeline {
+    /// Creates the pipeline of a connection, and the stream that keeps it up to date.
+    pub(crate) fn new(stream: TcpStream) -> (Self, CountedStream) {
+        let pipeline = Self(Arc::default());
+        let counted = CountedStream {
+            stream,
+            framing: Framing::new(),
+            pipeline: pipeline.clone(),
+        };
+        (pipeline, counted)
+    }
+
+    /// Counts a request as answered; returns whether a further one has come whole.
+    pub(crate) fn answer(&self) -> bool {
+        self.0.send_modify(|c| c.answered += 1);
+        let counts = *self.0.borrow();
+        counts.received > counts.answered
+    }
+
+    /// Waits until every request that came whole was answered.
+    pub(crate) async fn wait_answered(&self) {
+        let mut counts = self.0.subscribe();
+        let _ = counts.wait_for(|c| c.received <= c.answered).await;
+    }
+
+    fn receive(&self, requests: u64) {
+        if requests > 0 {
+            self.0.send_modify(|c| c.received += requests);
+        }
+    }
+}
+
+/// Where the next byte of a connection belongs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// Before a request line; empty lines are skipped.
+    Start,
+    Head,
+    /// In a body of which this many bytes are still to come.
+    Body(u64),
+    /// In a request whose end can't be told by its head; nothing is counted from there on.
+    Unknown,
+}
+
+/// Finds the ends of requests in the bytes of a connection.
+struct Framing {
+    place: Place,
+    /// The beginning of the present line.
+    line: Vec<u8>,
+    /// The length of the body of the present request.
+    length: Option<u64>,
+}
+
+impl Framing {
+    fn new() -> Self {
+        Self {
+            place: Place::Start,
+            line: Vec::new(),
+            length: Some(0),
+        }
+    }
+
+    /// Takes the next bytes and returns how many requests end in them.
+    fn take(&mut self, mut bytes: &[u8]) -> u64 {
+        let mut ends = 0;
+        while !bytes.is_empty() && self.place != Place::Unknown {
+            if let Place::Body(left) = self.place {
+                let taken = bytes.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                bytes = &bytes[taken..];
+                self.place = Place::Body(left - taken as u64);
+            } else {
+                let end = bytes.iter().position(|b| *b == b'\n');
+                let part = &bytes[..end.unwrap_or(bytes.len())];
+                let room = KEPT_BYTES - self.line.len();
+                self.line.extend_from_slice(&part[..part.len().min(room)]);
+                bytes = &bytes[end.map_or(bytes.len(), |at| at + 1)..];
+                if end.is_some() {
+                    self.end_line();
+                }
+            }
+            if self.place == Place::Body(0) {
+                self.place = Place::Start;
+                ends += 1;
+            }
+        }
+        ends
+    }
+
+    fn end_line(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        let line = line.trim_ascii();
+        match self.place {
+            Place::Start if !line.is_empty() => {
+                self.place = Place::Head;
+                self.length = Some(0);
+            }
+            Place::Head if line.is_empty() => {
+                self.place = self.length.map_or(Place::Unknown, Place::Body);
+            }
+            Place::Head => self.read_header(line),
+            Place::Start | Place::Body(_) | Place::Unknown => {}
+        }
+    }
+
+    fn read_header(&mut self, line: &[u8]) {
+        let Some(colon) = line.iter().position(|b| *b == b':') else {
+            return;
+        };
+        let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
+        if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            self.length = None;
+        } else if name.eq_ignore_ascii_case(b"content-length") && self.length.is_some() {
+            let value = std::str::from_utf8(value).ok();
+            self.length = value.and_then(|v| v.parse().ok());
+        }
+    }
+}
+
+/// A connection whose requests are counted as they are read.
+pub(crate) struct CountedStream {
+    stream: TcpStream,
+    framing: Framing,
+    pipeline: Pipeline,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let requests = self.framing.take(&buf.filled()[before..]);
+        self.pipeline.receive(requests);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/marigoldgladed/tests/stops.rs
+++ b/marigoldgladed/tests/stops.rs
@@ -3,8 +3,9 @@
 #[path = "support/cluster.rs"]
 #[expect(dead_code, reason = "the cluster serves several test files")]
 mod cluster;
+#[path = "support/fleet.rs"]
+mod fleet;
 #[path = "support/http.rs"]
-#[expect(dead_code, reason = "the answers serve several test files")]
 mod http;
 
 use std::io::{BufReader, Write as _};
@@ -12,6 +13,7 @@
 use std::time::Duration;
 
 use cluster::{Cluster, job, wait_until};
+use fleet::{CONFIG, Fleet};
 use http::read_answer;
 use platform_standin::store::Behaviour;
 
@@ -63,3 +65,52 @@
     let answer = read_answer(&mut BufReader::new(stream));
     assert_eq!(answer.map(|a| (a.status, a.closes)), Ok((200, true)));
 }
+
+/// Guards against requests that were read together with an earlier one and dropped unanswered, since the
+/// answer to that one closed the connection.
+#[test]
+fn requests_written_back_to_back_are_answered_on_a_stop() {
+    let mut c = Cluster::new(1, 1);
+    let stream = write_slow_calls(&c, &["POST", "GET", "GET"]);
+    c.daemons[0].signal("TERM");
+    wait_until("the stop", || !c.daemons[0].is_ready());
+    let mut input = BufReader::new(stream);
+    for closes in [false, false, true] {
+        let answer = read_answer(&mut input);
+        assert_eq!(answer.map(|a| a.closes), Ok(closes));
+    }
+    assert!(c.daemons[0].wait().success());
+}
+
+/// As above, in front of a slow target.
+#[test]
+fn requests_written_back_to_back_to_a_target_are_answered_on_a_stop() {
+    let mut fleet = Fleet::start(1, 0, CONFIG);
+    fleet.wait_runners();
+    let url = format!("http://{}/control", fleet.runners[0].addr);
+    assert_eq!(
+        fleet::call("PUT", &url, &[], r#"{"work_ms": 700}"#).status,
+        204
+    );
+    let before = fleet.count_runs();
+    let mut stream = connect(&fleet.first().process.addr.to_string());
+    let text = |body: &str| {
+        let length = body.len();
+        format!(
+            "POST /v1/request/helmet HTTP/1.1\r\nhost: h\r\nContent-Length:{length}\r\n\r\n{body}"
+        )
+    };
+    let texts = [text("first"), text(""), text("a\r\n\r\nb")].concat();
+    stream.write_all(texts.as_bytes()).expect("it is sent");
+    fleet::wait_for("a request at the target", || {
+        (fleet.count_runs() == before + 1).then_some(())
+    });
+    fleet.daemons[0].process.signal("TERM");
+    let mut input = BufReader::new(stream);
+    for (status, closes) in [(200, false), (503, false), (503, true)] {
+        let answer = read_answer(&mut input).expect("a whole answer");
+        assert_eq!((answer.status, answer.closes), (status, closes));
+        assert!(status != 200 || answer.body == "first");
+    }
+    assert!(fleet.daemons[0].process.wait().success());
+}
