Keep a daemon without `platform` alive on SIGHUP

Callers whose requests were in flight at a daemon of the product's own platform were cut off when it got a SIGHUP.

Cause: only daemons with `platform` in their settings handle the signal; by default it ends the process.

Evidence: `a_sighup_cuts_off_no_request` failed before the change (1 of 1: no byte of the answer) and passes now.

--- a/marigoldgladed/src/app.rs
+++ b/marigoldgladed/src/app.rs
@@ -56,6 +56,8 @@
 async fn serve(mut settings: Settings, ready: impl FnOnce(&Settings)) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).map_err(internal)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(internal)?;
+    // Nothing is reloaded, but by default the signal would end the process.
+    let _hangup = signal(SignalKind::hangup()).map_err(internal)?;
     let listener = TcpListener::bind(settings.listen).await.map_err(internal)?;
     settings.listen = listener.local_addr().map_err(internal)?;
     let mesh_listener = TcpListener::bind(settings.mesh).await.map_err(internal)?;
--- a/marigoldgladed/tests/stops.rs
+++ b/marigoldgladed/tests/stops.rs
@@ -114,3 +114,26 @@
     }
     assert!(fleet.daemons[0].process.wait().success());
 }
+
+/// Guards against requests that were cut off by a SIGHUP, which ended a daemon without `platform` at once.
+#[test]
+fn a_sighup_cuts_off_no_request() {
+    let fleet = Fleet::start(1, 0, CONFIG);
+    fleet.wait_runners();
+    let url = format!("http://{}/control", fleet.runners[0].addr);
+    assert_eq!(
+        fleet::call("PUT", &url, &[], r#"{"work_ms": 700}"#).status,
+        204
+    );
+    let before = fleet.count_runs();
+    let mut stream = connect(&fleet.first().process.addr.to_string());
+    let text = "POST /v1/request/helmet HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\ncheck";
+    stream.write_all(text.as_bytes()).expect("it is sent");
+    fleet::wait_for("a request at the target", || {
+        (fleet.count_runs() == before + 1).then_some(())
+    });
+    fleet.daemons[0].process.signal("HUP");
+    let answer = read_answer(&mut BufReader::new(stream)).expect("a whole answer");
+    assert_eq!((answer.status, answer.body.as_str()), (200, "check"));
+    assert!(fleet.first().is_ready());
+}
