Answer pipelined requests that had come in part on a stop, too

While it answers a request, the HTTP library reads no further once it has bytes of the next one. A request written back to back of which a part had been read, and the rest waited in the kernel, was dropped behind an answer that closed the connection, however long before that its last byte had been sent.

An answer closes the connection only if no further request has begun to arrive.

--- a/marigoldgladed/src/pipeline.rs
+++ b/marigoldgladed/src/pipeline.rs
@@ -1,7 +1,7 @@
 //! Requests that callers write back to back on one connection (HTTP pipelining, RFC 9112, section 9.3.2).
 //!
 //! The HTTP library reads them together and drops those behind an answer that closes the connection. A
-//! [`Pipeline`] counts the requests that came whole, so that only the answer to the last one closes it.
+//! [`Pipeline`] counts the requests that have come, so that only the answer to the last one closes it.
 
 use std::io;
 use std::pin::Pin;
@@ -15,9 +15,10 @@
 /// The most bytes of a header that are kept, to find the length of a body.
 const KEPT_BYTES: usize = 64;
 
-/// How many requests on a connection came whole, and how many were answered.
+/// How many requests on a connection began to arrive, how many came whole, and how many were answered.
 #[derive(Clone, Copy, Default)]
 struct Counts {
+    begun: u64,
     received: u64,
     answered: u64,
 }
@@ -38,11 +39,12 @@
         (pipeline, counted)
     }
 
-    /// Counts a request as answered; returns whether a further one has come whole.
+    /// Counts a request as answered; returns whether a further one has begun to arrive. Its rest may wait in the
+    /// kernel, since the HTTP library doesn't read while it has bytes of a further request.
     pub(crate) fn answer(&self) -> bool {
         self.0.send_modify(|c| c.answered += 1);
         let counts = *self.0.borrow();
-        counts.received > counts.answered
+        counts.begun > counts.answered
     }
 
     /// Waits until every request that came whole was answered.
@@ -51,10 +53,12 @@
         let _ = counts.wait_for(|c| c.received <= c.answered).await;
     }
 
-    fn receive(&self, requests: u64) {
-        if requests > 0 {
-            self.0.send_modify(|c| c.received += requests);
-        }
+    fn set_received(&self, begun: u64, received: u64) {
+        self.0.send_if_modified(|c| {
+            let changed = (c.begun, c.received) != (begun, received);
+            (c.begun, c.received) = (begun, received);
+            changed
+        });
     }
 }
 
@@ -77,6 +81,9 @@
     line: Vec<u8>,
     /// The length of the body of the present request.
     length: Option<u64>,
+    /// The number of requests that have begun, and of those that have ended.
+    begun: u64,
+    ended: u64,
 }
 
 impl Framing {
@@ -85,12 +92,13 @@
             place: Place::Start,
             line: Vec::new(),
             length: Some(0),
+            begun: 0,
+            ended: 0,
         }
     }
 
-    /// Takes the next bytes and returns how many requests end in them.
-    fn take(&mut self, mut bytes: &[u8]) -> u64 {
-        let mut ends = 0;
+    /// Takes the next bytes.
+    fn take(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() && self.place != Place::Unknown {
             if let Place::Body(left) = self.place {
                 let taken = bytes.len().min(usize::try_from(left).unwrap_or(usize::MAX));
@@ -99,6 +107,11 @@
             } else {
                 let end = bytes.iter().position(|b| *b == b'\n');
                 let part = &bytes[..end.unwrap_or(bytes.len())];
+                if self.place == Place::Start && !part.trim_ascii().is_empty() {
+                    self.place = Place::Head;
+                    self.length = Some(0);
+                    self.begun += 1;
+                }
                 let room = KEPT_BYTES - self.line.len();
                 self.line.extend_from_slice(&part[..part.len().min(room)]);
                 bytes = &bytes[end.map_or(bytes.len(), |at| at + 1)..];
@@ -108,20 +121,15 @@
             }
             if self.place == Place::Body(0) {
                 self.place = Place::Start;
-                ends += 1;
+                self.ended += 1;
             }
         }
-        ends
     }
 
     fn end_line(&mut self) {
         let line = std::mem::take(&mut self.line);
         let line = line.trim_ascii();
         match self.place {
-            Place::Start if !line.is_empty() => {
-                self.place = Place::Head;
-                self.length = Some(0);
-            }
             Place::Head if line.is_empty() => {
                 self.place = self.length.map_or(Place::Unknown, Place::Body);
             }
@@ -159,8 +167,10 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        let requests = self.framing.take(&buf.filled()[before..]);
-        self.pipeline.receive(requests);
+        let this = &mut *self;
+        this.framing.take(&buf.filled()[before..]);
+        this.pipeline
+            .set_received(this.framing.begun, this.framing.ended);
         Poll::Ready(Ok(()))
     }
 }
--- a/marigoldgladed/tests/stops.rs
+++ b/marigoldgladed/tests/stops.rs
@@ -16,6 +16,7 @@
 use fleet::{CONFIG, Fleet};
 use http::read_answer;
 use platform_standin::store::Behaviour;
+use rstest::rstest;
 
 /// How long an answer is waited for, beyond every bound of the daemon.
 const READ_LIMIT: Duration = Duration::from_secs(9);
@@ -41,13 +42,15 @@
 }
 
 /// Writes submissions of job 1 and reads of it back to back on a new connection, and waits until the
-/// submission is on record; the store's answer to that is still to come then.
-fn write_slow_calls(cluster: &Cluster, methods: &[&str]) -> TcpStream {
+/// submission is on record; the store's answer to that is still to come then. The last bytes, `rest` of them,
+/// aren't written.
+fn write_slow_calls(cluster: &Cluster, methods: &[&str], rest: usize) -> TcpStream {
     let daemon = &cluster.daemons[0];
     daemon.endpoint.set(Behaviour::Slow);
     let mut stream = connect(&daemon.front);
     let text: String = methods.iter().map(|m| request_text(m)).collect();
-    stream.write_all(text.as_bytes()).expect("it is sent");
+    let text = &text.as_bytes()[..text.len() - rest];
+    stream.write_all(text).expect("it is sent");
     wait_until("the submission", || {
         !cluster.store.keys("mg/jobs/").is_empty()
     });
@@ -58,7 +61,7 @@
 #[test]
 fn a_second_sigterm_cuts_off_no_call() {
     let c = Cluster::new(1, 1);
-    let stream = write_slow_calls(&c, &["POST"]);
+    let stream = write_slow_calls(&c, &["POST"], 0);
     c.daemons[0].signal("TERM");
     wait_until("the stop", || !c.daemons[0].is_ready());
     c.daemons[0].signal("TERM");
@@ -68,12 +71,18 @@
 
 /// Guards against requests that were read together with an earlier one and dropped unanswered, since the
 /// answer to that one closed the connection.
-#[test]
-fn requests_written_back_to_back_are_answered_on_a_stop() {
+#[rstest]
+#[case::all_at_once(0)]
+#[case::the_last_one_in_part(10)]
+fn requests_written_back_to_back_are_answered_on_a_stop(#[case] rest: usize) {
     let mut c = Cluster::new(1, 1);
-    let stream = write_slow_calls(&c, &["POST", "GET", "GET"]);
+    let mut stream = write_slow_calls(&c, &["POST", "GET", "GET"], rest);
     c.daemons[0].signal("TERM");
     wait_until("the stop", || !c.daemons[0].is_ready());
+    let text = request_text("GET");
+    stream
+        .write_all(&text.as_bytes()[text.len() - rest..])
+        .expect("it is sent");
     let mut input = BufReader::new(stream);
     for closes in [false, false, true] {
         let answer = read_answer(&mut input);
