Send answers whole before a stop or a close ends the connection

Callers of a daemon without `platform` that read slowly got a part of an answer, or none of several, when the daemon was stopped.

Cause: a call counted as in flight until its answer was made, not until it was written, so the process ended while answers waited for room in the caller's buffers. Besides, a connection that was closed with unread bytes of further requests was reset by the kernel, which drops answers that are under way.

A connection counts as in flight until it is closed; a stop closes idle ones at once. After the last answer, what the caller still sends is read and dropped for up to 2 s (RFC 9112, section 9.6), also by daemons with `platform`.

--- a/marigoldgladed/src/front.rs
+++ b/marigoldgladed/src/front.rs
@@ -60,6 +60,8 @@
 }
 
 async fn serve_connection(app: Arc<App>, stream: TcpStream) {
+    // A call is in flight until its answer is written. A stop closes idle connections at once.
+    let _in_flight = app.stop.track();
     let _ = stream.set_nodelay(true);
     let read_timeout = Duration::from_millis(app.settings.limits.read_ms);
     let (pipeline, stream) = Pipeline::new(stream);
@@ -92,7 +94,6 @@
 }
 
 async fn handle(app: Arc<App>, request: Request<Incoming>, pipeline: &Pipeline) -> Answer {
-    let _in_flight = app.stop.track();
     let (parts, body) = request.into_parts();
     let work = async {
         let body = read_body(&app, body).await?;
--- a/marigoldgladed/src/pipeline.rs
+++ b/marigoldgladed/src/pipeline.rs
@@ -7,13 +7,19 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Sleep;
 
 /// The most bytes of a header that are kept, to find the length of a body.
 const KEPT_BYTES: usize = 64;
+/// How long the rest of what a caller sends is read after the last answer, in milliseconds.
+const LINGER_MS: u64 = 2_000;
+/// How many bytes are read at a time then.
+const DISCARD_BYTES: usize = 4 << 10;
 
 /// How many requests on a connection began to arrive, how many came whole, and how many were answered.
 #[derive(Clone, Copy, Default)]
@@ -35,6 +41,8 @@
             stream,
             framing: Framing::new(),
             pipeline: pipeline.clone(),
+            linger: None,
+            has_discarded: false,
         };
         (pipeline, counted)
     }
@@ -157,6 +165,30 @@
     stream: TcpStream,
     framing: Framing,
     pipeline: Pipeline,
+    /// Ends the reads after the last answer; `None` before that.
+    linger: Option<Pin<Box<Sleep>>>,
+    /// Whether something was read after the last answer.
+    has_discarded: bool,
+}
+
+impl CountedStream {
+    /// Reads and drops what the caller still sends, until it closes the connection; ends at once if nothing
+    /// waits to be read. Bytes that are left unread make the kernel reset the connection, by which the
+    /// caller may lose answers (RFC 9112, section 9.6).
+    fn poll_discard(&mut self, linger: Pin<&mut Sleep>, cx: &mut Context<'_>) -> Poll<()> {
+        if linger.poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        let mut bytes = [0; DISCARD_BYTES];
+        loop {
+            let mut buf = ReadBuf::new(&mut bytes);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+            if read.is_err() || buf.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            self.has_discarded = true;
+        }
+    }
 }
 
 impl AsyncRead for CountedStream {
@@ -201,6 +233,20 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let this = &mut *self;
+        let mut linger = match this.linger.take() {
+            Some(linger) => linger,
+            None => {
+                ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+                Box::pin(tokio::time::sleep(Duration::from_millis(LINGER_MS)))
+            }
+        };
+        let ended = this.poll_discard(linger.as_mut(), cx).is_ready();
+        this.linger = Some(linger);
+        if ended || !this.has_discarded {
+            Poll::Ready(Ok(()))
+        } else {
+            Poll::Pending
+        }
     }
 }
--- a/marigoldgladed/tests/stops.rs
+++ b/marigoldgladed/tests/stops.rs
@@ -45,7 +45,7 @@
 /// submission is on record; the store's answer to that is still to come then. The last bytes, `rest` of them,
 /// aren't written.
 fn write_slow_calls(cluster: &Cluster, methods: &[&str], rest: usize) -> TcpStream {
-    let daemon = &cluster.daemons[0];
+    let daemon = &cluster.daemons[cluster.owner()];
     daemon.endpoint.set(Behaviour::Slow);
     let mut stream = connect(&daemon.front);
     let text: String = methods.iter().map(|m| request_text(m)).collect();
@@ -146,3 +146,41 @@
     assert_eq!((answer.status, answer.body.as_str()), (200, "check"));
     assert!(fleet.first().is_ready());
 }
+
+/// Guards against answers that were cut off because the daemon ended before a slow caller had read them.
+#[test]
+fn answers_are_sent_whole_before_the_daemon_ends() {
+    let mut fleet = Fleet::start(1, 0, CONFIG);
+    fleet.wait_runners();
+    let before = fleet.count_runs();
+    let stream = connect(&fleet.first().process.addr.to_string());
+    let mut output = stream.try_clone().expect("a second handle");
+    std::thread::spawn(move || {
+        let body = "x".repeat(1_000_000);
+        let length = body.len();
+        let head = format!(
+            "POST /v1/request/helmet HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n\r\n"
+        );
+        let request = [head, body].concat();
+        // Ends when the daemon closes the connection.
+        while output.write_all(request.as_bytes()).is_ok() {}
+    });
+    // The caller reads nothing, so the answers fill the buffers.
+    let mut sent = 0;
+    fleet::wait_for("answers that aren't read", || {
+        std::thread::sleep(Duration::from_millis(500));
+        let last = std::mem::replace(&mut sent, fleet.count_runs() - before);
+        (sent > 1 && sent == last).then_some(())
+    });
+    fleet.daemons[0].process.signal("TERM");
+    fleet::wait_for("the stop", || (!fleet.first().is_ready()).then_some(()));
+    // Much longer than the daemon needs to end with nothing in flight.
+    std::thread::sleep(Duration::from_secs(1));
+    let mut input = BufReader::new(stream);
+    for i in 0..sent {
+        let answer = read_answer(&mut input);
+        let answer = answer.map(|a| (a.status, a.body.len()));
+        assert_eq!(answer, Ok((200, 1_000_000)), "{i} of {sent}");
+    }
+    assert!(fleet.daemons[0].process.wait().success());
+}
