Hold the store's answers in the tests of stops

The tests of a second SIGTERM and of pipelined requests let the store answer 0.7 s late and waited for the submission to come on record.

The answers are held now until the signals are sent, and a refused submission is followed by another one.

--- a/marigoldgladed/tests/stops.rs
+++ b/marigoldgladed/tests/stops.rs
@@ -10,16 +10,20 @@
 
 use std::io::{BufReader, Write as _};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cluster::{Cluster, job, wait_until};
 use fleet::{CONFIG, Fleet};
 use http::read_answer;
-use platform_standin::store::Behaviour;
 use rstest::rstest;
+use standin::batch_worker::LEASE_LIMIT_MS;
+use standin::proxy::{Flow, Proxy};
 
 /// How long an answer is waited for, beyond every bound of the daemon.
 const READ_LIMIT: Duration = Duration::from_secs(9);
+/// How often a submission is tried, and how long it may take to come on record.
+const TRIES: u64 = 50;
+const TRY_TIME: Duration = Duration::from_millis(500);
 
 fn connect(addr: &str) -> TcpStream {
     let stream = TcpStream::connect(addr).expect("the daemon listens");
@@ -29,42 +33,62 @@
     stream
 }
 
-fn request_text(method: &str) -> String {
+fn request_text(method: &str, id: u64) -> String {
     let body = match method {
         "POST" => job("run_ms=50", 1).to_string(),
         _ => String::new(),
     };
     format!(
-        "{method} /sweep/0000000000000001 HTTP/1.1\r\nhost: h.example\r\nauthorization: Token secret\r\n\
+        "{method} /sweep/{id:016x} HTTP/1.1\r\nhost: h.example\r\nauthorization: Token secret\r\n\
          deadline-ms: 3000\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     )
 }
 
-/// Writes submissions of job 1 and reads of it back to back on a new connection, and waits until the
-/// submission is on record; the store's answer to that is still to come then. The last bytes, `rest` of them,
-/// aren't written.
-fn write_slow_calls(cluster: &Cluster, methods: &[&str], rest: usize) -> TcpStream {
-    let daemon = &cluster.daemons[cluster.owner()];
-    daemon.endpoint.set(Behaviour::Slow);
-    let mut stream = connect(&daemon.front);
-    let text: String = methods.iter().map(|m| request_text(m)).collect();
-    let text = &text.as_bytes()[..text.len() - rest];
-    stream.write_all(text).expect("it is sent");
-    wait_until("the submission", || {
-        !cluster.store.keys("mg/jobs/").is_empty()
-    });
-    stream
+/// Returns the path between the daemon and the store.
+fn store_path(cluster: &Cluster) -> &Proxy {
+    &cluster.paths["daemon-0"].store
+}
+
+/// Writes a submission and reads of the job back to back on a new connection, all but the last bytes, `rest`
+/// of them. Returns the connection and these bytes when the submission is on record; the daemon doesn't
+/// hear from the store then.
+fn write_held_calls(cluster: &Cluster, methods: &[&str], rest: usize) -> (TcpStream, Vec<u8>) {
+    let daemon = &cluster.daemons[0];
+    for id in 1..TRIES {
+        let first = TRIES + id;
+        wait_until("an owner that takes jobs", || {
+            daemon.submit(first, &job("run_ms=50", 1)) == 200
+        });
+        wait_until("completion", || daemon.state(first) == "completed");
+        store_path(cluster).set_responses(Flow::Held);
+        let mut stream = connect(&daemon.front);
+        let text: String = methods.iter().map(|m| request_text(m, id)).collect();
+        let (now, later) = text.as_bytes().split_at(text.len() - rest);
+        stream.write_all(now).expect("it is sent");
+        let key = format!("mg/jobs/{id:016x}");
+        let end = Instant::now() + TRY_TIME;
+        while Instant::now() < end {
+            if !cluster.store.keys(&key).is_empty() {
+                return (stream, later.to_vec());
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        // The daemon wasn't the owner yet, or its submission waits behind another commit.
+        store_path(cluster).set_responses(Flow::Open);
+    }
+    panic!("no submission came on record");
 }
 
 /// Guards against calls that were cut off by a SIGTERM that came while the daemon was stopping.
 #[test]
 fn a_second_sigterm_cuts_off_no_call() {
-    let c = Cluster::new(1, 1);
-    let stream = write_slow_calls(&c, &["POST"], 0);
+    let c = Cluster::with_paths(1, 1, LEASE_LIMIT_MS);
+    let (stream, _) = write_held_calls(&c, &["POST"], 0);
     c.daemons[0].signal("TERM");
     wait_until("the stop", || !c.daemons[0].is_ready());
     c.daemons[0].signal("TERM");
+    store_path(&c).set_responses(Flow::Open);
     let answer = read_answer(&mut BufReader::new(stream));
     assert_eq!(answer.map(|a| (a.status, a.closes)), Ok((200, true)));
 }
@@ -75,14 +99,12 @@
 #[case::all_at_once(0)]
 #[case::the_last_one_in_part(10)]
 fn requests_written_back_to_back_are_answered_on_a_stop(#[case] rest: usize) {
-    let mut c = Cluster::new(1, 1);
-    let mut stream = write_slow_calls(&c, &["POST", "GET", "GET"], rest);
+    let mut c = Cluster::with_paths(1, 1, LEASE_LIMIT_MS);
+    let (mut stream, later) = write_held_calls(&c, &["POST", "GET", "GET"], rest);
     c.daemons[0].signal("TERM");
     wait_until("the stop", || !c.daemons[0].is_ready());
-    let text = request_text("GET");
-    stream
-        .write_all(&text.as_bytes()[text.len() - rest..])
-        .expect("it is sent");
+    stream.write_all(&later).expect("it is sent");
+    store_path(&c).set_responses(Flow::Open);
     let mut input = BufReader::new(stream);
     for closes in [false, false, true] {
         let answer = read_answer(&mut input);
