Log a submission at each point from its acceptance to the next owner

A soak's accepted job was answered 410 after its owner was lost, and no line named it before it was asked for, so it couldn't be told whether it had been recorded, refused, left in the inbox, loaded or deleted.

The owner now names a submission when it isn't recorded and why, when one from the inbox is recorded, when a refusal is announced, when it loads a job that was accepted within the last 5 s (at most 64 of them), and when the record of an ended job is deleted. A daemon names the revision of an entry that it leaves in the inbox, why it left none, and a job that the store doesn't know. The job, the call, its reply, the term, commit and revision come before the other fields. No decision changes; all lines are below WARN and count for the rate limit.

The new test failed before (no term and commit in "job accepted") and passes.

--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -243,6 +243,7 @@
             }
             self.advice.retain(|step_key, _| step_key.job != key);
             if let Some(job) = self.jobs.remove(&key) {
+                log::info!(job = job.record.id.as_str(), term = self.term, ended_ms = wall_ms.saturating_sub(job.record.ended_at); "record of an ended job is deleted");
                 self.job_ids.remove(&job.record.id);
                 self.deletes.push(job.record.id);
             }
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -197,12 +197,15 @@
                 self.counts.accepted += 1;
                 log::info!(
                     job = job.record.id.as_str(),
+                    term = self.term,
+                    commit = pending.number,
                     queue = job.record.queue.name.as_str(),
                     workspace = job.record.workspace.as_str(),
-                    commit = pending.number,
                     waited_ms = self.now.since(job.accepted_at);
                     "job accepted"
                 );
+            } else if !job.is_recorded() {
+                log::info!(job = job.record.id.as_str(), term = self.term, commit = pending.number; "submission from the inbox recorded");
             }
             if job.durable_state != Some(*state) && *state != State::Open {
                 let name: &'static str = (*state).into();
@@ -264,15 +267,16 @@
         };
         let keys: Vec<JobKey> = self.dirty_jobs.iter().copied().filter(unsent).collect();
         for key in keys {
-            self.refuse_unstored(key, out);
+            self.refuse_unstored(key, "commit-unanswered", out);
         }
     }
 
     /// Removes a job whose acceptance isn't stored and can't be any more, and tells its callers.
-    fn refuse_unstored(&mut self, key: JobKey, out: &mut Vec<Action>) {
+    fn refuse_unstored(&mut self, key: JobKey, why: &str, out: &mut Vec<Action>) {
         let Some(mut job) = self.jobs.remove(&key) else {
             return;
         };
+        log::info!(job = job.record.id.as_str(), why, term = self.term, calls = job.submit_calls.len(); "submission not recorded");
         for call_id in job.submit_calls.drain(..).chain(job.cancel_calls.drain(..)) {
             out.push(Action::Reply(call_id, Reply::NotOwner));
         }
@@ -290,7 +294,7 @@
         for (key, ..) in &pending.jobs {
             let unstored = |j: &super::job::Job| j.durable_state.is_none();
             if self.jobs.get(key).is_some_and(unstored) {
-                self.refuse_unstored(*key, out);
+                self.refuse_unstored(*key, "commit-refused", out);
             }
         }
     }
--- a/marigoldglade/src/batch/engine/refusals.rs
+++ b/marigoldglade/src/batch/engine/refusals.rs
@@ -141,6 +141,7 @@
             };
             self.refusals.past.insert(waiting.id, past);
             self.counts.refused += 1;
+            log::info!(job = waiting.id.as_str(), term, commit; "refusal announced");
             out.push(Action::Reply(
                 waiting.call,
                 Reply::Refused(waiting.retry_ms),
--- a/marigoldgladed/src/batch/calls.rs
+++ b/marigoldgladed/src/batch/calls.rs
@@ -322,7 +322,11 @@
                 then: vec![Op::Put(submit_key(*id), value.clone(), 0)],
                 other: Vec::new(),
             };
-            let Body::Txn(done) = self.store.call(&store::Call::Txn(txn)).await?.body else {
+            let reply = self.store.call(&store::Call::Txn(txn)).await;
+            let reply = reply.inspect_err(
+                |e| log::info!(job = id.as_str(), why:? = e; "submission not left to the owner"),
+            )?;
+            let Body::Txn(done) = reply.body else {
                 return Err(Fault::Unknown);
             };
             let is_job = |p: &Pair| p.key != REFUSED_KEY && p.changed > 0;
@@ -331,7 +335,7 @@
                 store::Outcome::Done | store::Outcome::Txn(_) => false,
             });
             if done.held || known {
-                log::info!(job = id.as_str(), fresh = done.held; "job accepted without the owner");
+                log::info!(job = id.as_str(), fresh = done.held, revision = reply.revision, term = self.known_term(); "job accepted without the owner");
                 return Ok(Reply::Accepted);
             }
         }
@@ -356,6 +360,7 @@
 
     async fn read_status(&self, id: JobId) -> std::result::Result<Reply, Fault> {
         let Some(record) = self.find_record(id).await? else {
+            log::info!(job = id.as_str(), term = self.known_term(); "the store has no record of the job");
             return Ok(Reply::Unknown);
         };
         Ok(Reply::State(match record.state {
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -6,6 +6,7 @@
 mod relays;
 
 use std::cell::Cell;
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use marigoldglade::batch::engine::{Bounds, Engine, Event, InitialState, UNCONFIRMED_LIMIT_MS};
 use marigoldglade::batch::links::WORKERS_PER_RELAY;
 use marigoldglade::batch::messages::{Call, Owner, RelayedResponse, Reply};
+use marigoldglade::batch::record::Record;
 use marigoldglade::batch::succession::{ORDER_MARGIN_MS, active_predecessors};
 use marigoldglade::batch::worker::Target;
 use marigoldglade::batch::worker_list;
@@ -54,6 +56,9 @@
 /// The shortest time between two such handovers by one daemon, in milliseconds: the larger daemons
 /// may be unable to claim.
 const HANDOVER_GAP_MS: u64 = 30_000;
+/// The age up to which a job that an owner loads is logged, in milliseconds, and the most such jobs.
+const RECENT_MS: u64 = 5_000;
+const RECENT_LIMIT: usize = 64;
 /// The key of the last commit's term and number. Each commit requires that it is unchanged, so that
 /// an owner which has been replaced can't write.
 const SEQ_KEY: &str = "mg/seq";
@@ -360,6 +365,7 @@
             entries = entries.len(), took_ms = clock::now().since(began);
             "state loaded"
         );
+        log_recent(ownership.term, &initial.records);
         let former = initial.workers.clone();
         let engine = Engine::new(self.bounds(), policy, initial, clock::now(), wall_ms());
         let (inputs, queue) = mpsc::unbounded_channel();
@@ -515,6 +521,17 @@
     }
 }
 
+/// Logs the jobs that were accepted shortly before an owner loaded them, the newest first: the daemon that
+/// accepted them may have ended before it wrote its own lines.
+fn log_recent(term: u64, records: &[Record]) {
+    let age_ms = |r: &Record| wall_ms().saturating_sub(r.accepted_at);
+    let mut recent: Vec<&Record> = records.iter().filter(|r| age_ms(r) < RECENT_MS).collect();
+    recent.sort_by_key(|r| Reverse(r.accepted_at));
+    for record in recent.into_iter().take(RECENT_LIMIT) {
+        log::info!(job = record.id.as_str(), term, age_ms = age_ms(record); "job loaded");
+    }
+}
+
 /// Aborts a task when it is dropped.
 struct AbortOnDrop(JoinHandle<()>);
 
--- a/marigoldgladed/src/logs.rs
+++ b/marigoldgladed/src/logs.rs
@@ -26,9 +26,10 @@
 
 /// The fields that a JSON line begins with, and the one that it ends with: collectors cut long lines, and what
 /// was decided about what, and why, must be left.
-const FIRST_FIELDS: [&str; 19] = [
+const FIRST_FIELDS: [&str; 23] = [
     "message", "at_ms", "task", "run", "before", "why", "idle_ms", "fitting", "count", "how",
-    "from", "heard_ms", "worker", "job", "term", "daemon", "kind", "sent", "level",
+    "from", "heard_ms", "worker", "job", "call", "reply", "term", "commit", "revision", "daemon",
+    "kind", "sent", "level",
 ];
 const LAST_FIELD: &str = "module";
 
--- a/marigoldgladed/tests/logs.rs
+++ b/marigoldgladed/tests/logs.rs
@@ -8,6 +8,7 @@
 
 use cluster::{Cluster, Daemon, job, wait_until};
 use marigoldglade::batch::messages::Owner;
+use platform_standin::store::Behaviour;
 use rstest::rstest;
 use serde_json::Value;
 use standin::batch_worker::LEASE_LIMIT_MS;
@@ -216,3 +217,53 @@
         assert!(confirmed_ms < 2_000, "{confirmed_ms}");
     }
 }
+
+/// An accepted job was answered 410 after its owner was lost, and no line named it before it was asked for.
+#[test]
+fn a_submission_is_logged_from_its_acceptance_to_the_next_owner() {
+    let c = Cluster::new(0, 2);
+    let owner = c.owner();
+    let (owner, other) = (&c.daemons[owner], &c.daemons[1 - owner]);
+    let one = |daemon: &Daemon, message: &str, id: u64, fields: &[&str]| {
+        let of = |l: &String| parse(l)["job"] == format!("{id:016x}");
+        let found = || lines(daemon, message).into_iter().find(of);
+        wait_until(message, || found().is_some());
+        let line = found().expect("found");
+        assert_survive(&line, fields);
+        parse(&line)
+    };
+    assert_eq!(owner.submit(1, &job("run_ms=100", 1)), 200);
+    one(owner, "job accepted", 1, &["job", "term", "commit"]);
+    let call = one(owner, "call answered", 1, &["job", "call", "reply"]);
+    assert_eq!(
+        (&call["call"], &call["reply"]),
+        (&"submit".into(), &"Accepted".into())
+    );
+
+    owner.endpoint.set(Behaviour::Unavailable);
+    assert_eq!(other.submit(2, &job("run_ms=100", 1)), 200);
+    let left = one(owner, "submission not recorded", 2, &["job", "why", "term"]);
+    assert_eq!(left["why"], "commit-refused");
+    let fields = ["job", "term", "revision", "fresh"];
+    one(other, "job accepted without the owner", 2, &fields);
+
+    owner.signal("KILL");
+    one(other, "job loaded", 1, &["job", "term", "age_ms"]);
+    one(
+        other,
+        "submission taken from the inbox",
+        2,
+        &["job", "term"],
+    );
+    let recorded = "submission from the inbox recorded";
+    let recorded = one(other, recorded, 2, &["job", "term", "commit"]);
+    assert_eq!(recorded["term"], 2);
+
+    assert_eq!(other.state(3), "410");
+    one(
+        other,
+        "the store has no record of the job",
+        3,
+        &["job", "term"],
+    );
+}
