Write the first log lines of a burst at once

It now waits after a write in place of before it. Writes stay at most one every 50 ms; what comes within 50 ms of a write is still lost with the process. The tests of the logs pass.

--- a/marigoldgladed/src/logs.rs
+++ b/marigoldgladed/src/logs.rs
@@ -103,7 +103,6 @@
         batch.clear();
         batch.push_str(&line);
         batch.push('\n');
-        std::thread::sleep(Duration::from_millis(BATCH_MS));
         for line in lines.try_iter() {
             batch.push_str(&line);
             batch.push('\n');
@@ -120,6 +119,9 @@
             LogOutput::Stdout => std::io::stdout().lock().write_all(batch.as_bytes()),
             LogOutput::Stderr => std::io::stderr().lock().write_all(batch.as_bytes()),
         };
+        // Lines are collected after a write, not before it: the first ones of a burst are out if the process is
+        // killed.
+        std::thread::sleep(Duration::from_millis(BATCH_MS));
     }
 }
 
