Answer nothing but GET /ready at the address of the readiness check

A submission that reached a daemon's readiness address was answered 200, the status of an accepted job, and the job was unknown: the page answered any method and path. Callers reach such an address when it was that of another daemon's front before.

--- a/marigoldgladed/src/batch/front.rs
+++ b/marigoldgladed/src/batch/front.rs
@@ -13,7 +13,7 @@
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use marigoldglade::batch::messages::{Call, Reply, Submission};
 use marigoldglade::batch::policy::{Caller, Limits};
@@ -58,10 +58,24 @@
     }
 }
 
+/// Returns whether a request reads the page at a path.
+///
+/// An address may once have been that of another daemon's front; a call that still goes there must not be
+/// answered with success.
+fn reads(request: &Request<Incoming>, path: &str) -> bool {
+    request.method() == Method::GET && request.uri().path() == path
+}
+
+fn not_found() -> HttpResponse {
+    text_response(StatusCode::NOT_FOUND, "not found\n")
+}
+
 /// Answers the platform's readiness checks.
 pub(super) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
-    let page = move |_: &Request<Incoming>| {
-        if node.stop.is_stopping() {
+    let page = move |request: &Request<Incoming>| {
+        if !reads(request, "/ready") {
+            not_found()
+        } else if node.stop.is_stopping() {
             text_response(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
         } else if node.policy().is_none() {
             text_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n")
@@ -74,11 +88,14 @@
 
 /// Serves the metrics page.
 pub(super) async fn serve_metrics(node: Rc<Node>, listener: TcpListener) {
-    let page = move |request: &Request<Incoming>| match (request.uri().path(), node.metrics.text())
-    {
-        ("/metrics", Ok(page)) => text_response(StatusCode::OK, page),
-        ("/metrics", Err(e)) => text_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
-        _ => text_response(StatusCode::NOT_FOUND, "not found\n"),
+    let page = move |request: &Request<Incoming>| {
+        if !reads(request, "/metrics") {
+            return not_found();
+        }
+        match node.metrics.text() {
+            Ok(page) => text_response(StatusCode::OK, page),
+            Err(e) => text_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+        }
     };
     serve_pages(listener, page).await;
 }
--- a/marigoldgladed/tests/accepted.rs
+++ b/marigoldgladed/tests/accepted.rs
@@ -309,3 +309,21 @@
         check(&faults.cluster, &attempts, &faults.old);
     }
 }
+
+/// A caller with the address of a process that was gone got 200 from the readiness check of the process that
+/// listened there next, and its job was unknown.
+#[test]
+fn only_the_front_accepts_submissions() {
+    let c = Cluster::new(0, 1);
+    let daemon = &c.daemons[0];
+    for addr in [
+        &daemon.ready,
+        &daemon.admin,
+        &c.adviser.served.addr.to_string(),
+    ] {
+        let fronts = Mutex::new(vec![addr.clone()]);
+        let statuses = submit(&fronts, 1, &short_job(), 0);
+        assert_eq!(statuses, [404; TRIES], "{addr}");
+    }
+    assert_eq!(daemon.state(1), "410");
+}
