Give each daemon of a test over processes an address of its own

Cause: daemons of all tests listened at 127.0.0.1 at ports that the kernel chose.

Each process of a daemon now listens at a loopback address of its own, by the test's process and a count, so that no other process is ever found at the address of one that is gone. The new test failed before (three daemons, one address).

--- a/marigoldgladed/tests/accepted.rs
+++ b/marigoldgladed/tests/accepted.rs
@@ -327,3 +327,12 @@
     }
     assert_eq!(daemon.state(1), "410");
 }
+
+/// A job was answered 410 that a daemon of another test had accepted, at the address of a killed one.
+#[test]
+fn no_two_daemons_of_a_test_listen_at_one_address() {
+    let c = Cluster::new(0, 3);
+    let ip = |d: &Daemon| d.front.rsplit_once(':').map(|(ip, _)| ip.to_owned());
+    let ips: BTreeSet<Option<String>> = c.daemons.iter().map(ip).collect();
+    assert_eq!(ips.len(), c.daemons.len(), "{ips:?}");
+}
--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead as _, BufReader, Write as _};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -91,6 +92,15 @@
     Some(bytes)
 }
 
+/// Returns a loopback address for one daemon's process. Callers and daemons still use the addresses of a
+/// process that is gone, so no other one may listen there, in this test or in one beside it.
+fn new_ip() -> Ipv4Addr {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed) % 512;
+    let process = std::process::id() % 0x7ffe + 1;
+    Ipv4Addr::from_bits(0x7f00_0000 | process << 9 | count)
+}
+
 fn agent() -> ureq::Agent {
     ureq::Agent::config_builder()
         .http_status_as_error(false)
@@ -221,11 +231,11 @@
             let mesh: BTreeMap<String, SocketAddr> = mesh.collect();
             endpoint.rewrite(move |key, value| reroute(&mesh, key, value));
         }
-        let lease_limit_ms = self.lease_limit_ms;
+        let (lease_limit_ms, ip) = (self.lease_limit_ms, new_ip());
         let text = format!(
-            "name: {name}\ndc: dc-a\nlisten: 127.0.0.1:0\nmesh: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
+            "name: {name}\ndc: dc-a\nlisten: {ip}:0\nmesh: {ip}:0\nadmin: {ip}:0\n\
              store: [\"{store}\"]\nvm_list: 127.0.0.1:1\nlog: {{format: json, output: stdout}}\n\
-             platform:\n  ready: 127.0.0.1:0\n  cores: {cores}\n  grace_s: 6\n  lease_limit_ms: {lease_limit_ms}\n  status_s: 120\n  adviser: \"{}\"\n",
+             platform:\n  ready: {ip}:0\n  cores: {cores}\n  grace_s: 6\n  lease_limit_ms: {lease_limit_ms}\n  status_s: 120\n  adviser: \"{}\"\n",
             self.adviser.served.addr
         );
         let mut file = tempfile::NamedTempFile::new().expect("a file can be created");
