Cut daemons off from each other in the test of accepted jobs

Submissions that an owner accepts while its answer is held back, and those that reach it late, weren't among the random faults.

--- a/marigoldgladed/tests/accepted.rs
+++ b/marigoldgladed/tests/accepted.rs
@@ -17,6 +17,8 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use serde_json::{Value, json};
+use standin::batch_worker::LEASE_LIMIT_MS;
+use standin::proxy::Flow;
 
 /// How many callers submit jobs at the same time through each daemon.
 const CALLERS: usize = 4;
@@ -189,6 +191,8 @@
     Store(usize),
     Paused(usize),
     Ended(usize),
+    /// The paths from this daemon to the others.
+    Mesh(usize),
 }
 
 struct Faults {
@@ -210,7 +214,7 @@
         let is_down =
             |f: &(Instant, Fault)| matches!(f.1, Fault::Paused(d) | Fault::Ended(d) if d == i);
         let is_up = !self.open.iter().any(is_down);
-        match self.rng.random_range(0..11) {
+        match self.rng.random_range(0..12) {
             kind @ 0..5 => {
                 let behaviours = [
                     Behaviour::Unavailable,
@@ -236,6 +240,10 @@
                 self.open.push((end, Fault::Paused(i)));
             }
             9 => self.cluster.store.compact(),
+            11 => {
+                self.set_mesh(i, Flow::Held);
+                self.open.push((end, Fault::Mesh(i)));
+            }
             10 => {
                 let (fronts, id) = (Arc::clone(&self.fronts), self.rng.random());
                 std::thread::spawn(move || submit(&fronts, id, &long_job(), i));
@@ -244,6 +252,13 @@
         }
     }
 
+    fn set_mesh(&self, daemon: usize, flow: Flow) {
+        let paths = &self.cluster.paths[&format!("daemon-{daemon}")];
+        for path in paths.mesh.values() {
+            path.set_both(flow);
+        }
+    }
+
     /// Undoes the faults whose time is over, or all of them.
     fn undo(&mut self, all: bool) {
         let now = Instant::now();
@@ -258,6 +273,7 @@
                     endpoint.set(Behaviour::Normal);
                     endpoint.carry_out_writes();
                 }
+                Fault::Mesh(i) => self.set_mesh(i, Flow::Open),
                 Fault::Paused(i) => self.cluster.daemons[i].signal("CONT"),
                 Fault::Ended(i) => {
                     // Restarts the daemon under the same name, at other addresses.
@@ -287,7 +303,7 @@
 fn accepted_jobs_are_known_after_random_outages_and_losses_of_daemons() {
     for seed in seeds() {
         println!("seed {seed}");
-        let cluster = Cluster::new(4, 3);
+        let cluster = Cluster::with_paths(4, 3, LEASE_LIMIT_MS);
         let fronts = Arc::new(fronts(&cluster));
         let mut faults = Faults {
             fronts: Arc::clone(&fronts),
