Find work over processes that could run and doesn't

The soak only asked whether jobs end within 40 s of the last fault, which is far wider than the bound for work that could run (3 s). Both are checked now. From the workers' starts and ends and the callers' submissions the soak finds jobs that had nothing running for 3 s, while a task was left, the workers had room for it twice over, less than half of them was in use, and no fault had been open for 4 s. The 40 s stay as they are.

A gang counts as done once one of its tasks is, as the platform has it: its tasks end together.

SOAK_LOGS=DIRECTORY keeps what a play's daemons and workers have recorded, which is printed in part only, and only after a failure.

--- a/marigoldgladed/tests/soak.rs
+++ b/marigoldgladed/tests/soak.rs
@@ -2,21 +2,25 @@
 //! restarted, the store fails for single daemons, workers restart or lose answers, the paths to workers
 //! and store are silent, delayed or reset, or the network splits. Faults overlap.
 //!
-//! `SOAK_SEEDS=100..150` runs other seeds than the short run, of all tests.
+//! `SOAK_SEEDS=100..150` runs other seeds than the short run, of all tests. `SOAK_LOGS=DIRECTORY` keeps what
+//! was done, what the workers recorded and what the daemons logged, in one file a play.
 
 #[path = "support/cluster.rs"]
 #[expect(dead_code, reason = "the cluster serves several test files")]
 mod cluster;
 #[path = "support/record.rs"]
 mod record;
+#[path = "support/waits.rs"]
+mod waits;
 
 use std::collections::BTreeSet;
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
 use cluster::{Cluster, Daemon, job, wait_until};
-use marigoldglade::batch::id::TaskId;
-use marigoldglade::batch::worker::Outcome;
+use marigoldglade::batch::id::{JobId, TaskId};
+use marigoldglade::batch::worker::{Outcome, Resources};
 use platform_standin::store::Behaviour;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -25,6 +29,7 @@
 use serde_json::{Value, json};
 use standin::batch_worker::WorkerEvent;
 use standin::proxy::{Flow, Proxy};
+use waits::{SubmittedJob, Wait, find_waits};
 
 /// How long faults are injected for one seed.
 const FAULT_TIME: Duration = Duration::from_secs(9);
@@ -49,6 +54,13 @@
 /// How far from a fault its history is printed, in milliseconds.
 const HISTORY_MS: u64 = 3_000;
 
+/// What a worker of the cluster has.
+const WORKER: Resources = Resources {
+    cpu: 32_000,
+    mem: 131_072,
+    accels: 8,
+};
+
 /// What a caller knows about the submission of its job after the last attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Submission {
@@ -87,6 +99,21 @@
     outcome
 }
 
+/// Submits a job under an id to a queue; returns it with the time of its acceptance since `start`.
+fn submit_job(
+    fronts: &Mutex<Vec<String>>,
+    queue: &str,
+    id: u64,
+    body: &Value,
+    pick: usize,
+    start: Instant,
+) -> (Submission, SubmittedJob) {
+    let outcome = submit(fronts, &format!("/{queue}/{id:016x}"), body, pick);
+    let mut job = submitted_job(id, body);
+    job.accepted_at = (outcome == Submission::Accepted).then(|| elapsed_ms(start));
+    (outcome, job)
+}
+
 /// A fault that is undone later, of a daemon or worker by index.
 enum Fault {
     /// The store fails for this daemon.
@@ -109,6 +136,8 @@
 
 struct Soak {
     cluster: Cluster,
+    seed: u64,
+    start: Instant,
     rng: ChaCha8Rng,
     /// Faults to undo, and when.
     open_faults: Vec<(Instant, Fault)>,
@@ -126,6 +155,28 @@
     began_ms: u64,
     /// The log lines of daemons that have ended, with the daemon's index.
     old_logs: Vec<(usize, Value)>,
+    /// Moments at which a fault was open, in milliseconds since the soak's start.
+    fault_times: Vec<u64>,
+    /// What the callers have submitted.
+    jobs: Vec<SubmittedJob>,
+}
+
+fn elapsed_ms(start: Instant) -> u64 {
+    u64::try_from(start.elapsed().as_millis()).expect("in range")
+}
+
+/// Returns a job of one step as it is submitted under an id.
+fn submitted_job(id: u64, body: &Value) -> SubmittedJob {
+    let step = &body["steps"][0];
+    let field = |name: &str| step[name].as_u64().expect("a number");
+    let need = Resources {
+        cpu: field("cpu"),
+        mem: field("mem_mb"),
+        accels: field("gpu"),
+    };
+    let id = JobId::parse(&format!("{id:016x}")).expect("a job's id");
+    let count = u32::try_from(field("count")).expect("small");
+    SubmittedJob::new(id, need, count, step["gang"] == true)
 }
 
 fn wall_ms() -> u64 {
@@ -135,12 +186,15 @@
 
 impl Soak {
     fn new(seed: u64, workers: usize, daemons: usize) -> Self {
-        Self::with_cluster(seed, wall_ms(), Cluster::new(workers, daemons))
+        let (start, began_ms) = (Instant::now(), wall_ms());
+        Self::with_cluster(seed, start, began_ms, Cluster::new(workers, daemons))
     }
 
-    fn with_cluster(seed: u64, began_ms: u64, cluster: Cluster) -> Self {
+    fn with_cluster(seed: u64, start: Instant, began_ms: u64, cluster: Cluster) -> Self {
         let fronts = cluster.daemons.iter().map(|d| d.front.clone()).collect();
         Self {
+            seed,
+            start,
             rng: ChaCha8Rng::seed_from_u64(seed),
             open_faults: Vec::new(),
             fronts: Arc::new(Mutex::new(fronts)),
@@ -150,11 +204,61 @@
             notes: Vec::new(),
             began_ms,
             old_logs: Vec::new(),
+            fault_times: Vec::new(),
+            jobs: Vec::new(),
             cluster,
         }
     }
 
+    /// Writes the faults, the workers' events and the log lines to a file in a directory.
+    fn write_logs(&self, directory: &Path) -> std::io::Result<()> {
+        let since = |at: u64| at.saturating_sub(self.began_ms);
+        let notes = self.notes.iter();
+        let mut lines: Vec<(u64, String)> = notes.map(|(at, n)| (*at, format!("- {n}"))).collect();
+        for (at, worker, event) in worker_events(&self.cluster, self.start) {
+            lines.push((at, format!("worker {worker} {event:?}")));
+        }
+        let daemons = self.cluster.daemons.iter().enumerate();
+        let logs = daemons.flat_map(|(i, d)| d.log_lines().into_iter().map(move |l| (i, l)));
+        for (i, line) in self.old_logs.iter().cloned().chain(logs) {
+            let at = line["at_ms"].as_u64().unwrap_or(0);
+            lines.push((since(at), format!("daemon {i} {line}")));
+        }
+        lines.sort_by_key(|(at, _)| *at);
+        let text: Vec<String> = lines.iter().map(|(at, l)| format!("{at} {l}\n")).collect();
+        let name = format!("{}-{}.log", self.seed, self.began_ms);
+        std::fs::write(directory.join(name), text.concat())
+    }
+
+    /// Notes that a fault is open.
+    fn mark_fault(&mut self) {
+        self.fault_times.push(elapsed_ms(self.start));
+    }
+
+    /// Returns the accepted jobs that had nothing running for too long although they could run and no fault
+    /// was open.
+    fn find_waits(&self) -> Vec<Wait> {
+        let events = worker_events(&self.cluster, self.start);
+        let capacities = vec![WORKER; self.cluster.workers.len()];
+        let end = elapsed_ms(self.start);
+        find_waits(&capacities, &self.jobs, events, &self.fault_times, end)
+    }
+
+    /// Notes that a job is shown as failed: it needn't have run after its last start.
+    fn note_failed(&mut self, id: JobId) {
+        let events = worker_events(&self.cluster, self.start);
+        let starts = events.iter().filter_map(|(at, _, event)| match event {
+            WorkerEvent::Started(task, _) if task.job == id => Some(*at),
+            _ => None,
+        });
+        let last = starts.max().unwrap_or(0);
+        for job in self.jobs.iter_mut().filter(|j| j.id == id) {
+            job.over_at = job.over_at.min(last);
+        }
+    }
+
     fn inject_fault(&mut self) {
+        self.mark_fault();
         let i = self.rng.random_range(0..self.cluster.daemons.len());
         let worker = self.rng.random_range(0..self.cluster.workers.len());
         let end = Instant::now() + Duration::from_millis(self.rng.random_range(300..3_000));
@@ -194,6 +298,7 @@
 
     /// Lets the store fail for all daemons, in most cases for longer than the owner's lease.
     fn inject_outage(&mut self) {
+        self.mark_fault();
         let end = Instant::now() + Duration::from_millis(self.rng.random_range(900..2_300));
         for i in 0..self.cluster.daemons.len() {
             self.cluster.daemons[i].endpoint.set(Behaviour::Silent);
@@ -238,6 +343,7 @@
     /// Lets paths to workers be silent or slow for a while, or resets them. Some workers restart behind
     /// a silence.
     fn fail_paths(&mut self) {
+        self.mark_fault();
         let (daemons, workers) = self.pick_paths();
         let kind = self.rng.random_range(0..8);
         let delay = Flow::Delayed(Duration::from_millis(self.rng.random_range(50..1_500)));
@@ -274,6 +380,7 @@
     /// Lets the store be away for some daemons or all of them, and takes away registry entries for a
     /// while.
     fn fail_store_paths(&mut self) {
+        self.mark_fault();
         let all = self.cluster.daemons.len();
         let (first, count) = (
             self.rng.random_range(0..all),
@@ -316,6 +423,7 @@
         if self.open_faults.iter().any(is_split) {
             return;
         }
+        self.mark_fault();
         let daemons = self.cluster.daemons.iter();
         let owner = daemons.map(Daemon::term).position(|term| term > 0);
         let any = self.rng.random_range(0..self.cluster.daemons.len());
@@ -337,6 +445,7 @@
 
     /// Kills or pauses daemons.
     fn fail_daemons(&mut self) {
+        self.mark_fault();
         let all = self.cluster.daemons.len();
         let kind = self.rng.random_range(0..5);
         let first = self.rng.random_range(0..all);
@@ -406,6 +515,9 @@
     fn end_due_faults(&mut self, all: bool) {
         let now = Instant::now();
         let open_faults = std::mem::take(&mut self.open_faults);
+        if !open_faults.is_empty() {
+            self.mark_fault();
+        }
         for (end, fault) in open_faults {
             if all || end <= now {
                 self.end_fault(&fault);
@@ -413,6 +525,19 @@
                 self.open_faults.push((end, fault));
             }
         }
+        if all {
+            self.mark_fault();
+        }
+    }
+}
+
+impl Drop for Soak {
+    fn drop(&mut self) {
+        if let Some(directory) = std::env::var_os("SOAK_LOGS")
+            && let Err(error) = self.write_logs(Path::new(&directory))
+        {
+            eprintln!("seed {}: the logs can't be written: {error}", self.seed);
+        }
     }
 }
 
@@ -489,7 +614,8 @@
 
 /// Waits until the job at a path has one of these states; prints what the daemons logged about it if it
 /// doesn't.
-fn wait_for_state(soak: &Soak, what: &str, path: &str, states: &[&str]) {
+fn wait_for_state(soak: &mut Soak, what: &str, path: &str, states: &[&str]) {
+    let job = path.rsplit('/').next().unwrap_or_default();
     let front = &soak.cluster.daemons[0];
     let state = || {
         let (status, body) = front.call("GET", path, "secret", None);
@@ -497,9 +623,12 @@
         state.unwrap_or_else(|| status.to_string())
     };
     let end = Instant::now() + cluster::TIMEOUT;
-    while !states.contains(&state().as_str()) {
+    let mut shown = state();
+    while !states.contains(&shown.as_str()) {
         if Instant::now() >= end {
-            let job = path.rsplit('/').next().unwrap_or_default();
+            for wait in soak.find_waits() {
+                eprintln!("could run and had nothing running: {wait}");
+            }
             for (at, note) in &soak.notes {
                 eprintln!("{at} {note}");
             }
@@ -508,12 +637,41 @@
                 let is_owner = line["module"].as_str().is_some_and(|m| m.contains("owner"));
                 names("task") || names("job") || is_owner || line["level"] == "WARN"
             });
-            panic!("timed out waiting for {what}: {}", state());
+            panic!("timed out waiting for {what}: {shown}");
         }
         std::thread::sleep(Duration::from_millis(20));
+        shown = state();
+    }
+    if shown == "failed" {
+        soak.note_failed(JobId::parse(job).expect("a job's id"));
     }
 }
 
+/// Checks that no accepted job had nothing running for too long although it could run; prints the faults and
+/// what the daemons logged about those jobs otherwise.
+fn check_waits(soak: &Soak) {
+    let waits = soak.find_waits();
+    for wait in &waits {
+        eprintln!("could run and had nothing running: {wait}");
+    }
+    if !waits.is_empty() {
+        for (at, note) in &soak.notes {
+            eprintln!("{at} {note}");
+        }
+        let jobs: Vec<String> = waits.iter().map(|w| w.job.to_string()).collect();
+        print_logs(soak, |_, line| {
+            let names = |field: &str| {
+                let value = line[field].as_str().unwrap_or_default();
+                jobs.iter().any(|j| value.contains(j.as_str()))
+            };
+            let is_owner = line["module"].as_str().is_some_and(|m| m.contains("owner"));
+            names("task") || names("job") || is_owner || line["message"] == "work waits"
+        });
+    }
+    let seed = soak.seed;
+    assert_eq!(waits, [], "seed {seed}");
+}
+
 /// Injects faults while callers submit jobs, then checks that every accepted job is done and that no
 /// refused job has run.
 fn run_seed(seed: u64) {
@@ -535,7 +693,7 @@
             count,
             std::thread::spawn(move || {
                 let body = job(&format!("run_ms={run_ms}"), count);
-                submit(&fronts, &format!("/sweep/{id:016x}"), &body, pick)
+                submit_job(&fronts, "sweep", id, &body, pick, start)
             }),
         ));
         if soak.rng.random_range(0..2) == 0 {
@@ -544,19 +702,26 @@
         std::thread::sleep(Duration::from_millis(soak.rng.random_range(100..350)));
     }
     soak.end_due_faults(true);
-    let outcomes: Vec<(u64, u32, Submission)> = callers
-        .into_iter()
-        .map(|(id, n, c)| (id, n, c.join().expect("no panic")))
-        .collect();
-    let cluster = &soak.cluster;
-    let front = &cluster.daemons[0];
+    let mut outcomes: Vec<(u64, u32, Submission)> = Vec::new();
+    for (id, count, caller) in callers {
+        let (outcome, job) = caller.join().expect("no panic");
+        outcomes.push((id, count, outcome));
+        soak.jobs.push(job);
+    }
+    let front = &soak.cluster.daemons[0];
     wait_until("readiness", || front.is_ready());
     for (id, _, outcome) in &outcomes {
         if *outcome == Submission::Accepted {
             let what = format!("seed {seed}: completion of {id}");
-            wait_for_state(&soak, &what, &format!("/sweep/{id:016x}"), &["completed"]);
+            wait_for_state(
+                &mut soak,
+                &what,
+                &format!("/sweep/{id:016x}"),
+                &["completed"],
+            );
         }
     }
+    let cluster = &soak.cluster;
     let started_jobs: BTreeSet<u64> = cluster
         .workers
         .iter()
@@ -589,6 +754,7 @@
     }
     check_runs(cluster, start);
     check_acknowledged(&soak, start);
+    check_waits(&soak);
     let accepted = outcomes
         .iter()
         .filter(|(_, _, t)| *t == Submission::Accepted)
@@ -615,7 +781,7 @@
         let (fronts, pick) = (Arc::clone(&soak.fronts), soak.rng.random_range(0..5));
         callers.push(std::thread::spawn(move || {
             let body = job(&format!("run_ms={run_ms}"), count);
-            submit(&fronts, &format!("/sweep/{id:016x}"), &body, pick)
+            submit_job(&fronts, "sweep", id, &body, pick, start)
         }));
         match soak.rng.random_range(0..8) {
             0..3 => soak.inject_fault(),
@@ -625,22 +791,24 @@
         std::thread::sleep(Duration::from_millis(soak.rng.random_range(40..160)));
     }
     soak.end_due_faults(true);
-    let outcomes: Vec<Submission> = callers
-        .into_iter()
-        .map(|c| c.join().expect("no panic"))
-        .collect();
-    let cluster = &soak.cluster;
-    let front = &cluster.daemons[0];
+    let mut outcomes: Vec<Submission> = Vec::new();
+    for caller in callers {
+        let (outcome, job) = caller.join().expect("no panic");
+        outcomes.push(outcome);
+        soak.jobs.push(job);
+    }
+    let front = &soak.cluster.daemons[0];
     wait_until("readiness", || front.is_ready());
     for (id, outcome) in (1..).zip(&outcomes) {
         if *outcome == Submission::Accepted {
             let what = format!("seed {seed}: the end of {id}");
             let path = format!("/sweep/{id:016x}");
-            wait_for_state(&soak, &what, &path, &["completed", "failed"]);
+            wait_for_state(&mut soak, &what, &path, &["completed", "failed"]);
         }
     }
-    check_runs(cluster, start);
+    check_runs(&soak.cluster, start);
     check_acknowledged(&soak, start);
+    check_waits(&soak);
     println!("seed {seed}: {} jobs", outcomes.len());
 }
 
@@ -693,7 +861,7 @@
     let (start, began_ms) = (Instant::now(), wall_ms());
     let mut cluster = Cluster::with_paths(20, 5, SHORT_LEASE_MS);
     add_queue(&mut cluster);
-    let mut soak = Soak::with_cluster(seed, began_ms, cluster);
+    let mut soak = Soak::with_cluster(seed, start, began_ms, cluster);
     let longest_ms = if splits { 16_000 } else { 8_000 };
     let is_long = std::env::var_os("SOAK_SEEDS").is_some();
     let end = Instant::now() + PATHS_TIMES[usize::from(is_long)];
@@ -702,18 +870,20 @@
         soak.end_due_faults(false);
         if !splits || soak.rng.random_range(0..4) == 0 {
             let queue = ["urgent", "sweep", "sweep", "night"][soak.rng.random_range(0..4)];
-            let path = format!("/{queue}/{:016x}", callers.len() + 1);
+            let id = callers.len() as u64 + 1;
             let body = mixed_job(&mut soak.rng, longest_ms);
             let (fronts, pick) = (Arc::clone(&soak.fronts), soak.rng.random_range(0..5));
             let cancel_after = (soak.rng.random_range(0..8) == 0)
                 .then(|| Duration::from_millis(soak.rng.random_range(0..4_000)));
             callers.push(std::thread::spawn(move || {
-                let outcome = submit(&fronts, &path, &body, pick);
+                let path = format!("/{queue}/{id:016x}");
+                let (outcome, mut job) = submit_job(&fronts, queue, id, &body, pick, start);
                 if let Some(pause) = cancel_after {
                     std::thread::sleep(pause);
+                    job.over_at = elapsed_ms(start);
                     cancel(&fronts, &path, pick + 1);
                 }
-                (path, outcome)
+                (path, outcome, job)
             }));
         }
         match soak.rng.random_range(0..10) {
@@ -727,22 +897,27 @@
         std::thread::sleep(Duration::from_millis(soak.rng.random_range(150..700)));
     }
     soak.end_due_faults(true);
-    let outcomes: Vec<(String, Submission)> = callers
-        .into_iter()
-        .map(|c| c.join().expect("no panic"))
-        .collect();
+    let mut outcomes: Vec<(String, Submission)> = Vec::new();
+    for caller in callers {
+        let (path, outcome, job) = caller.join().expect("no panic");
+        outcomes.push((path, outcome));
+        soak.jobs.push(job);
+    }
     check_once(&soak, seed, start);
     let front = &soak.cluster.daemons[0];
     wait_until("readiness", || front.is_ready());
     for (path, outcome) in &outcomes {
         if *outcome == Submission::Accepted {
             let what = format!("seed {seed}: the end of {path}");
-            wait_for_state(&soak, &what, path, &["completed", "failed", "canceled"]);
+            wait_for_state(&mut soak, &what, path, &["completed", "failed", "canceled"]);
         }
     }
     check_once(&soak, seed, start);
+    check_waits(&soak);
     let logs = soak.cluster.daemons.iter().flat_map(Daemon::log_lines);
-    let lines: Vec<Value> = logs.chain(soak.old_logs.into_iter().map(|l| l.1)).collect();
+    let lines: Vec<Value> = logs
+        .chain(soak.old_logs.iter().map(|l| l.1.clone()))
+        .collect();
     let count = |message: &str| lines.iter().filter(|l| l["message"] == message).count();
     println!(
         "seed {seed}: {} jobs; {} starts given up, {} bound, {} runs not wanted",
--- a/marigoldgladed/tests/support/record.rs
+++ b/marigoldgladed/tests/support/record.rs
@@ -10,7 +10,7 @@
 use crate::cluster::Cluster;
 
 /// How much earlier than it is recorded an event of a worker may have happened, in milliseconds.
-const RECORD_MS: u64 = 12;
+pub const RECORD_MS: u64 = 12;
 
 /// An event on a worker, by the worker's index, with the milliseconds since the test's start.
 pub type Event = (u64, usize, WorkerEvent);
