--- a/marigoldgladed/tests/support/cluster.rs
+++ b/marigoldgladed/tests/support/cluster.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -22,6 +23,8 @@
 /// A daemon's process.
 pub struct Daemon {
     child: Child,
+    /// The daemon's settings file.
+    pub settings: PathBuf,
     pub front: String,
     pub ready: String,
     pub admin: String,
@@ -244,7 +247,7 @@
         let (_, path) = file.keep().expect("the file can be kept");
         let mut child = Command::new(env!("CARGO_BIN_EXE_marigoldgladed"))
             .arg("--settings")
-            .arg(path)
+            .arg(&path)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the daemon starts");
@@ -266,6 +269,7 @@
             }
         });
         Daemon {
+            settings: path,
             front: addr("listen"),
             ready: addr("ready"),
             admin: addr("admin"),
@@ -411,6 +415,11 @@
         self.child.wait().expect("it ends")
     }
 
+    /// Returns how the process has ended, if it has.
+    pub fn try_wait(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().expect("a child process")
+    }
+
     /// Returns the log lines after the first one, in order.
     pub fn log_lines(&self) -> Vec<Value> {
         self.log.lock().expect("no panic").clone()
