Give tasks up only for crashes under trials of them

Cause: the end of a worker's process counted against the tasks whose runs were there, also against runs that had been going on for seconds, that shared the worker with others, or whose starts had never arrived as the worker was cut off. For an isolated run that was taken as certain. A suspect prefers workers without new runs, and those are often cut off already or about to restart, so the count isn't independent of the restarts.

Change: the end of a process under a new run only makes the task a suspect. A suspect's next runs are trials: the start is sent with a report of the worker, where no other run is new, and the next report is asked for 100 ms later. Only a worker that falls silent between the two and turns out to have restarted counts. Two such crashes are needed, three or four while workers restart by themselves. A run that a later report lists clears the crashes. Starts of a trial aren't repeated in the worker's next process.

Ruled out: never giving up, as a task that crashes its workers would go on doing so.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -26,7 +26,7 @@
 mod waits;
 mod workers;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -242,6 +242,8 @@
     refusals: Refusals,
     /// Runs given up with silent workers that haven't answered since, by the worker's address.
     silent_runs: HashMap<SocketAddr, Vec<crashes::SilentRun>>,
+    /// Until when each restart of a worker counts that no run has caused, the earliest first.
+    restarts: VecDeque<UnixMs>,
     /// The tasks that starts without a response bind to workers.
     bound_tasks: BTreeSet<TaskId>,
     /// Whether the list of workers in the store is out of date.
@@ -321,6 +323,7 @@
             handled: BTreeSet::new(),
             refusals: Refusals::default(),
             silent_runs: HashMap::new(),
+            restarts: VecDeque::new(),
             bound_tasks: BTreeSet::new(),
             workers_dirty: true,
             pending: None,
--- a/marigoldglade/src/batch/engine/crashes.rs
+++ b/marigoldglade/src/batch/engine/crashes.rs
@@ -1,27 +1,38 @@
 //! Tasks that crash the workers that start them.
 //!
-//! A run that ends with its worker's process counts against its task, and a task that crashes one
-//! worker after another is given up. A crashed worker is silent for seconds, so its runs have usually
-//! been given up with its leases before its restart shows what happened. Until then they are kept as
-//! [`SilentRun`]s.
+//! A worker's process also ends for reasons of its own, and a worker that is cut off and restarts loses
+//! starts without having begun them. So the end of a process under a new run only makes its task a
+//! suspect. A suspect's next runs are trials: each is the only new run on its worker, and its start is
+//! sent right after a report of the worker. A task is given up once several workers have fallen silent
+//! at trials of it and turned out to have restarted.
+//!
+//! A crashed worker is silent for seconds, so its runs have usually been given up with its leases before
+//! its restart shows what happened. Until then they are kept as [`SilentRun`]s.
 
 use std::net::SocketAddr;
 
+use crate::batch::engine::gone::Gone;
 use crate::batch::engine::job::Task;
 use crate::batch::engine::runs::{Run, Stage};
 use crate::batch::engine::workers::Worker;
-use crate::batch::engine::{Engine, JobKey, WorkerKey};
+use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::record::{Crash, LostRun, State};
 use crate::batch::worker::Target;
 use crate::time::UnixMs;
 
-/// The weight of crashes at which a task is given up.
-const CRASH_LIMIT: u32 = 4;
-/// The number of crashes that a task is given up for at least, of workers that certainly had its run.
-const CERTAIN_CRASHES: usize = 2;
-/// The weight of a crash that the task's start has almost certainly caused.
-const CERTAIN_WEIGHT: u32 = 2;
+/// The number of crashes under trials for which a task is given up while workers hardly restart by themselves.
+const CRASH_LIMIT: usize = 2;
+/// How long the restart of a worker counts that no run has caused, in milliseconds.
+const RESTART_WINDOW_MS: u64 = 10_000;
+/// How long after its start a run that a report lists has certainly not crashed its worker by being started, and
+/// after which a report is asked for, in milliseconds.
+pub(super) const PROOF_MS: u64 = 100;
+/// How long the start of a trial waits for a report, in milliseconds: as long as a worker may hold it back,
+/// and an order's timeout.
+pub(super) const TRIAL_WAIT_MS: u64 = 2_000;
+/// The weight of a crash under the only new run on its worker.
+const ONLY_WEIGHT: u32 = 2;
 /// The weight of a crash that another run may have caused.
 const POSSIBLE_WEIGHT: u32 = 1;
 /// How long a task that would be given up if its lost runs had crashed their workers waits for these
@@ -29,32 +40,42 @@
 const ANSWER_WAIT_MS: u64 = 10_000;
 /// How long a lost run is remembered, in milliseconds; a worker that stays away longer is gone.
 const LOST_RUN_LIMIT_MS: u64 = 60_000;
-/// How long after a crash a task is started only where no other run is new, in milliseconds. Without a
-/// limit it might never find such a worker in a busy fleet.
+/// How long after a crash a task is started only as a trial, in milliseconds. Without a limit it might never
+/// find a worker without new runs in a busy fleet.
 const ISOLATION_MS: u64 = 15_000;
 
+/// How far a trial of a task is that may crash its workers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Trial {
+    /// The run is no trial, or its worker has answered later and not listed it.
+    No,
+    /// The start is sent with the next report of the worker.
+    Awaited,
+    /// The start was sent right after a report, at this time.
+    Sent(UnixMs),
+}
+
 /// A run that was given up with a silent worker, which may have crashed.
 #[derive(Clone, Debug)]
 pub(super) struct SilentRun {
     pub task: TaskId,
     pub lost: LostRun,
-    /// Whether a report had listed the run.
-    pub listed: bool,
+    /// Whether the run had been going on for a while.
+    pub proven: bool,
     /// When the run is forgotten.
     pub expires_at: UnixMs,
 }
 
 impl Task {
-    /// Returns the weight of the crashes under its runs.
-    fn crash_weight(&self) -> u32 {
-        self.crashes.iter().map(|c| c.weight).sum()
+    /// Returns the number of crashes under its trials.
+    fn trial_crashes(&self) -> usize {
+        self.crashes.iter().filter(|c| c.certain).count()
     }
 
-    /// Returns whether the task waits until a worker that fell silent under it answers.
+    /// Returns whether the task waits until a worker that fell silent at a trial of it answers.
     pub fn awaits_answer(&self, now: UnixMs) -> bool {
-        let lost = u32::try_from(self.lost_runs.len()).unwrap_or(u32::MAX);
-        !self.answer_by.passed(now)
-            && self.crash_weight() + lost.saturating_mul(CERTAIN_WEIGHT) >= CRASH_LIMIT
+        let lost = self.lost_runs.iter().filter(|l| l.certain).count();
+        !self.answer_by.passed(now) && lost > 0 && self.trial_crashes() + lost >= CRASH_LIMIT
     }
 
     /// Returns whether the task may crash workers, so that a new run of it must be the only new one on
@@ -80,17 +101,22 @@
         !self.runs.values().any(in_the_way)
     }
 
+    /// Returns whether the next report decides about a trial here.
+    pub fn has_trials(&self) -> bool {
+        let undecided = |r: &Run| r.isolated && !r.proven && r.stage != Stage::Abandoned;
+        self.runs.values().any(undecided)
+    }
+
     /// Returns the runs that a crash of the worker's process may be blamed on later.
     fn silent_runs(&self, now: UnixMs) -> Vec<SilentRun> {
         if self.target.draining || self.target.started_at == 0 {
             return Vec::new();
         }
-        let new_runs = self.runs.values().filter(|r| !r.listed).count();
-        // A start without an answer may have been sent to a process that had already ended.
-        let accepted = |run: &Run| matches!(run.stage, Stage::Running | Stage::Stopping);
+        let trial = |run: &Run| matches!(run.trial, Trial::Sent(_)) && !run.proven;
+        let new_runs = self.runs.values().filter(|r| !r.proven).count();
         let weight = |run: &Run| {
-            if !run.listed && (run.isolated || (accepted(run) && new_runs == 1)) {
-                CERTAIN_WEIGHT
+            if !run.proven && new_runs == 1 {
+                ONLY_WEIGHT
             } else {
                 POSSIBLE_WEIGHT
             }
@@ -103,12 +129,13 @@
                 addr: self.target.addr,
                 started_at: self.target.started_at,
                 weight: weight(run),
-                certain: run.listed || run.isolated || accepted(run),
+                certain: trial(run),
             },
-            listed: run.listed,
+            proven: run.proven,
             expires_at: now.after(LOST_RUN_LIMIT_MS),
         };
-        self.runs.iter().map(silent_run).collect()
+        let sent = |(_, run): &(&TaskId, &Run)| run.trial != Trial::Awaited;
+        self.runs.iter().filter(sent).map(silent_run).collect()
     }
 }
 
@@ -121,7 +148,7 @@
         if runs.is_empty() {
             return;
         }
-        for run in runs.iter().filter(|r| !r.listed) {
+        for run in runs.iter().filter(|r| !r.proven) {
             let lost = run.lost.clone();
             self.change_task(&run.task, |task| {
                 task.lost_runs.push(lost);
@@ -152,7 +179,7 @@
                                 index,
                             },
                             lost: lost.clone(),
-                            listed: false,
+                            proven: false,
                             expires_at: now.after(LOST_RUN_LIMIT_MS),
                         };
                         self.silent_runs.entry(lost.addr).or_default().push(run);
@@ -183,7 +210,7 @@
         if !silent.is_empty() {
             self.silent_runs.insert(target.addr, silent);
         }
-        for run in alive.iter().filter(|r| !r.listed) {
+        for run in alive.iter().filter(|r| !r.proven) {
             self.drop_lost_run(run);
         }
         self.blame(&crashed);
@@ -222,7 +249,7 @@
             *runs = kept;
             !runs.is_empty()
         });
-        for run in forgotten.iter().filter(|r| !r.listed) {
+        for run in forgotten.iter().filter(|r| !r.proven) {
             self.drop_lost_run(run);
         }
     }
@@ -234,77 +261,123 @@
         runs
     }
 
-    /// Counts a crash of a worker against the tasks that it ran: against those that had just been started
-    /// there, or else against all of them.
+    /// Notes that a worker's process has ended, unless one of its new runs may be the cause.
+    pub(super) fn note_restart(&mut self, key: WorkerKey) {
+        let now = self.now;
+        let worker = self.worker(key);
+        let new_run = worker.runs.values().any(|r| !r.proven);
+        let silent = self.silent_runs.get(&worker.target.addr);
+        let silent_run = silent.is_some_and(|runs| runs.iter().any(|r| !r.proven));
+        // A process of which this owner hasn't heard may have ended under a run of an earlier owner.
+        if worker.heard_at.is_some() && !new_run && !silent_run {
+            self.restarts.push_back(now.after(RESTART_WINDOW_MS));
+        }
+    }
+
+    /// Returns the number of crashes under trials for which a task is given up: the more often workers restart
+    /// by themselves, the more trials may meet that by chance.
+    fn crash_limit(&mut self) -> usize {
+        let now = self.now;
+        while self.restarts.front().is_some_and(|end| end.passed(now)) {
+            self.restarts.pop_front();
+        }
+        let restarts = self.restarts.len();
+        let workers = self.workers.iter().filter(|w| w.listed).count();
+        let often = usize::from(restarts * 8 >= workers);
+        let very_often = usize::from(restarts * 2 >= workers);
+        CRASH_LIMIT + often + very_often
+    }
+
+    /// Sends the starts of the trials that waited for a worker's report, or gives them up if the worker can't
+    /// be given work any more.
+    pub(super) fn send_trials(&mut self, key: WorkerKey, out: &mut Vec<Action>) {
+        let now = self.now;
+        let awaited = |r: &Run| r.trial == Trial::Awaited && r.stage == Stage::Starting;
+        let worker = self.worker_mut(key);
+        let usable = worker.is_usable(now) && worker.may_resend(now);
+        let trials = worker.runs.iter().filter(|(_, r)| awaited(r));
+        let tasks: Vec<TaskId> = trials.map(|(id, _)| *id).collect();
+        for id in tasks {
+            if !usable {
+                self.drop_trial(key, &id);
+                continue;
+            }
+            if let Some(run) = self.worker_mut(key).runs.get_mut(&id) {
+                (run.trial, run.started_at) = (Trial::Sent(now), now);
+            }
+            self.send_start(key, &id, out);
+        }
+    }
+
+    /// Gives up a trial whose start hasn't been sent, and the rest of a gang.
+    pub(super) fn drop_trial(&mut self, key: WorkerKey, id: &TaskId) {
+        if let Some(run) = self.remove_run(key, id, Gone::Unsent) {
+            self.break_gang(id, run.run);
+        }
+    }
+
+    /// Updates the trials on a worker after a report: one that still isn't listed hasn't crashed the process.
+    pub(super) fn check_trials(&mut self, key: WorkerKey) {
+        let worker = self.worker_mut(key);
+        let asked_at = worker.asked_at;
+        for run in worker.runs.values_mut().filter(|r| !r.restarted) {
+            if let Trial::Sent(at) = run.trial
+                && at.after(PROOF_MS) <= asked_at
+            {
+                run.trial = Trial::No;
+            }
+        }
+    }
+
+    /// Counts the end of a worker's process against the tasks that it had just been given.
     pub(super) fn blame(&mut self, runs: &[SilentRun]) {
         let now = self.now;
-        let Some(first) = runs.first() else {
-            return;
-        };
-        // Runs whose starts may have reached the new process are looked at later.
-        let undecided = self
-            .worker_names
-            .get(&first.lost.worker)
-            .is_some_and(|key| {
-                let mut runs = self.worker(*key).runs.values();
-                runs.any(|r| r.restarted && !r.listed)
-            });
-        let any_early = undecided || runs.iter().any(|r| !r.listed);
         for run in runs {
             self.counts.crashed += 1;
             log::warn!(
-                task:% = run.task, run = run.lost.run, listed = run.listed,
+                task:% = run.task, run = run.lost.run, proven = run.proven, trial = run.lost.certain,
                 worker = run.lost.worker.as_str(), started_at = run.lost.started_at;
                 "run ended with its worker's process"
             );
+            if run.proven {
+                continue;
+            }
             let crash = Crash {
                 run: run.lost.run,
                 worker: run.lost.worker.clone(),
                 weight: run.lost.weight,
                 certain: run.lost.certain,
-                early: !run.listed,
+                early: true,
             };
-            // Over its life an endless task sees any number of workers end for other reasons.
-            let counts = crash.early || !(any_early || self.is_endless(&run.task));
             self.change_task(&run.task, |task| {
                 task.lost_runs.retain(|l| l.run != crash.run);
-                if counts {
-                    task.crashes.push(crash);
-                    task.suspect(now);
-                }
+                task.crashes.push(crash);
+                task.suspect(now);
             });
-            if counts {
-                self.give_up_crashing(&run.task);
-            }
+            self.give_up_crashing(&run.task);
         }
     }
 
-    /// Notes that a worker lists a new run of a task, so that an earlier crash may have had another cause.
-    pub(super) fn clear_early_crashes(&mut self, id: &TaskId) {
-        let endless = self.is_endless(id);
+    /// Notes that a run of a task has been going on for a while, so that earlier crashes had other causes.
+    pub(super) fn clear_crashes(&mut self, id: &TaskId) {
         let Some((_, job)) = self.job_mut(id.job) else {
             return;
         };
-        let early = |t: &mut Task| t.crashes.iter().any(|c| c.early);
-        if !job.task(id).is_some_and(early) {
+        let Some(task) = job.task(id).filter(|t| !t.crashes.is_empty()) else {
             return;
-        }
-        self.change_task(id, |task| {
-            for crash in &mut task.crashes {
-                (crash.early, crash.weight) = (false, POSSIBLE_WEIGHT);
-            }
-            task.crashes.retain(|_| !endless);
-        });
-    }
-
-    fn is_endless(&self, id: &TaskId) -> bool {
-        let job = self.step_key(id).and_then(|k| self.jobs.get(&k.job));
-        job.and_then(|j| j.step(id)).is_some_and(|s| s.endless)
+        };
+        let alone = task.crashes.iter().filter(|c| c.weight >= ONLY_WEIGHT);
+        let restarts = alone.count();
+        self.change_task(id, |task| task.crashes.clear());
+        let end = self.now.after(RESTART_WINDOW_MS);
+        self.restarts.extend(std::iter::repeat_n(end, restarts));
     }
 
-    /// Fails the job of a task under which too many workers have crashed.
+    /// Fails the job of a task under whose trials too many workers have crashed.
     fn give_up_crashing(&mut self, id: &TaskId) {
         let wall_ms = self.wall_ms;
+        let limit = self.crash_limit();
+        let restarts = self.restarts.len();
         let Some((job_key, job)) = self.job_mut(id.job) else {
             return;
         };
@@ -314,13 +387,12 @@
         let Some(task) = job.task(id) else {
             return;
         };
-        let certain = task.crashes.iter().filter(|c| c.certain).count();
-        if task.crash_weight() < CRASH_LIMIT || certain < CERTAIN_CRASHES {
+        if task.trial_crashes() < limit {
             return;
         }
         let runs: Vec<u64> = task.crashes.iter().map(|c| c.run).collect();
         let workers: Vec<&str> = task.crashes.iter().map(|c| c.worker.as_str()).collect();
-        log::warn!(task:% = id, runs:? = runs, workers:? = workers; "job failed: workers crashed under a task of it");
+        log::warn!(task:% = id, runs:? = runs, workers:? = workers, restarts; "job failed: workers crashed under trials of a task of it");
         job.record.state = State::Failed;
         job.record.ended_at = wall_ms;
         self.stop_job(job_key);
--- a/marigoldglade/src/batch/engine/gone.rs
+++ b/marigoldglade/src/batch/engine/gone.rs
@@ -21,6 +21,8 @@
     Missing,
     /// Its worker refused the start.
     Refused,
+    /// Its start wasn't sent: its worker sent no report first.
+    Unsent,
     /// Its start got no response, or was stopped, and can't be carried out any more.
     LostStart,
     /// An earlier owner gave it, and this one doesn't know its end.
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use crate::batch::engine::crashes::{PROOF_MS, Trial};
 use crate::batch::engine::gone::Gone;
 use crate::batch::engine::leases::{ClockReading, LEASE_MS};
 use crate::batch::engine::orders::UNHEALTHY_PAUSE_MS;
@@ -67,7 +68,8 @@
             // A worker with unacknowledged completions answers at once instead of waiting, so until
             // they are durable its renewals are spaced by `renew_at`.
             let uncommitted = worker.acks.is_pending();
-            let waiting = (busy || stopping) && (!uncommitted || worker.renew_at.passed(now));
+            let waiting = (busy || stopping)
+                && (!uncommitted || worker.renew_at.passed(now) || worker.has_trials());
             let needed = silent || unacked || waiting || awaited.contains(&key);
             if !needed {
                 continue;
@@ -88,7 +90,7 @@
             worker.renewal_pending = true;
             worker.renew_at = now.after(RENEW_MS);
             let may_wait = renews || (stopping && responsive);
-            let rechecks = worker.has_missing_runs();
+            let rechecks = worker.has_missing_runs() || worker.has_trials();
             let wait_ms = if !may_wait || rechecks || uncommitted || (unacked && !confirmed) {
                 0
             } else if watched {
@@ -246,6 +248,8 @@
                 let worker = self.worker_mut(key);
                 if worker.has_missing_runs() {
                     worker.renewal_after = now.after(RECHECK_GAP_MS);
+                } else if worker.has_trials() {
+                    worker.renewal_after = now.after(PROOF_MS);
                 }
             }
             OrderResponse::Refused(Refusal::Reborn, _) => {
@@ -331,6 +335,7 @@
         worker.stale_starts.retain(|s| !ruled_out(s));
         self.unbind_reported(key, &report);
         self.check_stalls(key);
+        self.check_trials(key);
         self.update_pace(key, &report, out);
         let now = self.now;
         let foreign_ms = self.has_predecessors.then(|| self.foreign_lease_ms());
@@ -347,6 +352,7 @@
             self.log_first_answers(key);
             self.inherit_lost_starts(key);
         }
+        self.send_trials(key, out);
     }
 
     /// Logs that an inherited worker has answered, if it is the last one, in one line for all of them: a
@@ -372,10 +378,13 @@
     ) {
         let now = self.now;
         let worker = self.worker_mut(key);
+        let asked_at = worker.asked_at;
         if let Some(run) = worker.runs.get_mut(&row.task).filter(|r| r.run == row.run) {
             run.confirmed_at = now;
             run.absent = false;
-            let first_listed = !std::mem::replace(&mut run.listed, true);
+            run.listed = true;
+            let proven = asked_at >= run.started_at.after(PROOF_MS);
+            let first_proven = proven && !std::mem::replace(&mut run.proven, true);
             match run.stage {
                 Stage::Starting => {
                     run.stage = Stage::Running;
@@ -402,8 +411,8 @@
                 run.percent = row.percent;
                 run.progress_at = now;
             }
-            if first_listed {
-                self.clear_early_crashes(&row.task);
+            if first_proven {
+                self.clear_crashes(&row.task);
             }
             return;
         }
@@ -516,6 +525,8 @@
             percent: row.percent,
             progress_at: now,
             listed: true,
+            proven: true,
+            trial: Trial::No,
             isolated: false,
             restarted: false,
             cannot_start: false,
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::batch::engine::crashes::{TRIAL_WAIT_MS, Trial};
 use crate::batch::engine::gone::Gone;
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
 use crate::batch::id::TaskId;
@@ -89,6 +90,10 @@
     pub progress_at: UnixMs,
     /// Whether a report of the worker has listed the run.
     pub listed: bool,
+    /// Whether a report that was asked for a while after the start listed the run.
+    pub proven: bool,
+    /// Whether the run is a trial of a task that may crash its workers.
+    pub trial: Trial,
     /// Whether it may crash its worker, so that nothing else starts there until a report lists it.
     pub isolated: bool,
     /// Whether the worker has restarted since the start was sent, and may have the run or not.
@@ -138,20 +143,31 @@
             started_at: now,
             sent_to: 0,
             sends: 0,
-            resend_at: now,
+            resend_at: if isolated {
+                now.after(TRIAL_WAIT_MS)
+            } else {
+                now
+            },
             confirmed_at: UnixMs(0),
             deadline: 0,
             percent: 0,
             progress_at: now,
             listed: false,
+            proven: false,
+            trial: if isolated { Trial::Awaited } else { Trial::No },
             isolated,
             restarted: false,
             cannot_start: false,
             absent: false,
             pace: Some(FULL_PERCENT),
         };
-        self.worker_mut(key).insert(id, run);
-        self.send_start(key, &id, out);
+        let worker = self.worker_mut(key);
+        worker.insert(id, run);
+        if isolated {
+            worker.renewal_after = now;
+        } else {
+            self.send_start(key, &id, out);
+        }
     }
 
     /// Returns the number of the next run of a task.
@@ -159,7 +175,7 @@
         (last + 1).max((self.term.saturating_sub(1)) * RUNS_PER_TERM + 1)
     }
 
-    fn send_start(&mut self, key: WorkerKey, id: &TaskId, out: &mut Vec<Action>) {
+    pub(super) fn send_start(&mut self, key: WorkerKey, id: &TaskId, out: &mut Vec<Action>) {
         let (now, term) = (self.now, self.term);
         let Some((_, job)) = self.job_mut(id.job) else {
             return;
@@ -219,14 +235,17 @@
                 self.expire_leases(key);
                 continue;
             }
-            let due: Vec<(TaskId, Stage, bool)> = worker
+            let due: Vec<(TaskId, Stage, Trial, bool)> = worker
                 .runs
                 .iter()
                 .filter(|(_, r)| r.stage != Stage::Running && r.resend_at.passed(now))
-                .map(|(id, r)| (*id, r.stage, r.sends > 0))
+                .map(|(id, r)| (*id, r.stage, r.trial, r.isolated && r.restarted))
                 .collect();
-            for (id, stage, _) in due {
+            for (id, stage, trial, was_elsewhere) in due {
                 match stage {
+                    Stage::Starting if trial == Trial::Awaited => self.drop_trial(key, &id),
+                    // Another start in the next process would be another trial.
+                    Stage::Starting if was_elsewhere => self.abandon_start(key, &id),
                     Stage::Starting if !self.worker(key).may_resend(now) => {
                         self.abandon_start(key, &id);
                     }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -451,6 +451,7 @@
             !fresh && !report.lists(task, run.run)
         };
         let tasks: Vec<TaskId> = worker.runs.iter().filter(lost).map(|(t, _)| *t).collect();
+        self.note_restart(key);
         let ended = self.ended_with_process(key, &tasks);
         for task in &tasks {
             self.log_given_up(key, task, why);
