Count four crashes under trials only in a storm of restarts

The fourth crash is asked for only if as many workers have restarted by themselves in the last 10 s as there are. At one restart of each worker in 10 s a trial meets one by chance in about 0.015 of cases, as its start and the report after it are 100 ms and a response apart.

--- a/marigoldglade/src/batch/engine/crashes.rs
+++ b/marigoldglade/src/batch/engine/crashes.rs
@@ -284,7 +284,7 @@
         let restarts = self.restarts.len();
         let workers = self.workers.iter().filter(|w| w.listed).count();
         let often = usize::from(restarts * 8 >= workers);
-        let very_often = usize::from(restarts * 2 >= workers);
+        let very_often = usize::from(restarts >= workers);
         CRASH_LIMIT + often + very_often
     }
 
