Count the restart of a worker's process once

Only a process that has answered this owner counts now, and only once.

`batch_crashes` passes (4 of 4).

--- a/marigoldglade/src/batch/engine/crashes.rs
+++ b/marigoldglade/src/batch/engine/crashes.rs
@@ -268,8 +268,8 @@
         let new_run = worker.runs.values().any(|r| !r.proven);
         let silent = self.silent_runs.get(&worker.target.addr);
         let silent_run = silent.is_some_and(|runs| runs.iter().any(|r| !r.proven));
-        // A process of which this owner hasn't heard may have ended under a run of an earlier owner.
-        if worker.heard_at.is_some() && !new_run && !silent_run {
+        // A process that this owner hasn't heard from may have ended under a run of an earlier owner.
+        if worker.fenced && !new_run && !silent_run {
             self.restarts.push_back(now.after(RESTART_WINDOW_MS));
         }
     }
