--- a/marigoldglade/tests/batch_crashes.rs
+++ b/marigoldglade/tests/batch_crashes.rs
@@ -69,8 +69,6 @@
     }
 }
 
-/// Guards against sound jobs that are shown as failed because their starts are sent to workers that are
-/// cut off and restart.
 /// The seeds that the storms of restarts are played with.
 const SEEDS: Range<u64> = 202..206;
 
