Handle SIGHUP before callers can connect

A daemon that got a SIGHUP between the binding of its addresses and the start of the task that watches the settings would end, with the requests that had come by then.

The handler is now registered before the first address is bound.

--- a/marigoldgladed/src/batch.rs
+++ b/marigoldgladed/src/batch.rs
@@ -116,6 +116,8 @@
     };
     let mut terminate = signal(SignalKind::terminate()).map_err(internal)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(internal)?;
+    // By default the signal ends the process, so it is handled before callers can connect.
+    let hangup = signal(SignalKind::hangup()).map_err(internal)?;
     let front = TcpListener::bind(settings.listen).await.map_err(internal)?;
     let ready = TcpListener::bind(platform.ready).await.map_err(internal)?;
     let mesh = TcpListener::bind(settings.mesh).await.map_err(internal)?;
@@ -164,7 +166,7 @@
     spawn_local(front::serve_ready(Rc::clone(&node), ready));
     spawn_local(front::serve_metrics(Rc::clone(&node), admin));
     let front = spawn_local(front::serve(Rc::clone(&node), front));
-    spawn_local(watch_settings(Rc::clone(&node), file));
+    spawn_local(watch_settings(Rc::clone(&node), file, hangup));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -207,11 +209,7 @@
 }
 
 /// Reloads the settings when the file has changed: looks at it regularly and on SIGHUP.
-async fn watch_settings(node: Rc<Node>, file: String) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log::error!("can't listen for SIGHUP");
-        return;
-    };
+async fn watch_settings(node: Rc<Node>, file: String, mut hangup: Signal) {
     let mut text = std::fs::read_to_string(&file).unwrap_or_default();
     loop {
         tokio::select! {
