--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -594,7 +594,7 @@
         for avoid in [&request.avoid[..], &[]] {
             bins = self.open_bins(&step_key, shape, avoid, pass);
             let room = count_fitting(&bins, demand, |b| b.used);
-            // Without more room than that, what is kept free is little, and gangs need all of it.
+            // With room for less than twice the request, the kept capacity stays reserved for gangs.
             if !step.endless && room < shape.count.saturating_mul(2) {
                 continue;
             }
