--- a/marigoldglade/src/batch/engine/leases.rs
+++ b/marigoldglade/src/batch/engine/leases.rs
@@ -24,6 +24,8 @@
 const LAPSE_LIMIT_MS: u64 = 900;
 /// A margin added to each computed expiry for responses under way, in milliseconds.
 const EXPIRY_SLACK_MS: u64 = 300;
+/// The most workers that one line of the log names.
+const LOGGED_NAMES: usize = 8;
 
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
@@ -141,4 +143,26 @@
         }
         log::info!(term = self.term, silent; "earlier owners have ended; their leases expire");
     }
+
+    /// Logs, once a worker, that the leases on silent workers of an earlier owner count as expired.
+    pub(super) fn log_expired_waits(&mut self) {
+        let (now, confirmed_at, term) = (self.now, self.confirmed_at, self.term);
+        let over = |w: &&mut Worker| {
+            let silent = w.inherited && !w.answered;
+            silent && w.uncertain_until.passed(confirmed_at) && !w.wait_logged
+        };
+        let mut names = Vec::new();
+        let mut over_ms = 0;
+        for worker in self.workers.iter_mut().filter(over) {
+            worker.wait_logged = true;
+            over_ms = over_ms.max(now.since(worker.uncertain_until));
+            names.push(worker.target.name.as_str());
+        }
+        if names.is_empty() {
+            return;
+        }
+        let workers = names.len();
+        names.truncate(LOGGED_NAMES);
+        log::warn!(term, workers, names = names.join(" "), over_ms; "leases of an earlier owner on silent workers count as expired");
+    }
 }
--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -60,6 +60,7 @@
         }
         let worker = self.worker_mut(key);
         let target = Arc::clone(&worker.target);
+        let awaits_report = !worker.answered;
         let Some(run) = worker
             .runs
             .get_mut(&start.task)
@@ -67,6 +68,7 @@
         else {
             return;
         };
+        let restarted = awaits_report || run.sent_to < target.started_at;
         match response {
             OrderResponse::Accepted(_) => {
                 (run.confirmed_at, run.absent) = (now, false);
@@ -85,6 +87,13 @@
                         took_ms = now.since(run.started_at);
                         "task started"
                     );
+                    if restarted {
+                        log::warn!(
+                            task:% = start.task, run = start.run, worker = target.name.as_str(), clock = response.clock(),
+                            deadline = start.deadline, sent_to = run.sent_to, started_at = target.started_at;
+                            "start carried out by a later process of its worker"
+                        );
+                    }
                     if let Some(job) = self.jobs.get_mut(&job) {
                         job.started = true;
                     }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -54,6 +54,8 @@
     /// Until when the worker may have runs that this owner doesn't know of, unless it answers
     /// before.
     pub uncertain_until: UnixMs,
+    /// Whether the log has said that the wait for the worker is over; only the log uses it.
+    pub wait_logged: bool,
     pub clock_reading: Option<ClockReading>,
     /// When the last report was asked for. What the owner has learned since may be missing from it, even if
     /// its clock says otherwise: a worker may list its runs before it reads its clock.
@@ -122,6 +124,7 @@
             heard: false,
             heard_at: None,
             uncertain_until: UnixMs(0),
+            wait_logged: false,
             clock_reading: None,
             asked_at: UnixMs(0),
             moved_until: now,
