Count the longest lease once a next process of a worker accepts a start

Cause: a start that was under way while its worker restarted is carried out by the next process, which shortens the deadline, far ahead on its clock, to the longest lease (10 s on some deployments). The owner counted such orders once a report had shown the restart. If the response to the start came first and the worker was silent from then on, the owner reckoned with the clock and the leases of the earlier process, and started the task elsewhere about 6 s later.

Now an accepted start of a worker whose report is awaited counts as an order to the earlier process: its leases may last as long as after a restart that a report shows.

--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -159,6 +159,16 @@
             log::warn!(worker = worker.target.name.as_str(), runs = worker.runs.len(); "a response shows a restarted worker");
             worker.await_report(now);
         }
+        let started = matches!(
+            (order, &response),
+            (Order::Start(_), OrderResponse::Accepted(_))
+        );
+        if started && !self.worker(key).answered {
+            // The next process may hold the longest lease, and be silent before its first report.
+            let (now, lease_limit_ms) = (self.now, self.bounds.lease_limit_ms);
+            let worker = self.worker_mut(key);
+            worker.expect_late_orders(now, lease_limit_ms);
+        }
         match order {
             Order::Renew(renewal) => self.handle_renewal_response(key, renewal, response, out),
             Order::Start(start) => self.handle_start_response(key, start, &response),
