Tell the next owner which workers may have long leases

Cause: an order that was meant for a worker's earlier process is carried out by the next one, which holds the longest lease then, 10 s there, for all that it runs. The owner counts that; a successor that doesn't reach the worker waited for a lease of 5 s, the length that owners renew, and started the tasks again. The class: a bound on what others have granted that leaves out what they granted by accident.

Ruled out: the owner's own reckoning (the second runs are by the next term), orders that are carried out late (the starts were carried out within 0.3 s).

Change: the stored list marks workers on which orders to an earlier process may extend leases, in the commit without which such a worker gets no work, until those leases have passed. A new owner waits for 13 s and the longest lease for a marked worker that is silent, and for one that the registry shows to have restarted since the list was written. All other waits stay.

--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -465,6 +465,7 @@
         },
         draining: false,
         started_at: 1_000,
+        long_leases: false,
     }
 }
 
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -142,8 +142,14 @@
             for key in self.worker_keys() {
                 let worker = self.worker_mut(key);
                 worker.recorded &= worker.concerns_successor(now, confirmed_at);
+                worker.listed_long = worker.has_long_leases(now);
             }
-            let targets = kept.iter().map(|(k, _)| (*self.worker(*k).target).clone());
+            let targets = kept.iter().map(|(k, _)| {
+                let worker = self.worker(*k);
+                let mut target = (*worker.target).clone();
+                target.long_leases = worker.listed_long;
+                target
+            });
             batch.workers = Some(targets.collect());
             pending.workers = Some(kept);
         }
--- a/marigoldglade/src/batch/engine/leases.rs
+++ b/marigoldglade/src/batch/engine/leases.rs
@@ -4,9 +4,9 @@
 //! too early has them run twice, so the bound covers what earlier owners renewed and what orders to an
 //! earlier process of the worker extend.
 
-use crate::batch::engine::Engine;
 use crate::batch::engine::orders::LATE_ORDER_MS;
 use crate::batch::engine::workers::Worker;
+use crate::batch::engine::{Engine, WorkerKey};
 use crate::batch::worker::Target;
 use crate::time::UnixMs;
 
@@ -54,11 +54,25 @@
 
     /// Returns when all leases of the worker have certainly expired and its runs have ended.
     pub fn all_leases_expired_at(&self) -> UnixMs {
-        let Some(reading) = self.clock_reading else {
-            return self.uncertain_until.max(self.foreign_until);
+        let known = match self.clock_reading {
+            Some(reading) => {
+                let left = self.lease_expires_at.saturating_sub(reading.clock);
+                reading.at.after(longest_wait(left))
+            }
+            None => self.uncertain_until,
         };
-        let left = self.lease_expires_at.saturating_sub(reading.clock);
-        reading.at.after(longest_wait(left)).max(self.foreign_until)
+        known.max(self.foreign_until).max(self.inherited_until)
+    }
+
+    /// Returns whether leases may be as long as the platform allows, since orders that were meant for an
+    /// earlier process have extended them, or may do so later. A new owner must wait for them.
+    pub fn has_long_leases(&self, now: UnixMs) -> bool {
+        let inherited_until = if self.answered {
+            self.inherited_until
+        } else {
+            self.uncertain_until
+        };
+        !self.foreign_until.passed(now) || (self.long_leases && !inherited_until.passed(now))
     }
 
     /// Notes the response to an order that extends leases to `expires_at`, or its loss.
@@ -79,7 +93,7 @@
     /// last for `foreign_ms` from now on at most; `None` if there were none.
     pub fn fence(&mut self, now: UnixMs, foreign_ms: Option<u64>) {
         if let Some(ms) = foreign_ms.filter(|_| !self.fenced) {
-            self.foreign_until = self.foreign_until.max(now.after(ms));
+            self.inherited_until = self.inherited_until.max(now.after(ms));
         }
         self.fenced = true;
     }
@@ -108,22 +122,47 @@
 
 impl Engine {
     /// Adds a worker that may run tasks of an earlier owner.
-    pub(super) fn inherit_worker(&mut self, target: Target, predecessors_ended: bool) {
+    pub(super) fn inherit_worker(&mut self, mut target: Target, predecessors_ended: bool) {
         let unconfirmed_ms = if predecessors_ended {
             0
         } else {
             UNCONFIRMED_LIMIT_MS
         };
-        let uncertain_until = self.now.after(unconfirmed_ms + self.inherited_lease_ms());
+        let long = std::mem::take(&mut target.long_leases);
+        let lease_ms = self.inherited_lease_ms(long);
+        let uncertain_until = self.now.after(unconfirmed_ms + lease_ms);
         let key = self.add_worker(target);
         let worker = self.worker_mut(key);
         worker.inherited = true;
+        (worker.long_leases, worker.listed_long) = (long, long);
         worker.uncertain_until = uncertain_until;
     }
 
-    /// Returns how long a lease that an earlier owner renews now can last, on this process's clock.
-    fn inherited_lease_ms(&self) -> u64 {
-        longest_wait(self.bounds.lease_limit_ms.min(LEASE_MS))
+    /// Notes that a silent worker of an earlier owner has restarted since that owner wrote the list, so that
+    /// its orders to the earlier process may extend leases.
+    pub(super) fn expect_long_leases(&mut self, key: WorkerKey) {
+        let longer_ms = self.inherited_lease_ms(true) - self.inherited_lease_ms(false);
+        let worker = self.worker_mut(key);
+        if !std::mem::replace(&mut worker.long_leases, true) {
+            worker.uncertain_until = worker.uncertain_until.after(longer_ms);
+        }
+    }
+
+    /// Has the stored list written when what it says about long leases is out of date.
+    pub(super) fn check_listed_leases(&mut self) {
+        let now = self.now;
+        let outdated = |w: &Worker| w.listed_long != w.has_long_leases(now);
+        self.workers_dirty |= self.workers.iter().any(outdated);
+    }
+
+    /// Returns how long a lease of an earlier owner can last from now on, on this process's clock. It is
+    /// `long` if an order that was meant for an earlier process can still extend it.
+    fn inherited_lease_ms(&self, long: bool) -> u64 {
+        if long {
+            LATE_ORDER_MS + self.foreign_lease_ms()
+        } else {
+            longest_wait(self.bounds.lease_limit_ms.min(LEASE_MS))
+        }
     }
 
     /// Returns how long a lease can last that isn't known to this owner, on this process's clock.
@@ -133,15 +172,22 @@
 
     /// Shortens the wait for silent workers now that no earlier owner renews leases any more.
     pub(super) fn limit_inherited_leases(&mut self) {
-        let end = self.now.after(self.inherited_lease_ms());
-        let mut silent = 0;
+        let short_end = self.now.after(self.inherited_lease_ms(false));
+        let long_end = self.now.after(self.inherited_lease_ms(true));
+        let (mut silent, mut long) = (0, 0);
         for worker in &mut self.workers {
             if worker.inherited && !worker.answered {
+                let end = if worker.long_leases {
+                    long_end
+                } else {
+                    short_end
+                };
                 worker.uncertain_until = worker.uncertain_until.min(end);
                 silent += 1;
+                long += u32::from(worker.long_leases);
             }
         }
-        log::info!(term = self.term, silent; "earlier owners have ended; their leases expire");
+        log::info!(term = self.term, silent, long; "earlier owners have ended; their leases expire");
     }
 
     /// Logs, once a worker, that the leases on silent workers of an earlier owner count as expired.
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -64,9 +64,15 @@
     pub moved_until: UnixMs,
     /// The latest expiry of a lease or start deadline that was sent, on the worker's clock.
     pub lease_expires_at: u64,
-    /// Until when leases may last that `lease_expires_at` doesn't cover: those that an earlier owner
-    /// renewed, or an order that was sent to an earlier process.
+    /// Until when leases may last that `lease_expires_at` doesn't cover: those that orders which were meant
+    /// for an earlier process have extended, or may extend.
     pub foreign_until: UnixMs,
+    /// Until when leases may last that an earlier owner renewed.
+    pub inherited_until: UnixMs,
+    /// Whether the leases of an earlier owner may be as long as the platform allows.
+    pub long_leases: bool,
+    /// Whether the stored list says that leases may be as long as the platform allows.
+    pub listed_long: bool,
     /// Until when an order that got no response and extends leases may still be carried out.
     pub late_until: UnixMs,
     /// Until when the last report shows which process of the worker there is.
@@ -130,6 +136,9 @@
             moved_until: now,
             lease_expires_at: 0,
             foreign_until: UnixMs(0),
+            inherited_until: UnixMs(0),
+            long_leases: false,
+            listed_long: false,
             late_until: now,
             confirmed_until: now,
             acks: Acks::default(),
@@ -378,7 +387,11 @@
                 ..target
             });
             worker.listed = true;
+            let unheard = worker.inherited && !worker.answered;
             worker.await_report(now);
+            if unheard {
+                self.expect_long_leases(key);
+            }
             return;
         }
         let worker = self.worker_mut(key);
--- a/marigoldglade/src/batch/worker.rs
+++ b/marigoldglade/src/batch/worker.rs
@@ -124,6 +124,10 @@
     /// When its process started, in milliseconds since the Unix epoch; zero when unknown.
     #[serde(rename = "born")]
     pub started_at: u64,
+    /// Whether orders that were meant for an earlier process may have given it leases as long as the platform
+    /// allows; only the stored list of workers says so.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub long_leases: bool,
 }
 
 impl Target {
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -400,6 +400,7 @@
                     },
                     draining: false,
                     started_at: 1_000,
+                    long_leases: false,
                 };
                 simulation.workers.insert(
                     name.clone(),
--- a/marigoldglade/tests/batch_links.rs
+++ b/marigoldglade/tests/batch_links.rs
@@ -36,6 +36,7 @@
             capacity: Resources::default(),
             draining: false,
             started_at: 1_000,
+            long_leases: false,
         })
         .collect()
 }
--- a/marigoldglade/tests/batch_restarts.rs
+++ b/marigoldglade/tests/batch_restarts.rs
@@ -97,3 +97,19 @@
     sim.run_for(30_000);
     assert_eq!(sim.status(1), Some(JobStatus::Done));
 }
+
+/// Guards against a takeover that waits for long leases which have passed.
+#[test]
+fn a_restart_long_ago_makes_no_takeover_longer() {
+    let mut sim = start_in_next_process(84, 40_000);
+    sim.run_for(TRANSIT_MS);
+    sim.lost_renewals.clear();
+    sim.run_for(500);
+    assert!(sim.stored_workers.iter().any(|w| w.long_leases));
+    sim.run_for(26_000);
+    assert!(sim.stored_workers.iter().all(|w| !w.long_leases));
+    assert_eq!(sim.starts, 1);
+    // The worker's leases of 5 s expire before the task starts again.
+    replace_owner(&mut sim, 7_000);
+    assert_eq!(sim.starts, 2);
+}
--- a/marigoldglade/tests/batch_roster.rs
+++ b/marigoldglade/tests/batch_roster.rs
@@ -17,6 +17,7 @@
         capacity: Resources::default(),
         draining: false,
         started_at: 1_000,
+        long_leases: false,
     }
 }
 
--- a/marigoldglade/tests/batch_worker_list.rs
+++ b/marigoldglade/tests/batch_worker_list.rs
@@ -24,6 +24,7 @@
             },
             draining: false,
             started_at: 1_775_019_926_023,
+            long_leases: false,
         })
         .collect()
 }
@@ -74,3 +75,24 @@
     assert!(surplus(2, 2).is_empty());
     assert!(surplus(3, 1).is_empty());
 }
+
+/// Guards against a list that another build can't read: only workers that may have long leases differ.
+#[test]
+fn long_leases_are_told_apart_in_a_list_that_other_builds_read() {
+    let mut all = targets(2);
+    all[1].long_leases = true;
+    let bytes = mesh::encode(&all).expect("a list can be encoded");
+    let fields: Vec<ciborium::Value> = ciborium::from_reader(&bytes[..]).expect("a list");
+    let has_field = |worker: &ciborium::Value| {
+        let fields = worker.as_map().expect("a map");
+        fields
+            .iter()
+            .any(|(k, _)| k.as_text() == Some("long_leases"))
+    };
+    assert_eq!(
+        fields.iter().map(has_field).collect::<Vec<_>>(),
+        [false, true]
+    );
+    let read: Vec<Target> = ciborium::from_reader(&bytes[..]).expect("a list");
+    assert_eq!(read, all);
+}
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -362,7 +362,8 @@
         };
         log::info!(
             term = ownership.term, jobs = initial.records.len(), workers = initial.workers.len(),
-            entries = entries.len(), took_ms = clock::now().since(began);
+            entries = entries.len(), took_ms = clock::now().since(began),
+            long_leases = initial.workers.iter().filter(|w| w.long_leases).count();
             "state loaded"
         );
         log_recent(ownership.term, &initial.records);
