--- a/marigoldglade/src/batch/engine/leases.rs
+++ b/marigoldglade/src/batch/engine/leases.rs
@@ -209,6 +209,6 @@
         }
         let workers = names.len();
         names.truncate(LOGGED_NAMES);
-        log::warn!(term, workers, names = names.join(" "), over_ms; "leases of an earlier owner on silent workers count as expired");
+        log::warn!(term, workers, names = names.join(" ").as_str(), over_ms; "leases of an earlier owner on silent workers count as expired");
     }
 }
