--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -157,14 +157,13 @@
             task:% = start.task, run = start.run, worker = worker.target.name.as_str();
             "start accepted after its run was given up"
         );
-        if worker.unwanted.iter().all(|u| u.task != start.task) {
-            worker.unwanted.push(UnwantedRun {
-                task: start.task,
-                resources: charge.unwrap_or(worker.target.capacity),
-                known_at: now,
-                absent: false,
-            });
-        }
+        worker.unwanted.retain(|u| u.task != start.task);
+        worker.unwanted.push(UnwantedRun {
+            task: start.task,
+            resources: charge.unwrap_or(worker.target.capacity),
+            known_at: now,
+            absent: false,
+        });
     }
 
     /// Reacts to the refusal of a start: the worker or the task waits, and the rest of a gang is
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -298,7 +298,7 @@
         self.acks = Acks::default();
         // What the next process has accepted may be missing from the report that shows the restart.
         let asked_at = self.asked_at;
-        self.unwanted.retain(|u| u.known_at > asked_at);
+        self.unwanted.retain(|u| u.known_at >= asked_at);
         self.partial = false;
         self.failed_renewals = 0;
         self.health = Health::default();
