Add the interface of learned run times to placement

Placement can't tell fast workers from slow ones: on a fleet of three speeds urgent gangs are late on the slow ones though fast ones are free. A bin now carries the stretch of its worker, which is unknown for all until run times are learned, so nothing changes yet.

--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -7,7 +7,7 @@
 //! those on the stored list ([`worker_list`]),
 //! the daemons that relay orders to them ([`links`]), earlier owners that may still act ([`succession`]),
 //! attempts at submissions that may take effect late ([`attempts`], [`refused`]), and the decisions ([`admission`], [`commit_order`], [`rank`], [`pack`], [`preempt`], [`pace`],
-//! [`advice`], [`health`]).
+//! [`advice`], [`health`]), and what finished runs have shown ([`run_times`]).
 
 pub mod admission;
 pub mod advice;
@@ -26,6 +26,7 @@
 pub mod record;
 pub mod refused;
 pub mod roster;
+pub mod run_times;
 pub mod spec;
 pub mod succession;
 pub mod worker;
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -37,6 +37,7 @@
 use crate::batch::policy::{Policy, Queue};
 use crate::batch::record::Record;
 use crate::batch::refused::RefusedJobs;
+use crate::batch::run_times::RunTimes;
 use crate::batch::worker::{Order, OrderResponse, Target};
 use crate::time::UnixMs;
 
@@ -278,6 +279,8 @@
     ask_after: UnixMs,
     /// Jobs covered by their workspaces' guarantees, as of the last planning pass.
     guaranteed_jobs: HashSet<JobKey>,
+    /// What the runs of this and earlier owners have shown.
+    run_times: RunTimes,
     counts: Counts,
     now: UnixMs,
     /// The wall clock in milliseconds since the Unix epoch; it may jump.
@@ -341,6 +344,7 @@
             advice_request: None,
             ask_after: now,
             guaranteed_jobs: HashSet::new(),
+            run_times: RunTimes::default(),
             counts: Counts::default(),
             now,
             wall_ms,
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -130,6 +130,7 @@
                 capacity: target.capacity,
                 grade,
                 max_tasks: self.step_limit_left(step_key, key),
+                stretch: self.run_times.stretch(key),
             });
         }
         bins
--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -240,6 +240,7 @@
                 capacity: worker.target.capacity,
                 grade: worker.health.grade(self.now),
                 max_tasks: u32::MAX,
+                stretch: self.run_times.stretch(key),
             }
         };
         let listed = |key: &WorkerKey| {
--- a/marigoldglade/src/batch/pack.rs
+++ b/marigoldglade/src/batch/pack.rs
@@ -7,6 +7,7 @@
 
 use crate::batch::engine::WorkerKey;
 use crate::batch::health::Grade;
+use crate::batch::run_times::Stretch;
 use crate::batch::worker::Resources;
 
 /// Identifies a rack within the engine.
@@ -28,6 +29,8 @@
     pub grade: Grade,
     /// The largest number of the tasks that may be placed on it, however much it has free.
     pub max_tasks: u32,
+    /// How long tasks take on it.
+    pub stretch: Stretch,
 }
 
 impl Bin {
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -12,6 +12,7 @@
 use marigoldglade::batch::pack::{Bin, Demand, RackKey, place_all, place_gang, place_one};
 use marigoldglade::batch::preempt::{Victim, plan_preemption};
 use marigoldglade::batch::rank::{Outlook, RankInputs, outlook, rank};
+use marigoldglade::batch::run_times::Stretch;
 use marigoldglade::batch::spec::{JobSpec, Step};
 use marigoldglade::batch::worker::Resources;
 use marigoldglade::time::UnixMs;
@@ -32,6 +33,7 @@
         capacity: CAPACITY,
         grade: Grade::Good,
         max_tasks: u32::MAX,
+        stretch: Stretch::UNKNOWN,
     }
 }
 
