Place work by the speed of workers and the slack it has

Urgent work now takes the fastest workers of a rack, in classes, and the members of a gang are of like speed. Other work takes the slow ones first as long as its slack holds, on all racks, also on those that are kept for urgent work, since that avoids slow workers. An urgent gang that would be late on the workers with room waits as long as others would still be in time, at most until it is overdue. Runs aren't stopped for workers on which the gang would be late.

All of it acts only where run times have shown that workers differ; until they are learned, nothing changes.

The tests of urgent gangs beside batch work fail with the speed-blind rule: more than half of the gangs get a slow member.

--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -14,6 +14,7 @@
 pub mod attempts;
 pub mod commit_order;
 pub mod engine;
+pub mod finish;
 pub mod health;
 pub mod id;
 pub mod links;
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -31,6 +31,7 @@
 use std::sync::Arc;
 
 use crate::batch::advice::{Advice, AdviceResponse};
+use crate::batch::finish::SpeedRange;
 use crate::batch::id::{JobId, TaskId};
 use crate::batch::messages::{Call, Reply};
 use crate::batch::pack::RackKey;
@@ -281,6 +282,8 @@
     guaranteed_jobs: HashSet<JobKey>,
     /// What the runs of this and earlier owners have shown.
     run_times: RunTimes,
+    /// The range of the workers' speeds as of the last planning pass; `None` if they hardly differ.
+    speeds: Option<SpeedRange>,
     counts: Counts,
     now: UnixMs,
     /// The wall clock in milliseconds since the Unix epoch; it may jump.
@@ -345,6 +348,7 @@
             ask_after: now,
             guaranteed_jobs: HashSet::new(),
             run_times: RunTimes::default(),
+            speeds: None,
             counts: Counts::default(),
             now,
             wall_ms,
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -5,6 +5,7 @@
 use crate::batch::engine::plan::{Pass, RackReservation, Reservation, Shape, StepKey};
 use crate::batch::engine::runs::{Run, Stage};
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
+use crate::batch::finish::Speed;
 use crate::batch::health::Grade;
 use crate::batch::id::TaskId;
 use crate::batch::pack::{Bin, Demand, RackKey, count_fitting, in_rack, racks};
@@ -72,7 +73,7 @@
                 // Urgent gangs find whole workers on these racks without waiting for preempted runs
                 // to stop.
                 if shape.priority > 0 && pass.top_priority == 0 {
-                    exclude_last_racks(&mut bins, URGENT_RACKS_DIVISOR);
+                    self.exclude_last_racks(&mut bins, URGENT_RACKS_DIVISOR);
                 }
                 return bins;
             }
@@ -163,7 +164,7 @@
         let mut bins = all.to_vec();
         self.exclude_reserved_racks(step_key, shape, &mut bins);
         if shape.priority > 1 && !step.gang && pass.top_priority < shape.priority {
-            exclude_last_racks(&mut bins, GANG_RACKS_DIVISOR);
+            self.exclude_last_racks(&mut bins, GANG_RACKS_DIVISOR);
         }
         if shape.near_only {
             bins.retain(|b| Some(b.rack) == shape.near_rack);
@@ -375,11 +376,13 @@
             expires_at,
         });
     }
-}
 
-/// Removes the workers on the last racks: one in `divisor` of the racks of all `bins`.
-fn exclude_last_racks(bins: &mut Vec<Bin>, divisor: usize) {
-    let racks = racks(bins);
-    let first = &racks[..racks.len() - racks.len() / divisor];
-    bins.retain(|b| first.contains(&b.rack));
+    /// Removes the workers on the last racks: one in `divisor` of the racks of all `bins`. If the workers
+    /// differ in speed, the slow ones stay, as urgent work avoids them.
+    fn exclude_last_racks(&self, bins: &mut Vec<Bin>, divisor: usize) {
+        let racks = racks(bins);
+        let first = &racks[..racks.len() - racks.len() / divisor];
+        let slow = |b: &Bin| self.speeds.is_some() && b.stretch.speed() == Speed::Slow;
+        bins.retain(|b| first.contains(&b.rack) || slow(b));
+    }
 }
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -7,10 +7,11 @@
 use crate::batch::engine::job::Job;
 use crate::batch::engine::waits::REPORT_INTERVAL_MS;
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
-use crate::batch::id::TaskId;
-use crate::batch::pack::{
-    Bin, Demand, RackKey, count_fitting, place_bound_gang, place_gang, place_some,
+use crate::batch::finish::{
+    SpeedOrder, SpeedRange, SpeedRule, could_hold, place_gang_by_speed, place_some_by_speed,
 };
+use crate::batch::id::TaskId;
+use crate::batch::pack::{Bin, Demand, RackKey, count_fitting, fits_one_rack};
 use crate::batch::rank::{Outlook, Rank, RankInputs, outlook, rank};
 use crate::batch::spec::Step;
 use crate::batch::worker::Resources;
@@ -142,9 +143,9 @@
     /// Workers to avoid because tasks of the request failed or stalled there.
     pub avoid: Vec<WorkerKey>,
     /// Tasks that may only be started on one worker, by their positions.
-    bound: Vec<(usize, WorkerKey)>,
+    pub bound: Vec<(usize, WorkerKey)>,
     /// How long the job has waited since it was accepted, in milliseconds.
-    waited_ms: u64,
+    pub waited_ms: u64,
 }
 
 /// The properties of a request that decide whether it can be placed.
@@ -177,6 +178,8 @@
     pub isolated: bool,
     /// The only worker that the task may be started on.
     pub bound: Option<WorkerKey>,
+    /// Which workers are suitable by their speed.
+    pub speed: SpeedRule,
 }
 
 /// Returns workers among some for a whole gang, or for as many single tasks as fit.
@@ -185,28 +188,19 @@
     request: &PlacementRequest,
     bins: &[Bin],
 ) -> Option<Vec<WorkerKey>> {
-    let PlacementRequest { demand, bound, .. } = request;
+    let PlacementRequest {
+        demand,
+        bound,
+        shape,
+        ..
+    } = request;
     if step.gang {
-        return place_gang_with(bins, demand, bound);
+        return place_gang_by_speed(bins, demand, bound, &shape.speed);
     }
-    let workers = place_some(&mut bins.to_vec(), demand);
+    let workers = place_some_by_speed(bins, demand, &shape.speed);
     Some(workers).filter(|workers| !workers.is_empty())
 }
 
-/// Returns workers among some for a whole gang, of which some tasks, given by their positions, may be
-/// bound to a worker.
-fn place_gang_with(
-    bins: &[Bin],
-    demand: &Demand,
-    bound: &[(usize, WorkerKey)],
-) -> Option<Vec<WorkerKey>> {
-    if bound.is_empty() {
-        place_gang(bins, demand)
-    } else {
-        place_bound_gang(bins, demand, bound)
-    }
-}
-
 impl Engine {
     /// Returns the key of the step that a task belongs to.
     pub(super) fn step_key(&self, id: &TaskId) -> Option<StepKey> {
@@ -221,6 +215,7 @@
     /// others.
     pub(super) fn plan(&mut self, out: &mut Vec<Action>) {
         self.update_idle_times();
+        self.speeds = self.speed_range();
         let mut steps = self.ready_steps();
         steps.sort_unstable();
         let now = self.now;
@@ -281,6 +276,32 @@
         covered
     }
 
+    /// Returns the range of the workers' speeds; `None` if they don't differ enough to matter.
+    fn speed_range(&self) -> Option<SpeedRange> {
+        if !self.run_times.is_uneven() {
+            return None;
+        }
+        let usable = self
+            .worker_keys()
+            .filter(|k| self.worker(*k).is_usable(self.now));
+        SpeedRange::new(usable.map(|k| self.run_times.stretch(k)))
+    }
+
+    /// Returns which workers are suitable for a step by their speed.
+    fn speed_rule(&self, step_key: StepKey, step: &Step, overdue: bool) -> SpeedRule {
+        let Some(range) = self.speeds.filter(|_| !step.endless) else {
+            return SpeedRule::default();
+        };
+        let job = &self.jobs[&step_key.job];
+        let round = usize::try_from(step_key.round).unwrap_or(0);
+        let inputs = self.rank_inputs(step_key.job, job, round);
+        let rule = SpeedRule::new(&inputs, range, self.now);
+        SpeedRule {
+            may_wait: rule.may_wait && !overdue,
+            ..rule
+        }
+    }
+
     /// Returns what decides the rank of a round of a job.
     fn rank_inputs(&self, key: JobKey, job: &Job, round: usize) -> RankInputs {
         let queue = &job.record.queue;
@@ -455,6 +476,7 @@
             count,
             one_rack: step.gang && step.one_rack,
             near_rack: near,
+            order: SpeedOrder::Any,
         };
         let overdue = self.is_overdue(step_key, step, pass);
         let attempts = usize::try_from(queue.attempts).unwrap_or(usize::MAX);
@@ -482,6 +504,7 @@
                 .first()
                 .map(|(_, key)| *key)
                 .filter(|_| !step.gang),
+            speed: self.speed_rule(step_key, step, overdue),
         };
         PlacementRequest {
             demand,
@@ -554,7 +577,8 @@
                 count: shape.count,
                 ..*demand
             };
-            if self.preempt(step_key, &all, &demand, limit, pass) {
+            let bins = self.preemption_bins(&all, &demand, shape);
+            if !bins.is_empty() && self.preempt(step_key, &bins, &demand, limit, pass) {
                 return None;
             }
         }
@@ -569,6 +593,21 @@
         None
     }
 
+    /// Returns the workers on which runs may be stopped for a request: none if it would be late there
+    /// anyway.
+    fn preemption_bins(&self, bins: &[Bin], demand: &Demand, shape: &Shape) -> Vec<Bin> {
+        let rule = &shape.speed;
+        if rule.late && rule.limit.is_none() {
+            return Vec::new();
+        }
+        let admitted = rule.admitted(bins);
+        let one_rack = demand.one_rack && fits_one_rack(bins, demand);
+        if rule.limit.is_some() && !could_hold(&admitted, demand, one_rack) {
+            return Vec::new();
+        }
+        admitted
+    }
+
     /// Returns whether an overdue gang has waited long enough for room on one rack: it can't meet its
     /// objective any more, or a rack would have been free by now if one had been kept for it.
     fn may_spread(&self, step_key: StepKey) -> bool {
@@ -608,7 +647,7 @@
                     one_rack: false,
                     ..*demand
                 };
-                workers = place_gang_with(&bins, &demand, &request.bound);
+                workers = place_gang_by_speed(&bins, &demand, &request.bound, &shape.speed);
             }
             if workers.is_some() {
                 return (bins, workers);
--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -8,8 +8,9 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::batch::engine::job::Round;
-use crate::batch::engine::plan::{Pass, PlacementRequest, StepKey, place};
+use crate::batch::engine::plan::{Pass, PlacementRequest, Shape, StepKey, place};
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
+use crate::batch::finish::SpeedRule;
 use crate::batch::health::Grade;
 use crate::batch::pack::{Bin, count_fitting};
 use crate::batch::spec::Step;
@@ -60,6 +61,8 @@
     ReservedRacks,
     /// The room is on racks that take no single tasks of the least urgent work.
     GangRacks,
+    /// The room is on workers on which it would be late, and faster ones may have room in time.
+    Speed,
     /// The pass took it for a request of the same shape that couldn't be placed.
     Shape,
     /// None of these.
@@ -230,7 +233,7 @@
         pass: &Pass,
     ) -> (Hold, u32) {
         let PlacementRequest { demand, shape, .. } = request;
-        let fits = |bins: &[Bin]| place(step, request, bins).is_some();
+        let fits = |bins: &[Bin]| has_room(step, request, bins);
         let bin = |key: WorkerKey| {
             let worker = self.worker(key);
             Bin {
@@ -296,9 +299,26 @@
         if !fits(&bins) {
             return (Hold::GangRacks, fitting);
         }
+        if place(step, request, &bins).is_none() {
+            return (Hold::Speed, fitting);
+        }
         if pass.unplaceable.contains(shape) {
             return (Hold::Shape, fitting);
         }
         (Hold::Unknown, fitting)
     }
 }
+
+/// Returns whether some workers have room for a request, whatever their speed.
+fn has_room(step: &Step, request: &PlacementRequest, bins: &[Bin]) -> bool {
+    let request = PlacementRequest {
+        shape: Shape {
+            speed: SpeedRule::default(),
+            ..request.shape.clone()
+        },
+        avoid: Vec::new(),
+        bound: request.bound.clone(),
+        ..*request
+    };
+    place(step, &request, bins).is_some()
+}
--- a/marigoldglade/src/batch/pack.rs
+++ b/marigoldglade/src/batch/pack.rs
@@ -6,6 +6,7 @@
 use std::cmp::Reverse;
 
 use crate::batch::engine::WorkerKey;
+use crate::batch::finish::{Speed, SpeedOrder};
 use crate::batch::health::Grade;
 use crate::batch::run_times::Stretch;
 use crate::batch::worker::Resources;
@@ -58,12 +59,14 @@
     pub one_rack: bool,
     /// The rack near the tasks' data.
     pub near_rack: Option<RackKey>,
+    /// The order in which workers are considered by their speed.
+    pub order: SpeedOrder,
 }
 
 /// Returns the index of the best bin for one task, or `None` if it fits into none.
 ///
-/// A bin in the rack near the data comes first, then the most trusted, then the one in the first
-/// rack, then the one with the least left over.
+/// A bin in the rack near the data comes first, then the most trusted, then the first by its speed,
+/// then the one in the first rack, then the one with the least left over.
 #[must_use]
 pub fn place_one(bins: &[Bin], need: &Demand) -> Option<usize> {
     let fits = |b: &Bin| b.max_tasks > 0 && b.fits(&need.resources);
@@ -74,6 +77,7 @@
         (
             far,
             b.grade,
+            need.order.position(b),
             b.rack,
             left.accels,
             left.dominant_share(&b.capacity),
@@ -143,8 +147,8 @@
 /// Returns a worker for each task of a gang, or `None` if they don't all fit.
 ///
 /// Of the racks that can hold a gang which should run within one rack, the one near the data comes
-/// first, then the one with the most trusted workers, then the one with the least left over. Such a
-/// gang is spread over racks only if no rack could hold it even when empty.
+/// first, then the one with the most trusted workers, then the one that spends the fewest fast
+/// workers if the slow ones come first, then the one with the least left over. Such a gang is spread over racks only if no rack could hold it even when empty.
 #[must_use]
 pub fn place_gang(bins: &[Bin], need: &Demand) -> Option<Vec<WorkerKey>> {
     if !need.one_rack || !fits_one_rack(bins, need) {
@@ -156,13 +160,23 @@
         let spare = count_fitting(&members, need, |b| b.used);
         let chosen = members.iter().filter(|b| workers.contains(&b.worker));
         let grade = chosen.map(|b| b.grade).max().unwrap_or_default();
+        let fast = count_fast(&members, &workers, need.order);
         let far = need.near_rack.is_some_and(|near| near != rack);
-        Some(((far, grade, spare, Reverse(rack)), workers))
+        Some(((far, grade, fast, spare, Reverse(rack)), workers))
     });
     let best = options.min_by_key(|(score, _)| *score);
     best.map(|(_, workers)| workers)
 }
 
+/// Returns how many of the chosen workers are fast, if the order spares them.
+fn count_fast(bins: &[Bin], workers: &[WorkerKey], order: SpeedOrder) -> usize {
+    if order != SpeedOrder::SlowFirst {
+        return 0;
+    }
+    let fast = bins.iter().filter(|b| b.stretch.speed() == Speed::Fast);
+    fast.filter(|b| workers.contains(&b.worker)).count()
+}
+
 /// Returns a worker for each task of a gang, some of which, given by their positions, may only run on
 /// one worker; `None` if they don't all fit.
 #[must_use]
--- a/marigoldglade/tests/batch_loads.rs
+++ b/marigoldglade/tests/batch_loads.rs
@@ -7,6 +7,7 @@
 use marigoldglade::batch::admission::outage_retry_ms;
 use marigoldglade::batch::admission::{Backlog, retry_after_ms};
 use marigoldglade::batch::engine::WorkerKey;
+use marigoldglade::batch::finish::SpeedOrder;
 use marigoldglade::batch::health::{Grade, Health};
 use marigoldglade::batch::messages::JobStatus;
 use marigoldglade::batch::pack::{Bin, Demand, RackKey, place_all, place_gang, place_one};
@@ -51,6 +52,7 @@
         count,
         one_rack: false,
         near_rack: None,
+        order: SpeedOrder::Any,
     }
 }
 
--- /dev/null
+++ b/marigoldglade/tests/batch_speeds.rs
@@ -0,0 +1,212 @@
+//! Checks placement on workers that differ in speed, without a network: urgent gangs with little slack
+//! beside batch work with ample slack, on racks that mix three speeds.
+
+use marigoldglade::batch::engine::WorkerKey;
+use marigoldglade::batch::finish::{
+    Speed, SpeedOrder, SpeedRange, SpeedRule, place_gang_by_speed, place_some_by_speed,
+};
+use marigoldglade::batch::health::Grade;
+use marigoldglade::batch::pack::{Bin, Demand, RackKey};
+use marigoldglade::batch::rank::RankInputs;
+use marigoldglade::batch::run_times::Stretch;
+use marigoldglade::batch::worker::Resources;
+use marigoldglade::time::UnixMs;
+use rstest::rstest;
+
+const CAPACITY: Resources = Resources {
+    cpu: 128_000,
+    mem: 524_288,
+    accels: 8,
+};
+const RANGE: SpeedRange = SpeedRange {
+    fastest: 60,
+    slowest: 160,
+};
+const NOW: UnixMs = UnixMs(100_000);
+/// The workers of a rack.
+const RACK: u16 = 12;
+
+/// Racks in which each worker is followed by a slower one, and the slowest by the fastest.
+fn fleet(racks: u16) -> Vec<Bin> {
+    let stretch = |i: u16| Stretch {
+        percent: [60, 100, 160][usize::from(i % 3)],
+        known: true,
+    };
+    let bin = |i: u16| Bin {
+        worker: WorkerKey(i),
+        rack: RackKey(i / RACK),
+        used: Resources::default(),
+        capacity: CAPACITY,
+        grade: Grade::Good,
+        max_tasks: u32::MAX,
+        stretch: stretch(i),
+    };
+    (0..racks * RACK).map(bin).collect()
+}
+
+fn need(accels: u64, count: u32) -> Demand {
+    Demand {
+        resources: Resources {
+            cpu: 11_000,
+            mem: 59_000,
+            accels,
+        },
+        count,
+        one_rack: true,
+        near_rack: None,
+        order: SpeedOrder::Any,
+    }
+}
+
+/// The rule for work that was accepted `waited_ms` ago and takes `work_ms` on an ordinary worker.
+fn rule(priority: u32, work_ms: u64, waited_ms: u64) -> SpeedRule {
+    let since = NOW.before(waited_ms);
+    let objective_ms = match priority {
+        0 => work_ms * 3 / 2 + 250,
+        _ => work_ms * 3 + 1_000,
+    };
+    let inputs = RankInputs {
+        priority,
+        guaranteed: false,
+        waiting_since: since,
+        finish_by: since.after(objective_ms),
+        remaining_ms: work_ms,
+        remaining_work: work_ms,
+    };
+    SpeedRule::new(&inputs, RANGE, NOW)
+}
+
+fn speeds(bins: &[Bin], workers: &[WorkerKey]) -> Vec<Speed> {
+    let speed = |key: &WorkerKey| bins[usize::from(key.0)].stretch.speed();
+    workers.iter().map(speed).collect()
+}
+
+fn take(bins: &mut [Bin], workers: &[WorkerKey], need: &Demand) {
+    for key in workers {
+        let bin = &mut bins[usize::from(key.0)];
+        bin.used = bin.used.plus(&need.resources);
+    }
+}
+
+/// Load: urgent gangs as wide as the fast workers of a rack, and wider, on free racks.
+#[rstest]
+#[case(4, &[Speed::Fast])]
+#[case(8, &[Speed::Fast, Speed::Ordinary])]
+fn urgent_gang_takes_the_fastest_workers_of_one_rack(#[case] count: u32, #[case] want: &[Speed]) {
+    let bins = fleet(3);
+    let workers = place_gang_by_speed(&bins, &need(8, count), &[], &rule(0, 2_100, 0));
+    let workers = workers.expect("a free rack holds the gang");
+    assert!(speeds(&bins, &workers).iter().all(|s| want.contains(s)));
+    let rack = |key: &WorkerKey| bins[usize::from(key.0)].rack;
+    assert!(workers.iter().all(|key| rack(key) == rack(&workers[0])));
+}
+
+/// Load: an urgent gang too wide for the fast workers doesn't spend those beside ordinary ones.
+#[test]
+fn gang_takes_workers_of_like_speed() {
+    let mut bins = fleet(1);
+    for bin in bins.iter_mut().step_by(3).take(2) {
+        bin.used = CAPACITY;
+    }
+    let workers = place_gang_by_speed(&bins, &need(8, 4), &[], &rule(0, 2_100, 0));
+    let workers = workers.expect("four ordinary workers are free");
+    assert_eq!(speeds(&bins, &workers), [Speed::Ordinary; 4]);
+}
+
+/// Load: batch gangs and single tasks with ample slack, before urgent work comes.
+#[test]
+fn batch_work_keeps_off_the_fast_workers_and_leaves_none_idle_in_the_end() {
+    let mut bins = fleet(2);
+    let batch = rule(1, 9_400, 0);
+    let gang = place_gang_by_speed(&bins, &need(8, 8), &[], &batch).expect("free racks");
+    assert!(!speeds(&bins, &gang).contains(&Speed::Fast));
+    let tasks = place_some_by_speed(&bins, &need(8, 4), &batch);
+    assert_eq!(speeds(&bins, &tasks), [Speed::Slow; 4]);
+    let all = need(1, 24 * 8);
+    let tasks = place_some_by_speed(&bins, &all, &batch);
+    assert_eq!(tasks.len(), 24 * 8);
+    take(&mut bins, &tasks, &all);
+    assert!(bins.iter().all(|b| b.free().accels == 0));
+}
+
+/// Load: single batch tasks on a fleet that is partly unknown show the speed of more workers.
+#[test]
+fn batch_work_takes_unknown_workers_before_ordinary_ones() {
+    let mut bins = fleet(1);
+    bins[4].stretch = Stretch::UNKNOWN;
+    let need = need(8, 6);
+    let tasks = place_some_by_speed(&bins, &need, &rule(2, 5_200, 0));
+    let speeds = speeds(&bins, &tasks);
+    assert_eq!(speeds[..4], [Speed::Slow; 4]);
+    assert_eq!(speeds[4..], [Speed::Unknown, Speed::Ordinary]);
+}
+
+/// Load: an urgent gang finds only slow workers free. It waits as long as a faster one would still be in
+/// time, and is late rather than never after that.
+#[rstest]
+#[case(0, false)]
+#[case(1_000, false)]
+#[case(2_200, true)]
+#[case(60_000, true)]
+fn urgent_gang_takes_slow_workers_only_once_it_is_late(
+    #[case] waited_ms: u64,
+    #[case] placed: bool,
+) {
+    let mut bins = fleet(2);
+    for bin in &mut bins {
+        if bin.stretch.speed() != Speed::Slow {
+            bin.used = CAPACITY;
+        }
+    }
+    let rule = rule(0, 2_100, waited_ms);
+    let workers = place_gang_by_speed(&bins, &need(8, 4), &[], &rule);
+    assert_eq!(workers.is_some(), placed);
+    assert_eq!(rule.may_wait, !placed);
+}
+
+/// Load: an urgent gang needs more workers of one rack than are fast or ordinary. No wait helps it, and
+/// it isn't spread over racks for the sake of speed.
+#[test]
+fn gang_that_needs_slow_workers_takes_a_whole_rack_at_once() {
+    let bins = fleet(3);
+    let workers = place_gang_by_speed(&bins, &need(8, 10), &[], &rule(0, 2_100, 0));
+    let workers = workers.expect("a free rack holds the gang");
+    let racks = workers.iter().map(|key| key.0 / RACK);
+    assert_eq!(racks.collect::<std::collections::BTreeSet<_>>().len(), 1);
+}
+
+/// Load: batch work that has waited for most of its slack.
+#[rstest]
+#[case(0, None)]
+#[case(12_000, Some(140))]
+#[case(28_000, None)]
+fn slack_that_is_left_limits_the_workers(#[case] waited_ms: u64, #[case] limit: Option<u32>) {
+    let rule = rule(1, 9_400, waited_ms);
+    assert_eq!(rule.limit, limit);
+    assert_eq!(rule.late, waited_ms > 25_000);
+}
+
+/// Load: batch tasks that fill a third of the fleet, then urgent gangs, by worker speed and blind to it.
+#[test]
+fn urgent_gangs_beside_batch_work_are_in_time_more_often_than_by_best_fit() {
+    let late = |batch: &SpeedRule, urgent: &SpeedRule| {
+        let mut bins = fleet(20);
+        let tasks = need(1, 20 * 4 * 8);
+        let workers = place_some_by_speed(&bins, &tasks, batch);
+        take(&mut bins, &workers, &tasks);
+        let mut late = 0;
+        for accels in [1, 2, 4, 8, 8].into_iter().cycle().take(40) {
+            let gang = need(accels, 5);
+            let Some(workers) = place_gang_by_speed(&bins, &gang, &[], urgent) else {
+                late += 1;
+                continue;
+            };
+            take(&mut bins, &workers, &gang);
+            late += u32::from(speeds(&bins, &workers).contains(&Speed::Slow));
+        }
+        late
+    };
+    let blind = SpeedRule::default();
+    assert_eq!(late(&rule(2, 5_200, 0), &rule(0, 2_100, 0)), 0);
+    assert!(late(&blind, &blind) > 20);
+}
