Order work by its slack on the worker that it would get

Ranks went by the time on an ordinary worker, so that urgent work counted as late while a fast worker would still have ended it in time, and went behind work that was accepted later. The rank now uses the time on the worker that the work would be placed on: a fast one for urgent work with little slack, a slow one for work with ample slack.

The test shows two jobs of which only one can still be in time; by the time on an ordinary worker they have the same rank.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -320,6 +320,15 @@
         }
     }
 
+    /// Returns what decides the rank of a round of a job, by its time on the worker that it would be
+    /// placed on.
+    fn speed_inputs(&self, key: JobKey, job: &Job, round: usize) -> RankInputs {
+        let inputs = self.rank_inputs(key, job, round);
+        self.speeds.map_or(inputs, |range| {
+            SpeedRule::rank_inputs(inputs, range, self.now)
+        })
+    }
+
     /// Returns all steps with tasks that may start now, with their ranks.
     fn ready_steps(&mut self) -> Vec<(Rank, StepKey)> {
         self.guaranteed_jobs = self.find_guaranteed_jobs();
@@ -355,7 +364,7 @@
                         step: u16::try_from(s).unwrap_or(u16::MAX),
                     };
                     let rank = *rank_of
-                        .get_or_insert_with(|| rank(&self.rank_inputs(*key, job, r), self.now));
+                        .get_or_insert_with(|| rank(&self.speed_inputs(*key, job, r), self.now));
                     steps.push((rank, step_key));
                 }
             }
@@ -613,7 +622,7 @@
     fn may_spread(&self, step_key: StepKey) -> bool {
         let job = &self.jobs[&step_key.job];
         let round = usize::try_from(step_key.round).unwrap_or(0);
-        let inputs = self.rank_inputs(step_key.job, job, round);
+        let inputs = self.speed_inputs(step_key.job, job, round);
         outlook(&inputs, self.now) != Outlook::InTime
             || job.idle_since.after(RACK_RESERVATION_MS).passed(self.now)
     }
--- a/marigoldglade/src/batch/finish.rs
+++ b/marigoldglade/src/batch/finish.rs
@@ -165,6 +165,29 @@
         }
     }
 
+    /// Returns the stretch of the worker that the work would be placed on, in percent.
+    fn expected_percent(&self, range: SpeedRange) -> u32 {
+        if self.late || self.order == SpeedOrder::FastFirst {
+            range.fastest
+        } else {
+            self.limit.unwrap_or(range.slowest)
+        }
+    }
+
+    /// Returns what decides the rank of work, by its time on the worker that it would be placed on.
+    #[must_use]
+    pub fn rank_inputs(inputs: RankInputs, range: SpeedRange, now: UnixMs) -> RankInputs {
+        let percent = Self::new(&inputs, range, now).expected_percent(range);
+        let stretch = Stretch {
+            percent,
+            known: true,
+        };
+        RankInputs {
+            remaining_ms: stretch.apply(inputs.remaining_ms),
+            ..inputs
+        }
+    }
+
     /// Returns whether the work ends in time on a worker.
     #[must_use]
     pub fn admits(&self, bin: &Bin) -> bool {
--- a/marigoldglade/tests/batch_speeds.rs
+++ b/marigoldglade/tests/batch_speeds.rs
@@ -7,7 +7,7 @@
 };
 use marigoldglade::batch::health::Grade;
 use marigoldglade::batch::pack::{Bin, Demand, RackKey};
-use marigoldglade::batch::rank::RankInputs;
+use marigoldglade::batch::rank::{RankInputs, rank};
 use marigoldglade::batch::run_times::Stretch;
 use marigoldglade::batch::worker::Resources;
 use marigoldglade::time::UnixMs;
@@ -58,22 +58,25 @@
     }
 }
 
-/// The rule for work that was accepted `waited_ms` ago and takes `work_ms` on an ordinary worker.
-fn rule(priority: u32, work_ms: u64, waited_ms: u64) -> SpeedRule {
+/// Work that was accepted `waited_ms` ago and takes `work_ms` on an ordinary worker.
+fn inputs(priority: u32, work_ms: u64, waited_ms: u64) -> RankInputs {
     let since = NOW.before(waited_ms);
     let objective_ms = match priority {
         0 => work_ms * 3 / 2 + 250,
         _ => work_ms * 3 + 1_000,
     };
-    let inputs = RankInputs {
+    RankInputs {
         priority,
         guaranteed: false,
         waiting_since: since,
         finish_by: since.after(objective_ms),
         remaining_ms: work_ms,
         remaining_work: work_ms,
-    };
-    SpeedRule::new(&inputs, RANGE, NOW)
+    }
+}
+
+fn rule(priority: u32, work_ms: u64, waited_ms: u64) -> SpeedRule {
+    SpeedRule::new(&inputs(priority, work_ms, waited_ms), RANGE, NOW)
 }
 
 fn speeds(bins: &[Bin], workers: &[WorkerKey]) -> Vec<Speed> {
@@ -186,6 +189,20 @@
     assert_eq!(rule.late, waited_ms > 25_000);
 }
 
+/// Load: urgent jobs queue up in a burst, when an ordinary worker would be too late for the older ones.
+#[test]
+fn job_that_only_a_fast_worker_ends_in_time_goes_before_one_that_none_does() {
+    let rank_after = |waited_ms: u64| {
+        let inputs = inputs(0, 2_100, waited_ms);
+        rank(&SpeedRule::rank_inputs(inputs, RANGE, NOW), NOW)
+    };
+    let blind = |waited_ms: u64| rank(&inputs(0, 2_100, waited_ms), NOW);
+    assert!(rank_after(1_500) < rank_after(500));
+    assert!(rank_after(1_500) < rank_after(2_500));
+    // By the time on an ordinary worker, both are late.
+    assert_eq!(blind(1_500), blind(2_500));
+}
+
 /// Load: batch tasks that fill a third of the fleet, then urgent gangs, by worker speed and blind to it.
 #[test]
 fn urgent_gangs_beside_batch_work_are_in_time_more_often_than_by_best_fit() {
