Bound the wait for faster workers, and let guarantees start at once

A guaranteed job has a bound on its start: it doesn't wait for faster workers, and stops runs on any worker if those on which it ends in time can't take it. Other work waits at most as long as for kept racks, however busy the pool is.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -23,6 +23,7 @@
 mod refusals;
 mod reports;
 mod runs;
+mod speeds;
 mod waits;
 mod workers;
 
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -5,7 +5,6 @@
 use crate::batch::engine::plan::{Pass, RackReservation, Reservation, Shape, StepKey};
 use crate::batch::engine::runs::{Run, Stage};
 use crate::batch::engine::{Engine, JobKey, WorkerKey};
-use crate::batch::finish::Speed;
 use crate::batch::health::Grade;
 use crate::batch::id::TaskId;
 use crate::batch::pack::{Bin, Demand, RackKey, count_fitting, in_rack, racks};
@@ -376,13 +375,4 @@
             expires_at,
         });
     }
-
-    /// Removes the workers on the last racks: one in `divisor` of the racks of all `bins`. If the workers
-    /// differ in speed, the slow ones stay, as urgent work avoids them.
-    fn exclude_last_racks(&self, bins: &mut Vec<Bin>, divisor: usize) {
-        let racks = racks(bins);
-        let first = &racks[..racks.len() - racks.len() / divisor];
-        let slow = |b: &Bin| self.speeds.is_some() && b.stretch.speed() == Speed::Slow;
-        bins.retain(|b| first.contains(&b.rack) || slow(b));
-    }
 }
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -7,11 +7,9 @@
 use crate::batch::engine::job::Job;
 use crate::batch::engine::waits::REPORT_INTERVAL_MS;
 use crate::batch::engine::{Action, Engine, JobKey, WorkerKey};
-use crate::batch::finish::{
-    SpeedOrder, SpeedRange, SpeedRule, could_hold, place_gang_by_speed, place_some_by_speed,
-};
+use crate::batch::finish::{SpeedOrder, SpeedRule, place_gang_by_speed, place_some_by_speed};
 use crate::batch::id::TaskId;
-use crate::batch::pack::{Bin, Demand, RackKey, count_fitting, fits_one_rack};
+use crate::batch::pack::{Bin, Demand, RackKey, count_fitting};
 use crate::batch::rank::{Outlook, Rank, RankInputs, outlook, rank};
 use crate::batch::spec::Step;
 use crate::batch::worker::Resources;
@@ -276,34 +274,8 @@
         covered
     }
 
-    /// Returns the range of the workers' speeds; `None` if they don't differ enough to matter.
-    fn speed_range(&self) -> Option<SpeedRange> {
-        if !self.run_times.is_uneven() {
-            return None;
-        }
-        let usable = self
-            .worker_keys()
-            .filter(|k| self.worker(*k).is_usable(self.now));
-        SpeedRange::new(usable.map(|k| self.run_times.stretch(k)))
-    }
-
-    /// Returns which workers are suitable for a step by their speed.
-    fn speed_rule(&self, step_key: StepKey, step: &Step, overdue: bool) -> SpeedRule {
-        let Some(range) = self.speeds.filter(|_| !step.endless) else {
-            return SpeedRule::default();
-        };
-        let job = &self.jobs[&step_key.job];
-        let round = usize::try_from(step_key.round).unwrap_or(0);
-        let inputs = self.rank_inputs(step_key.job, job, round);
-        let rule = SpeedRule::new(&inputs, range, self.now);
-        SpeedRule {
-            may_wait: rule.may_wait && !overdue,
-            ..rule
-        }
-    }
-
     /// Returns what decides the rank of a round of a job.
-    fn rank_inputs(&self, key: JobKey, job: &Job, round: usize) -> RankInputs {
+    pub(super) fn rank_inputs(&self, key: JobKey, job: &Job, round: usize) -> RankInputs {
         let queue = &job.record.queue;
         let since = match job.rounds[round].due {
             Some(due) => UnixMs(self.now.0.saturating_sub(self.wall_ms.saturating_sub(due))),
@@ -320,15 +292,6 @@
         }
     }
 
-    /// Returns what decides the rank of a round of a job, by its time on the worker that it would be
-    /// placed on.
-    fn speed_inputs(&self, key: JobKey, job: &Job, round: usize) -> RankInputs {
-        let inputs = self.rank_inputs(key, job, round);
-        self.speeds.map_or(inputs, |range| {
-            SpeedRule::rank_inputs(inputs, range, self.now)
-        })
-    }
-
     /// Returns all steps with tasks that may start now, with their ranks.
     fn ready_steps(&mut self) -> Vec<(Rank, StepKey)> {
         self.guaranteed_jobs = self.find_guaranteed_jobs();
@@ -513,7 +476,7 @@
                 .first()
                 .map(|(_, key)| *key)
                 .filter(|_| !step.gang),
-            speed: self.speed_rule(step_key, step, overdue),
+            speed: self.speed_rule(step_key, step),
         };
         PlacementRequest {
             demand,
@@ -587,7 +550,11 @@
                 ..*demand
             };
             let bins = self.preemption_bins(&all, &demand, shape);
-            if !bins.is_empty() && self.preempt(step_key, &bins, &demand, limit, pass) {
+            let preempted = !bins.is_empty() && self.preempt(step_key, &bins, &demand, limit, pass)
+                || shape.guaranteed
+                    && bins.len() < all.len()
+                    && self.preempt(step_key, &all, &demand, limit, pass);
+            if preempted {
                 return None;
             }
         }
@@ -602,21 +569,6 @@
         None
     }
 
-    /// Returns the workers on which runs may be stopped for a request: none if it would be late there
-    /// anyway.
-    fn preemption_bins(&self, bins: &[Bin], demand: &Demand, shape: &Shape) -> Vec<Bin> {
-        let rule = &shape.speed;
-        if rule.late && rule.limit.is_none() {
-            return Vec::new();
-        }
-        let admitted = rule.admitted(bins);
-        let one_rack = demand.one_rack && fits_one_rack(bins, demand);
-        if rule.limit.is_some() && !could_hold(&admitted, demand, one_rack) {
-            return Vec::new();
-        }
-        admitted
-    }
-
     /// Returns whether an overdue gang has waited long enough for room on one rack: it can't meet its
     /// objective any more, or a rack would have been free by now if one had been kept for it.
     fn may_spread(&self, step_key: StepKey) -> bool {
--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -19,7 +19,7 @@
 
 /// How long work may be held back by capacity that is kept free for other work, in milliseconds: half of
 /// the platform's bound for work that could run.
-const HOLD_LIMIT_MS: u64 = 1_500;
+pub(super) const HOLD_LIMIT_MS: u64 = 1_500;
 /// The share of a pool from which that limit doesn't apply, in thousandths: half, by the platform's rule.
 const BUSY_SHARE: u64 = 500;
 /// How long a job has nothing running before the log names it, in milliseconds.
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -105,6 +105,8 @@
     pub pause: Option<Pause>,
     /// Whether all of its runs fail.
     pub fails_all: bool,
+    /// How long its runs take, in percent of their time on an ordinary worker.
+    pub stretch: u64,
     /// Whether its runs make no progress.
     pub hung: bool,
     /// Whether it refuses starts that don't fit into its capacity.
@@ -150,6 +152,7 @@
             back_at: None,
             pause: None,
             fails_all: false,
+            stretch: 100,
             hung: false,
             enforces_capacity: true,
             events: Vec::new(),
@@ -360,7 +363,7 @@
             run: s.run,
             resources,
             started_at: now,
-            work_ms,
+            work_ms: work_ms * self.stretch / 100,
             fails,
             stop_at: None,
             pace: 100,
