Learn run times and workers' speeds from runs

Callers' estimates are off by half either way, and workers of one pool take 0.6 to 1.6 times the ordinary time with nothing that tells them apart, so urgent gangs land on slow workers while fast ones are free.

The owner now compares the tasks of each step with one another, by their ends and by the progress that reports list, and learns from that each worker's stretch, each step's time on an ordinary worker and the distribution of each kind of work against its estimate. The setting platform.learn_run_times switches it on; nothing goes by it yet but the fields expected_ms and stretch of the line `run ended`.

--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -190,6 +190,7 @@
             lease_limit_ms: 6_000,
             retention_ms: 150_000,
             commit_entries: 28,
+            learn_run_times: false,
         };
         let engine = Engine::new(bounds, Arc::new(policy()), initial, UnixMs(now), now);
         let workers = targets.iter().map(|t| SimWorker::new(t.clone(), now - 10));
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -15,6 +15,7 @@
 mod gone;
 mod job;
 mod late_starts;
+mod learning;
 mod leases;
 mod lost_sends;
 mod orders;
@@ -68,6 +69,8 @@
     pub retention_ms: u64,
     /// The maximum number of records, deletions and handled inbox entries in one commit.
     pub commit_entries: usize,
+    /// Whether run times and the speeds of workers are learned.
+    pub learn_run_times: bool,
 }
 
 /// A submission or cancel that another daemon left in the store for the owner.
--- a/marigoldglade/src/batch/engine/completions.rs
+++ b/marigoldglade/src/batch/engine/completions.rs
@@ -20,18 +20,19 @@
             .get(&completion.task)
             .is_some_and(|r| r.run == completion.run);
         let how: &'static str = completion.outcome.into();
-        let since = worker
-            .runs
-            .get(&completion.task)
-            .filter(|_| current)
-            .map_or(now, |r| r.started_at);
+        let run = worker.runs.get(&completion.task).filter(|_| current);
+        let since = run.map_or(now, |r| r.started_at);
+        let expected_ms = run.map(|r| r.expected_ms).filter(|ms| *ms > 0);
+        let stretch = self.run_times.stretch(key);
+        let stretch = stretch.known.then_some(stretch.percent);
         log::info!(
             task:% = completion.task, run = completion.run, how = how, number = completion.number,
-            worker = worker.target.name.as_str(), ran_ms = now.since(since), wanted = current;
+            worker = worker.target.name.as_str(), ran_ms = now.since(since), expected_ms, stretch, wanted = current;
             "run ended"
         );
         let stopping = current && self.is_stopping(key, &completion.task);
         if current {
+            self.learn_completion(key, completion);
             self.remove_run(key, &completion.task, Gone::from(completion.outcome));
         }
         self.update_health(key, completion);
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -421,6 +421,7 @@
                 run.percent = row.percent;
                 run.progress_at = now;
             }
+            self.learn_progress(key, row);
             if first_proven {
                 self.clear_crashes(&row.task);
             }
@@ -543,6 +544,8 @@
             cannot_start: false,
             absent: false,
             pace: None,
+            fresh: false,
+            expected_ms: 0,
         };
         self.worker_mut(key).insert(row.task, run);
         log::debug!(task:% = row.task, run = row.run, worker = self.worker(key).target.name.as_str(); "run of an earlier owner adopted");
--- a/marigoldglade/src/batch/engine/runs.rs
+++ b/marigoldglade/src/batch/engine/runs.rs
@@ -108,6 +108,10 @@
     /// The pace that the worker last accepted for the run, in percent; `None` if an earlier owner
     /// may have changed it.
     pub pace: Option<u32>,
+    /// Whether this owner started it, and without a checkpoint.
+    pub fresh: bool,
+    /// How long it should take, as far as was known at its start, in milliseconds; zero if that isn't learned.
+    pub expected_ms: u64,
 }
 
 impl Engine {
@@ -127,8 +131,10 @@
             return;
         };
         let mut isolated = false;
+        let mut fresh = false;
         let (mut before, mut gone) = (0, None);
         if let Some(task) = job.task(&id) {
+            fresh = task.checkpoint.is_empty();
             (before, gone) = (task.last_run, task.gone);
             task.worker = Some(key);
             task.last_run = run;
@@ -162,6 +168,8 @@
             cannot_start: false,
             absent: false,
             pace: Some(FULL_PERCENT),
+            fresh,
+            expected_ms: self.expected_ms(key, &id),
         };
         let worker = self.worker_mut(key);
         worker.insert(id, run);
--- a/marigoldglade/src/settings.rs
+++ b/marigoldglade/src/settings.rs
@@ -95,6 +95,10 @@
     /// Whether an earlier process of the daemon may have taken calls shortly before.
     #[serde(default)]
     pub restarted: bool,
+    /// Whether the owner learns run times and the speeds of workers, and places work by them. A change takes
+    /// effect with the next ownership.
+    #[serde(default)]
+    pub learn_run_times: bool,
 }
 
 /// Which log lines are written, how and where.
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -280,6 +280,7 @@
     lease_limit_ms: LEASE_LIMIT_MS,
     retention_ms: 600_000,
     commit_entries: 28,
+    learn_run_times: false,
 };
 
 pub fn job_id(n: u64) -> JobId {
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -424,6 +424,7 @@
             lease_limit_ms: p.lease_limit_ms,
             retention_ms: ms(p.status_s) + 30 * SECOND_MS,
             commit_entries: COMMIT_ENTRIES,
+            learn_run_times: p.learn_run_times,
         }
     }
 
