Keep what was learned of run times for a successor, and show it

A new owner started from nothing, though a takeover comes when work is already late. Metrics and the line `run times learned` show the known workers, their spread, and the error of expected times beside that of the callers' estimates.

--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -185,6 +185,7 @@
             workers: Vec::new(),
             has_predecessors: false,
             predecessors_ended: true,
+            learned: None,
         };
         let bounds = Bounds {
             lease_limit_ms: 6_000,
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -159,6 +159,8 @@
     pub workers: Option<Vec<Target>>,
     /// The jobs that were refused shortly before, if the commit announces refusals.
     pub refused: Option<RefusedJobs>,
+    /// The record of learned run times, if it is due.
+    pub learned: Option<Vec<u8>>,
 }
 
 /// An output of the engine, which the caller carries out.
@@ -197,6 +199,8 @@
     pub has_predecessors: bool,
     /// Whether all earlier owners have certainly ended, so that none renews leases any more.
     pub predecessors_ended: bool,
+    /// The record of learned run times, if there is one.
+    pub learned: Option<Vec<u8>>,
 }
 
 /// Event counts for metrics, since the engine was created.
@@ -284,6 +288,10 @@
     guaranteed_jobs: HashSet<JobKey>,
     /// What the runs of this and earlier owners have shown.
     run_times: RunTimes,
+    /// When the record of learned run times is next due.
+    learned_after: UnixMs,
+    /// When the log next says what has been learned.
+    learned_log: UnixMs,
     counts: Counts,
     now: UnixMs,
     /// The wall clock in milliseconds since the Unix epoch; it may jump.
@@ -347,7 +355,9 @@
             advice_request: None,
             ask_after: now,
             guaranteed_jobs: HashSet::new(),
-            run_times: RunTimes::default(),
+            run_times: learning::load(&bounds, initial.learned.as_deref()),
+            learned_after: now.after(learning::RECORD_GAP_MS),
+            learned_log: now.after(learning::LOG_INTERVAL_MS),
             counts: Counts::default(),
             now,
             wall_ms,
@@ -412,6 +422,7 @@
             Event::Tick => {
                 self.tick_at = self.now.after(TICK_MS);
                 self.tick();
+                self.log_learned();
                 self.refuse_unsent(out);
                 self.give_up_refusals(out);
             }
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -88,7 +88,9 @@
             workers: None,
         };
         batch.refused = self.announce_refusals(self.last_commit);
-        let entry_limit = self.bounds.commit_entries - usize::from(batch.refused.is_some());
+        let learned = usize::from(self.is_record_due());
+        let entry_limit =
+            self.bounds.commit_entries - usize::from(batch.refused.is_some()) - learned;
         let changes: Vec<Change> = self
             .dirty_jobs
             .iter()
@@ -166,6 +168,7 @@
             self.finish_commit(number, CommitOutcome::Committed, out);
             return;
         }
+        batch.learned = self.take_learned();
         out.push(Action::Commit(batch));
     }
 
--- a/marigoldglade/src/batch/engine/learning.rs
+++ b/marigoldglade/src/batch/engine/learning.rs
@@ -1,14 +1,83 @@
 //! What runs show of run times, if the settings switch learning on.
 
+use crate::batch::engine::job::Job;
 use crate::batch::engine::runs::{Run, Stage};
-use crate::batch::engine::{Engine, WorkerKey};
+use crate::batch::engine::{Bounds, Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::record::Record;
-use crate::batch::run_times::{RunTimes, Sample, StepId, WorkKind};
+use crate::batch::run_times::{Accuracy, RunTimes, Sample, StepId, WorkKind};
 use crate::batch::spec::Step;
 use crate::batch::worker::{ActiveRun, Completion, Outcome};
 
+/// The minimum time between two records of what was learned, in milliseconds: a successor loses no more than
+/// what the next few runs show again.
+pub(super) const RECORD_GAP_MS: u64 = 5_000;
+/// How long after its start a run's progress is asked for soon, in milliseconds.
+const YOUNG_MS: u64 = 2_000;
+/// How often the log says what has been learned, in milliseconds.
+pub(super) const LOG_INTERVAL_MS: u64 = 5_000;
+
+/// Returns what an earlier owner has learned, or nothing if its record can't be used.
+pub(super) fn load(bounds: &Bounds, record: Option<&[u8]>) -> RunTimes {
+    let Some(record) = record.filter(|_| bounds.learn_run_times) else {
+        return RunTimes::default();
+    };
+    match RunTimes::from_record(record) {
+        Ok(run_times) => run_times,
+        Err(e) => {
+            log::warn!(error:% = e, bytes = record.len(); "the record of learned run times can't be used; learning starts anew");
+            RunTimes::default()
+        }
+    }
+}
+
 impl Engine {
+    /// Returns whether the next commit takes a record of what was learned with it.
+    pub(super) fn is_record_due(&self) -> bool {
+        self.bounds.learn_run_times && self.learned_after.passed(self.now)
+    }
+
+    /// Returns the record of what was learned if it is due. One that a failed commit loses isn't repeated; the
+    /// next one has it all.
+    pub(super) fn take_learned(&mut self) -> Option<Vec<u8>> {
+        if !self.is_record_due() {
+            return None;
+        }
+        self.learned_after = self.now.after(RECORD_GAP_MS);
+        let name = |key| self.worker(key).target.name.clone();
+        let record = self.run_times.to_record(name);
+        record
+            .inspect_err(
+                |e| log::error!(error:% = e; "can't encode the record of learned run times"),
+            )
+            .ok()
+    }
+
+    /// Logs at intervals what has been learned.
+    pub(super) fn log_learned(&mut self) {
+        if !self.bounds.learn_run_times || !self.learned_log.passed(self.now) {
+            return;
+        }
+        self.learned_log = self.now.after(LOG_INTERVAL_MS);
+        let (known, low, high) = self.run_times.spread();
+        if known == 0 {
+            return;
+        }
+        let mut total = Accuracy::default();
+        for queue in self.run_times.accuracy().values() {
+            total.runs += queue.runs;
+            total.expected_error += queue.expected_error;
+            total.estimate_error += queue.estimate_error;
+        }
+        let (error, estimate_error) = total.percents();
+        log::info!(
+            known, workers = self.workers.len(), low, high, uneven = self.run_times.is_uneven(),
+            kinds = self.run_times.kind_count(), runs = total.runs,
+            error_percent = error.round(), estimate_error_percent = estimate_error.round();
+            "run times learned"
+        );
+    }
+
     /// Returns what has been learned of run times.
     #[must_use]
     pub const fn run_times(&self) -> &RunTimes {
@@ -36,6 +105,15 @@
         self.run_times.stretch(key).apply(ordinary_ms)
     }
 
+    /// Returns whether a worker's next report should come soon because its speed isn't known.
+    pub(super) fn wants_progress(&self, key: WorkerKey) -> bool {
+        if !self.bounds.learn_run_times || self.run_times.stretch(key).known {
+            return false;
+        }
+        let young = |run: &Run| run.fresh && self.now.since(run.started_at) < YOUNG_MS;
+        self.worker(key).runs.values().any(young)
+    }
+
     /// Learns from the progress of a run that a report lists.
     pub(super) fn learn_progress(&mut self, key: WorkerKey, row: &ActiveRun) {
         // A member of a gang that is done waits for the others.
@@ -51,6 +129,17 @@
         }
     }
 
+    /// Returns how long a gang should take: as long as its slowest member, in milliseconds.
+    fn gang_expected_ms(&self, job: &Job, id: &TaskId) -> u64 {
+        let count = job.step(id).map_or(0, |s| s.count);
+        let members = (0..count).map(|index| TaskId { index, ..*id });
+        let expected = members.filter_map(|id| {
+            let worker = self.worker(job.find(&id)?.worker?);
+            Some(worker.runs.get(&id)?.expected_ms)
+        });
+        expected.max().unwrap_or(0)
+    }
+
     /// Learns from a run that has done `percent` of its work; 100 stands for its end.
     fn learn(&mut self, key: WorkerKey, id: &TaskId, number: u64, percent: u32) {
         if !self.bounds.learn_run_times {
@@ -70,6 +159,7 @@
         if step.endless || step.filler || far || !is_telling(run) {
             return;
         }
+        let expected_ms = run.expected_ms;
         let (estimate_ms, gang, step_id) = (step.estimate_ms, step.gang, StepId::from(id));
         let sample = Sample {
             index: id.index,
@@ -85,13 +175,21 @@
             self.run_times
                 .observe(now, step_id, estimate_ms, &sample, kind);
         }
-        match (ended, gang) {
-            (true, false) => {
-                self.run_times
-                    .finish(step_id, estimate_ms, key, sample.ran_ms);
-            }
-            (true, true) if first => self.run_times.finish_gang(step_id, estimate_ms),
-            _ => {}
+        if !ended || !first {
+            return;
+        }
+        let expected_ms = if gang {
+            self.gang_expected_ms(job, id)
+        } else {
+            expected_ms
+        };
+        let queue = job.record.queue.name.as_str();
+        let run_times = &mut self.run_times;
+        run_times.record_error(queue, sample.ran_ms, expected_ms, estimate_ms);
+        if gang {
+            run_times.finish_gang(step_id, estimate_ms);
+        } else {
+            run_times.finish(step_id, estimate_ms, key, sample.ran_ms);
         }
     }
 }
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -75,6 +75,7 @@
                 continue;
             }
             let urgent = stopping || (busy && self.has_urgent_runs(key));
+            let urgent = urgent || (busy && self.wants_progress(key));
             let watched = busy && self.needs_tail_reports(key);
             let worker = self.worker_mut(key);
             // The leases of a silent worker aren't extended: otherwise the owner could never tell
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -315,6 +315,7 @@
         let rack = *self.racks.entry(rack_name).or_insert(RackKey(next));
         let key = WorkerKey(u16::try_from(self.workers.len()).unwrap_or(u16::MAX));
         self.worker_names.insert(target.name.clone(), key);
+        self.run_times.add_worker(key, &target.name);
         let mut worker = Worker::new(target, rack, self.now);
         worker.enforces_capacity = self.policy.enforces_capacity(&worker.target.pool);
         self.workers.push(worker);
--- a/marigoldglade/src/batch/run_times.rs
+++ b/marigoldglade/src/batch/run_times.rs
@@ -1,17 +1,28 @@
 //! Run times learned from finished and running tasks: how long a kind of work takes against its callers'
 //! estimates, and how fast each worker is.
 
+mod accuracy;
 mod estimate;
 mod kinds;
+mod record;
 mod speeds;
 mod steps;
 
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
 use crate::batch::engine::WorkerKey;
 use crate::batch::id::{JobId, TaskId};
 use crate::batch::worker::Resources;
+use crate::error::Result;
 use crate::time::UnixMs;
 
+pub use accuracy::Accuracy;
+
+use accuracy::Accuracies;
 use kinds::Kinds;
+use record::{Learned, WorkerRow};
 use speeds::Speeds;
 use steps::Steps;
 
@@ -89,7 +100,7 @@
 }
 
 /// Work whose run times are alike against the callers' estimates.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WorkKind {
     /// The queue's name.
     pub queue: String,
@@ -156,11 +167,70 @@
     kinds: Kinds,
     steps: Steps,
     speeds: Speeds,
+    /// What an earlier owner knew of workers that haven't been added yet, by name.
+    inherited: BTreeMap<String, WorkerRow>,
+    accuracies: Accuracies,
     /// When the steps with new samples are next compared.
     refresh_at: UnixMs,
 }
 
 impl RunTimes {
+    /// Continues from the stored record of an earlier owner.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::error::Kind::BadInput`] if the record is damaged or of a newer format.
+    pub fn from_record(bytes: &[u8]) -> Result<Self> {
+        let learned = Learned::decode(bytes)?;
+        let workers = learned.workers.into_iter().take(record::WORKER_LIMIT);
+        let mut run_times = Self {
+            inherited: workers.map(|w| (w.name.clone(), w)).collect(),
+            ..Self::default()
+        };
+        for row in learned.kinds.into_iter().take(record::KIND_LIMIT) {
+            run_times.kinds.inherit(row);
+        }
+        Ok(run_times)
+    }
+
+    /// Returns the record from which another owner can continue. `name` returns a worker's name.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::error::Kind::Internal`] if it can't be encoded.
+    pub fn to_record(&self, name: impl Fn(WorkerKey) -> String) -> Result<Vec<u8>> {
+        let known = self
+            .speeds
+            .rows()
+            .map(|(key, percent, precision)| WorkerRow {
+                name: name(key),
+                percent,
+                precision,
+            });
+        let workers = known.chain(self.inherited.values().cloned());
+        let workers = workers.take(record::WORKER_LIMIT).collect();
+        Learned::new(workers, self.kinds.rows(record::KIND_LIMIT)).encode()
+    }
+
+    /// Adds a worker, of which an earlier owner may have known something.
+    pub fn add_worker(&mut self, worker: WorkerKey, name: &str) {
+        if let Some(row) = self.inherited.remove(name) {
+            self.speeds.inherit(worker, row.percent, row.precision);
+        }
+    }
+
+    /// Counts how far a run's expected time and its caller's estimate were off; all are in milliseconds.
+    pub fn record_error(&mut self, queue: &str, ran_ms: u64, expected_ms: u64, estimate_ms: u64) {
+        let accuracies = &mut self.accuracies;
+        accuracies.record(queue, ran_ms, expected_ms, estimate_ms);
+    }
+
+    /// Returns how far off run times were expected, by queue.
+    #[must_use]
+    pub const fn accuracy(&self) -> &BTreeMap<String, Accuracy> {
+        &self.accuracies.queues
+    }
+
     /// Takes in what a run of a task shows. `kind` and the estimate are asked for once for each step.
     pub fn observe(
         &mut self,
--- a/marigoldglade/src/batch/run_times/speeds.rs
+++ b/marigoldglade/src/batch/run_times/speeds.rs
@@ -20,6 +20,9 @@
 const CONTRADICTIONS: usize = 3;
 /// From how far apart values contradict each other, as a logarithm.
 const CONTRADICTION: f64 = 0.3;
+/// The most that an earlier owner's knowledge of a worker weighs: about one run in a wide step, and enough to
+/// count as known.
+const INHERITED_PRECISION: f64 = 30.0;
 /// The fewest known workers from which a fleet's spread is judged.
 const FLEET_MIN: usize = 12;
 /// The least spread of speeds that placement should go by, as a standard deviation of logarithms.
@@ -127,6 +130,33 @@
         self.uneven
     }
 
+    /// Takes in what an earlier owner knew of a worker. It counts like one step, so that the worker is relearned
+    /// quickly if it has changed since.
+    pub fn inherit(&mut self, worker: WorkerKey, percent: u32, precision: u32) {
+        let percent = f64::from(percent.max(1)).clamp(STRETCH_MIN, STRETCH_MAX);
+        let precision = f64::from(precision).clamp(1.0, INHERITED_PRECISION);
+        let speed = self.speed_mut(worker);
+        speed.inherited = Some(Value {
+            ln: (percent / 100.0).ln(),
+            precision,
+        });
+        speed.update();
+    }
+
+    /// Returns the known workers with their stretch in percent and its precision.
+    pub fn rows(&self) -> impl Iterator<Item = (WorkerKey, u32, u32)> {
+        let known = (0..).zip(&self.workers).filter(|(_, w)| w.stretch.known);
+        known.map(|(key, w)| {
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a precision is positive, and any above the bound is the same"
+            )]
+            let precision = w.without(None).precision as u32;
+            (WorkerKey(key), w.stretch.percent, precision)
+        })
+    }
+
     /// Returns the logarithm of a worker's stretch as other steps show it.
     pub fn without(&self, worker: WorkerKey, step: StepId) -> Value {
         let speed = self.workers.get(usize::from(worker.0));
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -147,6 +147,8 @@
     pub records: BTreeMap<JobId, Record>,
     /// The workers that a new owner must hear from.
     pub stored_workers: Vec<Target>,
+    /// The stored record of learned run times.
+    pub learned: Option<Vec<u8>>,
     pub inbox: Vec<InboxItem>,
     /// How long after it is stored each owner sees an entry of the inbox, in milliseconds. If empty, the
     /// newest owner sees it at once, and the others don't.
@@ -347,6 +349,7 @@
             term: 0,
             records: BTreeMap::new(),
             stored_workers: Vec::new(),
+            learned: None,
             inbox: Vec::new(),
             inbox_ms: 0..0,
             refused_changes: 0,
@@ -434,6 +437,7 @@
             workers: self.stored_workers.clone(),
             has_predecessors: self.term > 1,
             predecessors_ended: self.predecessors_ended,
+            learned: self.learned.clone(),
         };
         let engine = Engine::new(
             self.bounds,
@@ -1212,6 +1216,7 @@
         if let Some(workers) = batch.workers {
             self.stored_workers = workers;
         }
+        self.learned = batch.learned.or(self.learned.take());
         if let Some(refused) = batch.refused {
             self.inbox.retain(|i| i.key != REFUSED_KEY);
             self.refused_changes += 1;
--- a/marigoldgladed/src/batch/metrics.rs
+++ b/marigoldgladed/src/batch/metrics.rs
@@ -1,8 +1,10 @@
 //! The daemon's counters and latency histograms, and the metrics page that shows them.
 
 use std::cell::Cell;
+use std::sync::atomic::AtomicU64;
 
 use marigoldglade::batch::engine::Counts;
+use marigoldglade::batch::run_times::RunTimes;
 use marigoldglade::batch::worker::Order;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -13,6 +15,9 @@
 
 use crate::admin;
 
+/// Gauges of ratios.
+type Ratios = Family<Vec<(&'static str, String)>, Gauge<f64, AtomicU64>>;
+
 type Latencies = Family<Vec<(&'static str, String)>, Histogram>;
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -43,6 +48,12 @@
     relays: Gauge,
     /// The jobs that haven't ended.
     open_jobs: Gauge,
+    /// The workers whose speed is known.
+    known_workers: Gauge,
+    /// How long work takes on the known workers against an ordinary one.
+    worker_stretch: Ratios,
+    /// How far off run times were expected, by queue and by whom.
+    run_time_errors: Ratios,
     /// The engine's counts at the last update.
     last_counts: Cell<Counts>,
 }
@@ -111,6 +122,24 @@
         );
         let open_jobs = Gauge::default();
         registry.register("open_jobs", "Jobs that haven't ended", open_jobs.clone());
+        let known_workers = Gauge::default();
+        registry.register(
+            "known_workers",
+            "Workers whose speed is known",
+            known_workers.clone(),
+        );
+        let worker_stretch = Ratios::default();
+        registry.register(
+            "worker_stretch",
+            "Run time on known workers against an ordinary one, by quantile",
+            worker_stretch.clone(),
+        );
+        let run_time_errors = Ratios::default();
+        registry.register(
+            "run_time_error",
+            "Mean error of run times as learned and as estimated by callers, by queue",
+            run_time_errors.clone(),
+        );
         Self {
             registry,
             calls,
@@ -122,6 +151,9 @@
             relayed,
             relays,
             open_jobs,
+            known_workers,
+            worker_stretch,
+            run_time_errors,
             last_counts: Cell::default(),
         }
     }
@@ -183,6 +215,29 @@
         }
     }
 
+    /// Shows what has been learned of run times.
+    pub(super) fn update_run_times(&self, run_times: &RunTimes) {
+        if run_times.accuracy().is_empty() {
+            return;
+        }
+        let (known, low, high) = run_times.spread();
+        self.known_workers
+            .set(i64::try_from(known).unwrap_or(i64::MAX));
+        for (share, percent) in [("0.1", low), ("0.9", high)] {
+            let label = vec![("quantile", share.to_owned())];
+            let stretch = self.worker_stretch.get_or_create(&label);
+            stretch.set(f64::from(percent) / 100.0);
+        }
+        for (queue, accuracy) in run_times.accuracy() {
+            let (expected, estimate) = accuracy.percents();
+            for (by, percent) in [("learned", expected), ("estimate", estimate)] {
+                let label = vec![("queue", queue.clone()), ("by", by.to_owned())];
+                let error = self.run_time_errors.get_or_create(&label);
+                error.set(percent / 100.0);
+            }
+        }
+    }
+
     /// Returns the text of the metrics page.
     pub(super) fn text(&self) -> Result<String, std::fmt::Error> {
         let mut text = String::new();
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -62,6 +62,8 @@
 /// The key of the last commit's term and number. Each commit requires that it is unchanged, so that
 /// an owner which has been replaced can't write.
 const SEQ_KEY: &str = "mg/seq";
+/// The key of the record of learned run times.
+const LEARNED_KEY: &str = "mg/learned";
 /// The key of the list of owners, the newest last. Only the newest owner and those that may still act
 /// are kept.
 const OWNERS_KEY: &str = "mg/owners";
@@ -327,6 +329,11 @@
         let load = async {
             let (records, _) = self.store.list(JOB_PREFIX).await;
             let (workers, _) = self.store.list(worker_list::PREFIX).await;
+            let learned = if self.platform.learn_run_times {
+                self.store.get(LEARNED_KEY).await.ok().flatten()
+            } else {
+                None
+            };
             let (inbox, inbox_since) = self.store.list(INBOX_PREFIX).await;
             let read_after = clock::now();
             let (entries, entries_since) = self.store.list(platform::registry::PREFIX).await;
@@ -335,7 +342,7 @@
                 self.wait_daemons().await;
             }
             let entries = (entries, entries_since, read_after);
-            (records, workers, inbox, inbox_since, entries)
+            (records, workers, learned, inbox, inbox_since, entries)
         };
         let loaded = tokio::select! {
             loaded = load => loaded,
@@ -344,7 +351,7 @@
                 return;
             }
         };
-        let (records, workers, inbox, inbox_since, entries) = loaded;
+        let (records, workers, learned, inbox, inbox_since, entries) = loaded;
         let (entries, entries_since, read_after) = entries;
         ownership.worker_parts.set(workers.len());
         let initial = InitialState {
@@ -356,6 +363,7 @@
                 .collect(),
             has_predecessors: ownership.term > 1,
             predecessors_ended: ownership.predecessors.is_empty(),
+            learned: learned.map(|pair| pair.value),
         };
         let Some(policy) = self.policy() else {
             return;
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -23,12 +23,16 @@
 use crate::batch::live::{decode, encode};
 use crate::batch::orders::{response_limit_ms, send_order};
 use crate::batch::owner::relays::RelayLinks;
-use crate::batch::owner::{EndReason, Ending, Input, Ownership, SEQ_KEY, Seq, first_pair};
+use crate::batch::owner::{
+    EndReason, Ending, Input, LEARNED_KEY, Ownership, SEQ_KEY, Seq, first_pair,
+};
 use crate::batch::store::pause;
 use crate::batch::{Node, boot_ms, clock, wall_ms};
 
 /// The time between two looks at the daemons that can relay orders, in milliseconds.
 const CANDIDATES_MS: u64 = 250;
+/// The time between two updates of the metrics of learned run times, in milliseconds.
+const METRICS_MS: u64 = 1_000;
 
 impl Node {
     /// Passes inputs to the engine and carries out its actions until the ownership ends.
@@ -49,6 +53,7 @@
             relays: RelayLinks::new(inputs),
             outgoing: BTreeMap::new(),
             candidates_at: clock::now(),
+            metrics_at: clock::now(),
             checked_at: boot_ms(),
         };
         let mut ended = std::pin::pin!(self.wait_ended(ownership));
@@ -87,6 +92,10 @@
             }
             self.metrics
                 .update_engine(engine.counts(), engine.open_jobs(), driver.links.in_use());
+            if driver.metrics_at.passed(clock::now()) {
+                driver.metrics_at = clock::now().after(METRICS_MS);
+                self.metrics.update_run_times(engine.run_times());
+            }
             if releasing && (engine.is_settled() || driver.callers.is_empty()) {
                 break;
             }
@@ -110,6 +119,8 @@
     outgoing: BTreeMap<RelayKey, Vec<RelayedOrder>>,
     /// When the daemons that can relay orders are looked at again.
     candidates_at: UnixMs,
+    /// When the metrics of learned run times are next brought up to date.
+    metrics_at: UnixMs,
     /// When the ownership was last checked, by [`boot_ms`].
     checked_at: u64,
 }
@@ -299,6 +310,9 @@
     if let Some(refused) = &batch.refused {
         then.push(Op::Put(REFUSED_KEY.to_owned(), encode(refused), 0));
     }
+    if let Some(learned) = batch.learned {
+        then.push(Op::Put(LEARNED_KEY.to_owned(), learned, 0));
+    }
     let txn = Txn {
         when: vec![Compare::Changed(
             SEQ_KEY.to_owned(),
