Take the range of speeds without its outliers, and yield when late

The slowest worker that anything was learned of decided which work has ample slack; one that hardly makes progress made all work tight. The range is now that of four fifths of the known workers, and the limit on the stretch holds for all work. Urgent work that is late, but useful for longer than it needs, stops no runs.

--- a/marigoldglade/src/batch/engine/speeds.rs
+++ b/marigoldglade/src/batch/engine/speeds.rs
@@ -16,10 +16,8 @@
         if !self.run_times.is_uneven() {
             return None;
         }
-        let usable = self
-            .worker_keys()
-            .filter(|k| self.worker(*k).is_usable(self.now));
-        SpeedRange::new(usable.map(|k| self.run_times.stretch(k)))
+        let (_, fastest, slowest) = self.run_times.spread();
+        Some(SpeedRange { fastest, slowest })
     }
 
     /// Returns which workers are suitable for a step by their speed.
@@ -53,12 +51,12 @@
     pub(super) fn preemption_bins(&self, bins: &[Bin], demand: &Demand, shape: &Shape) -> Vec<Bin> {
         let rule = &shape.speed;
         let others = if shape.guaranteed { bins } else { &[] };
-        if rule.late && rule.limit.is_none() {
+        if rule.yields {
             return others.to_vec();
         }
         let admitted = rule.admitted(bins);
         let one_rack = demand.one_rack && fits_one_rack(bins, demand);
-        if rule.limit.is_some() && !could_hold(&admitted, demand, one_rack) {
+        if admitted.len() < bins.len() && !could_hold(&admitted, demand, one_rack) {
             return others.to_vec();
         }
         admitted
--- a/marigoldglade/src/batch/finish.rs
+++ b/marigoldglade/src/batch/finish.rs
@@ -13,8 +13,8 @@
 use crate::time::UnixMs;
 
 /// How far a worker's time may be from an ordinary one's for it to count as ordinary, in percent: the
-/// times of tasks that are alike differ by more.
-const TOLERANCE_PERCENT: u32 = 10;
+/// times of tasks that are alike differ by as much.
+const TOLERANCE_PERCENT: u32 = 15;
 /// The time that work is allowed for, in percent of its estimate: a gang ends with its slowest member.
 const MARGIN_PERCENT: u32 = 125;
 /// The share of the estimate from which work has ample slack, in percent: estimates are off by up to half.
@@ -22,8 +22,8 @@
 /// The limits on the stretch are rounded down to multiples of this, in percent, so that requests which
 /// are alike have the same limit.
 const LIMIT_STEP_PERCENT: u32 = 10;
-/// The largest limit on the stretch, in percent: the run time is then allowed for tenfold.
-const LIMIT_MAX_PERCENT: u32 = 1_000;
+/// The largest limit on the stretch, in percent: a slower worker is out of order.
+const LIMIT_MAX_PERCENT: u32 = 400;
 
 /// The speed of a worker, in classes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -54,33 +54,15 @@
     }
 }
 
-/// The range of the workers' speeds.
+/// The range of the workers' speeds, without the outliers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SpeedRange {
-    /// The stretch of the fastest known worker, in percent.
+    /// The stretch of fast workers, in percent.
     pub fastest: u32,
-    /// The stretch of the slowest known worker, in percent.
+    /// The stretch of slow workers, in percent.
     pub slowest: u32,
 }
 
-impl SpeedRange {
-    /// Returns the range of some workers; `None` if none is known.
-    #[must_use]
-    pub fn new(workers: impl Iterator<Item = Stretch>) -> Option<Self> {
-        let known = workers.filter(|s| s.known).map(|s| s.percent);
-        known.fold(None, |range: Option<Self>, percent| {
-            let range = range.unwrap_or(Self {
-                fastest: percent,
-                slowest: percent,
-            });
-            Some(Self {
-                fastest: range.fastest.min(percent),
-                slowest: range.slowest.max(percent),
-            })
-        })
-    }
-}
-
 /// The order in which workers are considered by their speed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub enum SpeedOrder {
@@ -122,6 +104,9 @@
     pub may_wait: bool,
     /// Whether the objective can't be met any more on any worker.
     pub late: bool,
+    /// Whether no runs are stopped for the work, as it is late and still useful after a wait, or not at all
+    /// any more.
+    pub yields: bool,
 }
 
 /// Returns the largest stretch with which work that takes `ordinary_ms` on an ordinary worker ends by a
@@ -129,7 +114,7 @@
 fn stretch_limit(ordinary_ms: u64, now: UnixMs, finish_by: UnixMs) -> u32 {
     let left_ms = finish_by.since(now);
     let percent = left_ms.saturating_mul(100) / ordinary_ms.max(1);
-    u32::try_from(percent).map_or(LIMIT_MAX_PERCENT, |p| p.min(LIMIT_MAX_PERCENT))
+    u32::try_from(percent).unwrap_or(u32::MAX)
 }
 
 impl SpeedRule {
@@ -138,8 +123,8 @@
     pub fn new(inputs: &RankInputs, range: SpeedRange, now: UnixMs) -> Self {
         let slack = |by| stretch_limit(inputs.remaining_ms, now, by);
         let limit_of = |slack: u32| {
-            let limit = slack * 100 / MARGIN_PERCENT;
-            limit - limit % LIMIT_STEP_PERCENT
+            let limit = slack.saturating_mul(100) / MARGIN_PERCENT;
+            (limit - limit % LIMIT_STEP_PERCENT).min(LIMIT_MAX_PERCENT)
         };
         let mut left = slack(inputs.finish_by);
         let late = limit_of(left) < range.fastest;
@@ -151,7 +136,7 @@
             left = slack(useful_until);
         }
         let limit = limit_of(left);
-        let reachable = (range.fastest..range.slowest).contains(&limit);
+        let reachable = limit >= range.fastest;
         let ample = left >= range.slowest * AMPLE_PERCENT / 100;
         Self {
             order: if inputs.priority == 0 && !late && !ample {
@@ -160,8 +145,9 @@
                 SpeedOrder::SlowFirst
             },
             limit: reachable.then_some(limit),
-            may_wait: reachable && !late,
+            may_wait: reachable && !late && limit < range.slowest,
             late,
+            yields: late && !(range.fastest..range.slowest).contains(&limit),
         }
     }
 
@@ -170,7 +156,8 @@
         if self.late || self.order == SpeedOrder::FastFirst {
             range.fastest
         } else {
-            self.limit.unwrap_or(range.slowest)
+            let slowest = range.slowest;
+            self.limit.map_or(slowest, |limit| limit.min(slowest))
         }
     }
 
