--- a/marigoldglade/src/batch/finish.rs
+++ b/marigoldglade/src/batch/finish.rs
@@ -218,7 +218,7 @@
         (enough && whole).then(|| place_gang(bins, need)).flatten()
     };
     if rule.order == SpeedOrder::FastFirst {
-        for slowest in [Speed::Fast, Speed::Unknown] {
+        for slowest in [Speed::Fast, Speed::Ordinary, Speed::Unknown] {
             let faster = admitted.iter().filter(|b| b.stretch.speed() <= slowest);
             let workers = place_in(&faster.copied().collect::<Vec<_>>());
             if workers.is_some() {
--- a/marigoldglade/tests/batch_speeds.rs
+++ b/marigoldglade/tests/batch_speeds.rs
@@ -1,17 +1,27 @@
 //! Checks placement on workers that differ in speed, without a network: urgent gangs with little slack
 //! beside batch work with ample slack, on racks that mix three speeds.
 
+#[path = "batch/world.rs"]
+#[expect(dead_code, reason = "the simulation serves several test files")]
+mod simulation;
+
+use std::collections::BTreeMap;
+
 use marigoldglade::batch::engine::WorkerKey;
 use marigoldglade::batch::finish::{
     Speed, SpeedOrder, SpeedRange, SpeedRule, place_gang_by_speed, place_some_by_speed,
 };
 use marigoldglade::batch::health::Grade;
+use marigoldglade::batch::messages::JobStatus;
 use marigoldglade::batch::pack::{Bin, Demand, RackKey};
 use marigoldglade::batch::rank::{RankInputs, rank};
 use marigoldglade::batch::run_times::Stretch;
+use marigoldglade::batch::spec::Step;
 use marigoldglade::batch::worker::Resources;
 use marigoldglade::time::UnixMs;
 use rstest::rstest;
+use simulation::{Simulation, job_id, spec, step};
+use standin::batch_worker::SimWorker;
 
 const CAPACITY: Resources = Resources {
     cpu: 128_000,
@@ -180,13 +190,14 @@
 
 /// Load: batch work that has waited for most of its slack.
 #[rstest]
-#[case(0, None)]
+#[case(0, Some(240))]
 #[case(12_000, Some(140))]
-#[case(28_000, None)]
+#[case(28_000, Some(400))]
 fn slack_that_is_left_limits_the_workers(#[case] waited_ms: u64, #[case] limit: Option<u32>) {
     let rule = rule(1, 9_400, waited_ms);
     assert_eq!(rule.limit, limit);
     assert_eq!(rule.late, waited_ms > 25_000);
+    assert_eq!(rule.yields, rule.late);
 }
 
 /// Load: urgent jobs queue up in a burst, when an ordinary worker would be too late for the older ones.
@@ -227,3 +238,76 @@
     assert_eq!(late(&rule(2, 5_200, 0), &rule(0, 2_100, 0)), 0);
     assert!(late(&blind, &blind) > 20);
 }
+
+/// Has the members of gangs, given by their jobs, end with the slowest of them.
+fn end_gangs_together(sim: &mut Simulation, gangs: &BTreeMap<u64, u64>) {
+    for n in gangs.keys() {
+        let id = job_id(*n);
+        let runs = |w: &SimWorker| {
+            let members = w.runs.iter().filter(|(t, _)| t.job == id);
+            members.map(|(_, r)| r.work_ms).max()
+        };
+        let Some(slowest) = sim.workers.values().filter_map(runs).max() else {
+            continue;
+        };
+        for worker in sim.workers.values_mut() {
+            for (_, run) in worker.runs.iter_mut().filter(|(t, _)| t.job == id) {
+                run.end_ms = slowest;
+            }
+        }
+    }
+}
+
+/// Returns how many of 30 urgent gangs are late beside surveys, which have run for 10 s on five racks that
+/// mix three speeds.
+fn late_gangs(learns: bool) -> usize {
+    const WORK_MS: u64 = 4_000;
+    const OBJECTIVE_MS: u64 = WORK_MS * 3 / 2 + 250;
+    let mut sim = Simulation::new(47, 5, u32::from(RACK));
+    for (i, worker) in sim.workers.values_mut().enumerate() {
+        worker.stretch = [60, 100, 160][i % 3];
+    }
+    sim.bounds.learn_run_times = learns;
+    sim.kill_newest_owner();
+    sim.elect();
+    sim.run_for(2_000);
+    let mut due: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut late = 0;
+    for tick in 0..470 {
+        if tick % 30 == 0 {
+            let survey = spec(vec![step(60, 1, 5_000)]);
+            sim.submit(1_000 + tick, "survey", "w0", survey, 5_000);
+        }
+        if (100..400).contains(&tick) && tick % 10 == 0 {
+            let gang = Step {
+                gang: true,
+                one_rack: true,
+                ..step(4, 8, WORK_MS)
+            };
+            sim.submit(tick, "urgent", "w1", spec(vec![gang]), WORK_MS);
+            due.insert(tick, sim.now + OBJECTIVE_MS);
+        }
+        sim.run_for(100);
+        end_gangs_together(&mut sim, &due);
+        let open: Vec<u64> = due.keys().copied().collect();
+        for n in open {
+            if sim.status(n) == Some(JobStatus::Done) {
+                due.remove(&n);
+            } else if due[&n] < sim.now {
+                due.remove(&n);
+                late += 1;
+            }
+        }
+    }
+    assert!(due.is_empty(), "gangs without an end: {due:?}");
+    late
+}
+
+/// Load: urgent gangs each second beside surveys, at under half of the fleet. A gang ends with its slowest
+/// member, so that without learned run times most are late beside free fast workers.
+#[test]
+fn urgent_gangs_are_in_time_once_the_speeds_of_workers_are_learned() {
+    let (blind, learned) = (late_gangs(false), late_gangs(true));
+    assert!(learned <= 3, "{learned} late with learned run times");
+    assert!(blind >= 10, "{blind} late without");
+}
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -49,6 +49,8 @@
     pub started_at: u64,
     /// The time that the run takes, in milliseconds.
     pub work_ms: u64,
+    /// How long after its start the run ends, in milliseconds: a member of a gang waits for the others.
+    pub end_ms: u64,
     /// Whether the run fails when that time is over.
     pub fails: bool,
     /// When an ordered stop takes effect, on the caller's clock.
@@ -283,7 +285,7 @@
             .filter_map(|(id, r)| {
                 if r.stop_at.is_some_and(|at| at <= now) {
                     Some((*id, Outcome::Stopped))
-                } else if !self.hung && now >= r.started_at + r.work_ms {
+                } else if !self.hung && now >= r.started_at + r.end_ms {
                     Some((
                         *id,
                         if r.fails || self.fails_all {
@@ -364,6 +366,7 @@
             resources,
             started_at: now,
             work_ms: work_ms * self.stretch / 100,
+            end_ms: work_ms * self.stretch / 100,
             fails,
             stop_at: None,
             pace: 100,
@@ -423,7 +426,7 @@
             }
             u32::try_from((now - r.started_at) * 100 / r.work_ms.max(1))
                 .unwrap_or(100)
-                .min(99)
+                .min(if r.end_ms > r.work_ms { 100 } else { 99 })
         };
         let running = self.runs.iter().map(|(id, r)| ActiveRun {
             task: *id,
