--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -15,6 +15,7 @@
 mod gone;
 mod job;
 mod late_starts;
+mod learning;
 mod leases;
 mod lost_sends;
 mod orders;
@@ -23,6 +24,7 @@
 mod refusals;
 mod reports;
 mod runs;
+mod speeds;
 mod waits;
 mod workers;
 
@@ -31,6 +33,7 @@
 use std::sync::Arc;
 
 use crate::batch::advice::{Advice, AdviceResponse};
+use crate::batch::finish::SpeedRange;
 use crate::batch::id::{JobId, TaskId};
 use crate::batch::messages::{Call, Reply};
 use crate::batch::pack::RackKey;
@@ -68,6 +71,8 @@
     pub retention_ms: u64,
     /// The maximum number of records, deletions and handled inbox entries in one commit.
     pub commit_entries: usize,
+    /// Whether run times and the speeds of workers are learned.
+    pub learn_run_times: bool,
 }
 
 /// A submission or cancel that another daemon left in the store for the owner.
@@ -156,6 +161,8 @@
     pub workers: Option<Vec<Target>>,
     /// The jobs that were refused shortly before, if the commit announces refusals.
     pub refused: Option<RefusedJobs>,
+    /// The record of learned run times, if it is due.
+    pub learned: Option<Vec<u8>>,
 }
 
 /// An output of the engine, which the caller carries out.
@@ -194,6 +201,8 @@
     pub has_predecessors: bool,
     /// Whether all earlier owners have certainly ended, so that none renews leases any more.
     pub predecessors_ended: bool,
+    /// The record of learned run times, if there is one.
+    pub learned: Option<Vec<u8>>,
 }
 
 /// Event counts for metrics, since the engine was created.
@@ -281,6 +290,12 @@
     guaranteed_jobs: HashSet<JobKey>,
     /// What the runs of this and earlier owners have shown.
     run_times: RunTimes,
+    /// The range of the workers' speeds as of the last planning pass; `None` if they hardly differ.
+    speeds: Option<SpeedRange>,
+    /// When the record of learned run times is next due.
+    learned_after: UnixMs,
+    /// When the log next says what has been learned.
+    learned_log: UnixMs,
     counts: Counts,
     now: UnixMs,
     /// The wall clock in milliseconds since the Unix epoch; it may jump.
@@ -344,7 +359,10 @@
             advice_request: None,
             ask_after: now,
             guaranteed_jobs: HashSet::new(),
-            run_times: RunTimes::default(),
+            speeds: None,
+            run_times: learning::load(&bounds, initial.learned.as_deref()),
+            learned_after: now.after(learning::RECORD_GAP_MS),
+            learned_log: now.after(learning::LOG_INTERVAL_MS),
             counts: Counts::default(),
             now,
             wall_ms,
@@ -409,6 +427,7 @@
             Event::Tick => {
                 self.tick_at = self.now.after(TICK_MS);
                 self.tick();
+                self.log_learned();
                 self.refuse_unsent(out);
                 self.give_up_refusals(out);
             }
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -72,7 +72,7 @@
                 // Urgent gangs find whole workers on these racks without waiting for preempted runs
                 // to stop.
                 if shape.priority > 0 && pass.top_priority == 0 {
-                    exclude_last_racks(&mut bins, URGENT_RACKS_DIVISOR);
+                    self.exclude_last_racks(&mut bins, URGENT_RACKS_DIVISOR);
                 }
                 return bins;
             }
@@ -163,7 +163,7 @@
         let mut bins = all.to_vec();
         self.exclude_reserved_racks(step_key, shape, &mut bins);
         if shape.priority > 1 && !step.gang && pass.top_priority < shape.priority {
-            exclude_last_racks(&mut bins, GANG_RACKS_DIVISOR);
+            self.exclude_last_racks(&mut bins, GANG_RACKS_DIVISOR);
         }
         if shape.near_only {
             bins.retain(|b| Some(b.rack) == shape.near_rack);
@@ -376,10 +376,3 @@
         });
     }
 }
-
-/// Removes the workers on the last racks: one in `divisor` of the racks of all `bins`.
-fn exclude_last_racks(bins: &mut Vec<Bin>, divisor: usize) {
-    let racks = racks(bins);
-    let first = &racks[..racks.len() - racks.len() / divisor];
-    bins.retain(|b| first.contains(&b.rack));
-}
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -75,6 +75,7 @@
                 continue;
             }
             let urgent = stopping || (busy && self.has_urgent_runs(key));
+            let urgent = urgent || (busy && self.wants_progress(key));
             let watched = busy && self.needs_tail_reports(key);
             let worker = self.worker_mut(key);
             // The leases of a silent worker aren't extended: otherwise the owner could never tell
@@ -421,6 +422,7 @@
                 run.percent = row.percent;
                 run.progress_at = now;
             }
+            self.learn_progress(key, row);
             if first_proven {
                 self.clear_crashes(&row.task);
             }
@@ -543,6 +545,8 @@
             cannot_start: false,
             absent: false,
             pace: None,
+            fresh: false,
+            expected_ms: 0,
         };
         self.worker_mut(key).insert(row.task, run);
         log::debug!(task:% = row.task, run = row.run, worker = self.worker(key).target.name.as_str(); "run of an earlier owner adopted");
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -49,6 +49,8 @@
     pub started_at: u64,
     /// The time that the run takes, in milliseconds.
     pub work_ms: u64,
+    /// How long after its start the run ends, in milliseconds: a member of a gang waits for the others.
+    pub end_ms: u64,
     /// Whether the run fails when that time is over.
     pub fails: bool,
     /// When an ordered stop takes effect, on the caller's clock.
@@ -105,6 +107,8 @@
     pub pause: Option<Pause>,
     /// Whether all of its runs fail.
     pub fails_all: bool,
+    /// How long its runs take, in percent of their time on an ordinary worker.
+    pub stretch: u64,
     /// Whether its runs make no progress.
     pub hung: bool,
     /// Whether it refuses starts that don't fit into its capacity.
@@ -150,6 +154,7 @@
             back_at: None,
             pause: None,
             fails_all: false,
+            stretch: 100,
             hung: false,
             enforces_capacity: true,
             events: Vec::new(),
@@ -280,7 +285,7 @@
             .filter_map(|(id, r)| {
                 if r.stop_at.is_some_and(|at| at <= now) {
                     Some((*id, Outcome::Stopped))
-                } else if !self.hung && now >= r.started_at + r.work_ms {
+                } else if !self.hung && now >= r.started_at + r.end_ms {
                     Some((
                         *id,
                         if r.fails || self.fails_all {
@@ -360,7 +365,8 @@
             run: s.run,
             resources,
             started_at: now,
-            work_ms,
+            work_ms: work_ms * self.stretch / 100,
+            end_ms: work_ms * self.stretch / 100,
             fails,
             stop_at: None,
             pace: 100,
@@ -420,7 +426,7 @@
             }
             u32::try_from((now - r.started_at) * 100 / r.work_ms.max(1))
                 .unwrap_or(100)
-                .min(99)
+                .min(if r.end_ms > r.work_ms { 100 } else { 99 })
         };
         let running = self.runs.iter().map(|(id, r)| ActiveRun {
             task: *id,
