Start nothing new in evacuated data centres

The engine gets the complete list of evacuated data centres, also in its initial state. Worker::takes_work says whether new work may go to a worker, for drain and evacuation alike; starts without a response aren't sent again there, near data doesn't hold work for workers there, and reservations there are given up. What runs there goes on.

The tests fail without the check in takes_work (10 or more of 13), in may_resend (4), in rack_of (1) and without the initial state (5). No test shows the difference that giving up reservations at once makes.

--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -5,7 +5,7 @@
 //! grow with the fleet.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -183,6 +183,7 @@
             term: 1,
             records: Vec::new(),
             workers: Vec::new(),
+            evacuated: BTreeSet::new(),
             has_predecessors: false,
             predecessors_ended: true,
         };
--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -5,6 +5,7 @@
 //! ([`spec`]) and as stored ([`record`]), the operators' configuration ([`policy`]), messages between
 //! daemons ([`messages`]), the protocol with workers ([`worker`]), the workers that the registry lists ([`roster`]) and
 //! those on the stored list ([`worker_list`]),
+//! the data centres that the operators have evacuated ([`evacuations`]),
 //! the daemons that relay orders to them ([`links`]), earlier owners that may still act ([`succession`]),
 //! attempts at submissions that may take effect late ([`attempts`], [`refused`]), and the decisions ([`admission`], [`commit_order`], [`rank`], [`pack`], [`preempt`], [`pace`],
 //! [`advice`], [`health`]), and what finished runs have shown ([`run_times`]).
@@ -14,6 +15,7 @@
 pub mod attempts;
 pub mod commit_order;
 pub mod engine;
+pub mod evacuations;
 pub mod health;
 pub mod id;
 pub mod links;
--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -12,6 +12,7 @@
 mod commit;
 mod completions;
 mod crashes;
+mod evacuations;
 mod gone;
 mod job;
 mod late_starts;
@@ -117,6 +118,8 @@
 pub enum Event {
     /// A new configuration is in force.
     Policy(Arc<Policy>),
+    /// The complete list of data centres that the operators have evacuated.
+    Evacuations(BTreeSet<String>),
     /// The complete list of workers in the registry.
     Registry(Vec<Target>),
     /// Heartbeats of workers that don't enforce their capacity; the list of workers that contains
@@ -190,6 +193,8 @@
     pub records: Vec<Record>,
     /// Workers that may still run tasks started in an earlier term.
     pub workers: Vec<Target>,
+    /// The data centres that the operators have evacuated.
+    pub evacuated: BTreeSet<String>,
     /// Whether there was an owner before this one.
     pub has_predecessors: bool,
     /// Whether all earlier owners have certainly ended, so that none renews leases any more.
@@ -233,6 +238,8 @@
     workers: Vec<Worker>,
     worker_names: HashMap<String, WorkerKey>,
     racks: HashMap<(String, String), RackKey>,
+    /// The data centres in which nothing new starts.
+    evacuated: BTreeSet<String>,
     /// Jobs with changes that aren't durable.
     dirty_jobs: BTreeSet<JobKey>,
     /// Jobs whose records are still to be deleted from the store.
@@ -321,6 +328,7 @@
             workers: Vec::new(),
             worker_names: HashMap::new(),
             racks: HashMap::new(),
+            evacuated: BTreeSet::new(),
             dirty_jobs: BTreeSet::new(),
             deletes: Vec::new(),
             handled: BTreeSet::new(),
@@ -355,6 +363,7 @@
         for record in initial.records {
             engine.load_record(record, initial.has_predecessors);
         }
+        engine.set_evacuations(initial.evacuated);
         engine
     }
 
@@ -397,6 +406,7 @@
     fn apply(&mut self, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Policy(policy) => self.set_policy(policy),
+            Event::Evacuations(dcs) => self.set_evacuations(dcs),
             Event::Registry(targets) => self.update_registry(targets),
             Event::Heartbeats(heartbeats) => self.apply_heartbeats(&heartbeats),
             Event::Call(call_id, call) => self.handle_call(call_id, call, out),
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -37,11 +37,11 @@
 const GANG_RACKS_DIVISOR: usize = 3;
 
 impl Engine {
-    /// Returns a rack of this name, in whichever data centre.
+    /// Returns a rack of this name, in whichever data centre that isn't evacuated.
     pub(super) fn rack_of(&self, name: &str) -> Option<RackKey> {
         self.racks
             .iter()
-            .find(|((_, rack), _)| rack == name)
+            .find(|((dc, rack), _)| rack == name && !self.evacuated.contains(dc))
             .map(|(_, key)| *key)
     }
 
--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -44,6 +44,8 @@
     Room,
     /// The workers have room for the gang, but no rack has.
     OneRack,
+    /// The workers with room are in data centres that the operators have evacuated.
+    Evacuated,
     /// The workers with room are silent, paused or quarantined.
     Workers,
     /// The workers with room are avoided, have other new runs, or have as many of its tasks as they may.
@@ -119,7 +121,7 @@
     }
 
     /// Returns what is taken of each pool, and its capacity: that of all workers that are there and stay,
-    /// whether or not they can be given work now.
+    /// whether or not they can be given work now. Those in evacuated data centres stay.
     pub(super) fn measure_pools(&self) -> HashMap<String, (Resources, Resources)> {
         let mut pools: HashMap<String, (Resources, Resources)> = HashMap::new();
         for worker in &self.workers {
@@ -253,6 +255,10 @@
             let spread = step.gang && fitting >= demand.count;
             return (if spread { Hold::OneRack } else { Hold::Room }, fitting);
         }
+        bins.retain(|b| !self.worker(b.worker).evacuated);
+        if !fits(&bins) {
+            return (Hold::Evacuated, fitting);
+        }
         bins.retain(|b| self.worker(b.worker).is_usable(self.now) && b.grade <= Grade::Suspect);
         if !fits(&bins) {
             return (Hold::Workers, fitting);
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -39,6 +39,8 @@
     pub heartbeat: Option<(u64, UnixMs)>,
     /// Whether the registry lists the worker.
     pub listed: bool,
+    /// Whether the operators have evacuated its data centre.
+    pub evacuated: bool,
     /// Whether the durable list of workers contains this incarnation.
     pub recorded: bool,
     /// Whether this incarnation has answered this owner.
@@ -123,6 +125,7 @@
             enforces_capacity: true,
             heartbeat: None,
             listed: false,
+            evacuated: false,
             recorded: false,
             answered: false,
             fenced: false,
@@ -191,19 +194,19 @@
         limit_ms.min(left - left / 100 * CLOCK_DRIFT_PERCENT)
     }
 
-    /// Returns whether a start that is under way may be sent again: the worker refuses what doesn't
-    /// fit, or its capacity still holds all that runs there and the run itself.
+    /// Returns whether a start that is under way may be sent again: the worker's data centre isn't
+    /// evacuated, and it refuses what doesn't fit, or its capacity still holds all that runs there and
+    /// the run itself.
     pub fn may_resend(&self, now: UnixMs) -> bool {
-        self.enforces_capacity
-            || (self.start_valid_ms(now, 1) > 0 && self.target.capacity.covers(&self.taken()))
+        let fits = || self.start_valid_ms(now, 1) > 0 && self.target.capacity.covers(&self.taken());
+        !self.evacuated && (self.enforces_capacity || fits())
     }
 
     /// Returns whether the worker can be given work.
     pub fn is_usable(&self, now: UnixMs) -> bool {
-        self.listed
+        self.takes_work()
             && self.answered
             && self.recorded
-            && !self.target.draining
             && self.failed_renewals == 0
             && self.paused_until.passed(now)
             && self.idle_until.passed(now)
@@ -317,6 +320,7 @@
         self.worker_names.insert(target.name.clone(), key);
         let mut worker = Worker::new(target, rack, self.now);
         worker.enforces_capacity = self.policy.enforces_capacity(&worker.target.pool);
+        worker.evacuated = self.evacuated.contains(&worker.target.dc);
         self.workers.push(worker);
         key
     }
@@ -350,6 +354,7 @@
                 self.workers_dirty |= leaves;
             }
         }
+        self.mark_evacuated();
         self.replan = true;
     }
 
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -119,6 +119,10 @@
     pub workers: BTreeMap<String, SimWorker>,
     /// Workers that the registry lists.
     pub listed: BTreeSet<String>,
+    /// Since when each evacuated data centre is so.
+    evacuations: BTreeMap<String, u64>,
+    /// How long after a change the owners learn of the evacuated data centres, in milliseconds.
+    pub evacuation_ms: u64,
     /// Whether workers write their registry entries in time; otherwise the entries show them as they
     /// are at each [`Simulation::send_registry`].
     pub heartbeats: bool,
@@ -332,6 +336,8 @@
             policy: Arc::new(policy()),
             workers: BTreeMap::new(),
             listed: BTreeSet::new(),
+            evacuations: BTreeMap::new(),
+            evacuation_ms: 50,
             heartbeats: false,
             entries: BTreeMap::new(),
             lost_heartbeats: BTreeSet::new(),
@@ -431,6 +437,7 @@
             term: self.term,
             records: self.records.values().cloned().collect(),
             workers: self.stored_workers.clone(),
+            evacuated: self.evacuations.keys().cloned().collect(),
             has_predecessors: self.term > 1,
             predecessors_ended: self.predecessors_ended,
         };
@@ -523,6 +530,29 @@
         self.owners[owner].alive = false;
     }
 
+    /// Has the operators evacuate these data centres, and no others; the owners that live learn of it.
+    pub fn evacuate(&mut self, dcs: &[&str]) {
+        let now = self.now;
+        self.evacuations.retain(|dc, _| dcs.contains(&dc.as_str()));
+        for dc in dcs {
+            self.evacuations.entry((*dc).to_owned()).or_insert(now);
+        }
+        for owner in 0..self.owners.len() {
+            let dcs = self.evacuations.keys().cloned().collect();
+            let event = Event::Evacuations(dcs);
+            self.schedule(
+                now + self.evacuation_ms,
+                Scheduled::Event(owner, Box::new(event)),
+            );
+        }
+    }
+
+    /// Returns how many runs are in a data centre.
+    pub fn count_runs_in(&self, dc: &str) -> usize {
+        let here = |(name, _): &&(String, u64)| self.workers[name].target.dc == dc;
+        self.live_runs.values().flatten().filter(here).count()
+    }
+
     pub fn send_registry(&mut self, owner: usize) {
         for name in &self.listed {
             if !self.heartbeats || !self.entries.contains_key(name) {
@@ -690,6 +720,13 @@
         let roll = self.rng.random_range(0..100);
         let mut delay = self.order_ms + self.rng.random_range(1..4);
         if matches!(order, Order::Start(_)) {
+            let since = self.evacuations.get(&target.dc);
+            let lasted_ms = since.map_or(0, |at| self.now - at);
+            assert!(
+                lasted_ms <= self.evacuation_ms,
+                "a start was sent to {} {lasted_ms} ms after its evacuation",
+                target.name
+            );
             delay += self.start_ms.get(&target.name).copied().unwrap_or(0);
         }
         self.renewals += u32::from(matches!(order, Order::Renew(_)));
