Watch the evacuated data centres as the owner

One watch by the owner suffices: it alone places work, and orders are sent within a second of its decision or not at all. A new owner lists the requests together with the registry. What is known holds while the store is away, and older answers are ignored. Adds the metric evacuated_data_centres.

--- a/marigoldgladed/src/batch/metrics.rs
+++ b/marigoldgladed/src/batch/metrics.rs
@@ -37,6 +37,8 @@
     events: admin::Counts,
     /// The term in which this daemon is the owner; zero while it isn't.
     pub(super) term: Gauge,
+    /// The data centres in which this owner starts nothing new; zero while this daemon isn't the owner.
+    pub(super) evacuated: Gauge,
     /// Orders that this daemon relayed for the owner.
     pub(super) relayed: Counter,
     /// The relays that the owner uses.
@@ -97,6 +99,12 @@
             "Term in which this daemon is the owner, or 0",
             term.clone(),
         );
+        let evacuated = Gauge::default();
+        registry.register(
+            "evacuated_data_centres",
+            "Data centres in which this owner starts nothing new",
+            evacuated.clone(),
+        );
         let relayed = Counter::default();
         registry.register(
             "relayed_orders",
@@ -119,6 +127,7 @@
             order_latencies,
             events,
             term,
+            evacuated,
             relayed,
             relays,
             open_jobs,
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -1,6 +1,7 @@
 //! Ownership of the jobs: claims it, renews it, and runs the engine while it lasts.
 
 mod driver;
+mod evacuations;
 mod inputs;
 mod predecessors;
 mod relays;
@@ -12,6 +13,7 @@
 use std::time::Duration;
 
 use marigoldglade::batch::engine::{Bounds, Engine, Event, InitialState, UNCONFIRMED_LIMIT_MS};
+use marigoldglade::batch::evacuations::Evacuations;
 use marigoldglade::batch::links::WORKERS_PER_RELAY;
 use marigoldglade::batch::messages::{Call, Owner, RelayedResponse, Reply};
 use marigoldglade::batch::record::Record;
@@ -316,6 +318,7 @@
         self.run_ownership(&Rc::new(ownership)).await;
         self.term.set(None);
         self.metrics.term.set(0);
+        self.metrics.evacuated.set(0);
     }
 
     /// Loads the stored state, runs the engine until the ownership ends, and then releases it. An
@@ -328,14 +331,19 @@
             let (records, _) = self.store.list(JOB_PREFIX).await;
             let (workers, _) = self.store.list(worker_list::PREFIX).await;
             let (inbox, inbox_since) = self.store.list(INBOX_PREFIX).await;
+            let mut evacuations = Evacuations::default();
             let read_after = clock::now();
-            let (entries, entries_since) = self.store.list(platform::registry::PREFIX).await;
+            let (evacuations_since, (entries, entries_since)) = tokio::join!(
+                self.list_evacuations(&mut evacuations),
+                self.store.list(platform::registry::PREFIX),
+            );
             // A small fleet needs no relays.
             if ownership.term == 1 && entries.len() >= WORKERS_PER_RELAY {
                 self.wait_daemons().await;
             }
             let entries = (entries, entries_since, read_after);
-            (records, workers, inbox, inbox_since, entries)
+            let evacuations = (evacuations, evacuations_since);
+            (records, workers, inbox, inbox_since, entries, evacuations)
         };
         let loaded = tokio::select! {
             loaded = load => loaded,
@@ -344,8 +352,9 @@
                 return;
             }
         };
-        let (records, workers, inbox, inbox_since, entries) = loaded;
+        let (records, workers, inbox, inbox_since, entries, evacuations) = loaded;
         let (entries, entries_since, read_after) = entries;
+        let (evacuations, evacuations_since) = evacuations;
         ownership.worker_parts.set(workers.len());
         let initial = InitialState {
             term: ownership.term,
@@ -354,6 +363,7 @@
                 .iter()
                 .flat_map(|p| decode::<Vec<Target>>(p).unwrap_or_default())
                 .collect(),
+            evacuated: evacuations.dcs().clone(),
             has_predecessors: ownership.term > 1,
             predecessors_ended: ownership.predecessors.is_empty(),
         };
@@ -362,7 +372,7 @@
         };
         log::info!(
             term = ownership.term, jobs = initial.records.len(), workers = initial.workers.len(),
-            entries = entries.len(), took_ms = clock::now().since(began),
+            entries = entries.len(), evacuated = initial.evacuated.len(), took_ms = clock::now().since(began),
             long_leases = initial.workers.iter().filter(|w| w.long_leases).count();
             "state loaded"
         );
@@ -380,6 +390,11 @@
             )),
             spawn_local(Rc::clone(self).follow_inbox(inbox, inbox_since, inputs.clone())),
             spawn_local(Rc::clone(self).forward_policies(inputs.clone())),
+            spawn_local(Rc::clone(self).follow_evacuations(
+                evacuations,
+                evacuations_since,
+                inputs.clone(),
+            )),
         ]
         .map(AbortOnDrop);
         let predecessors = (!ownership.predecessors.is_empty()).then(|| {
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -87,6 +87,8 @@
             }
             self.metrics
                 .update_engine(engine.counts(), engine.open_jobs(), driver.links.in_use());
+            let evacuated = i64::try_from(engine.evacuated()).unwrap_or(i64::MAX);
+            self.metrics.evacuated.set(evacuated);
             if releasing && (engine.is_settled() || driver.callers.is_empty()) {
                 break;
             }
