--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -96,6 +96,8 @@
                 driver.metrics_at = clock::now().after(METRICS_MS);
                 self.metrics.update_run_times(engine.run_times());
             }
+            let evacuated = i64::try_from(engine.evacuated()).unwrap_or(i64::MAX);
+            self.metrics.evacuated.set(evacuated);
             if releasing && (engine.is_settled() || driver.callers.is_empty()) {
                 break;
             }
