Test what is learned of run times

The judgement of the fleet takes each worker's value as it was last worked out, instead of working it out again ten times a second.

--- a/marigoldglade/src/batch/engine/learning.rs
+++ b/marigoldglade/src/batch/engine/learning.rs
@@ -70,10 +70,15 @@
             total.estimate_error += queue.estimate_error;
         }
         let (error, estimate_error) = total.percents();
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "a mean error in percent is small"
+        )]
+        let round = |percent: f64| percent.round() as i64;
         log::info!(
             known, workers = self.workers.len(), low, high, uneven = self.run_times.is_uneven(),
             kinds = self.run_times.kind_count(), runs = total.runs,
-            error_percent = error.round(), estimate_error_percent = estimate_error.round();
+            error_percent = round(error), estimate_error_percent = round(estimate_error);
             "run times learned"
         );
     }
--- a/marigoldglade/src/batch/run_times/speeds.rs
+++ b/marigoldglade/src/batch/run_times/speeds.rs
@@ -39,14 +39,26 @@
 }
 
 /// What is known of one worker.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Speed {
     /// What steps showed, in the order in which they first did.
     showings: Vec<Showing>,
     /// What an earlier owner knew.
     inherited: Option<Value>,
     stretch: Stretch,
-    ln: f64,
+    /// The logarithm of the stretch.
+    value: Value,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            showings: Vec::new(),
+            inherited: None,
+            stretch: Stretch::UNKNOWN,
+            value: prior(),
+        }
+    }
 }
 
 /// The speeds of all workers.
@@ -96,7 +108,7 @@
 
     fn update(&mut self) {
         let value = self.without(None);
-        self.ln = value.ln;
+        self.value = value;
         let percent = (value.ln.exp() * 100.0).clamp(STRETCH_MIN, STRETCH_MAX);
         #[expect(
             clippy::cast_possible_truncation,
@@ -152,7 +164,7 @@
                 clippy::cast_sign_loss,
                 reason = "a precision is positive, and any above the bound is the same"
             )]
-            let precision = w.without(None).precision as u32;
+            let precision = w.value.precision as u32;
             (WorkerKey(key), w.stretch.percent, precision)
         })
     }
@@ -191,17 +203,14 @@
             self.uneven = false;
             return;
         }
-        let mut lns: Vec<Value> = known().map(|w| Value::new(w.ln, 1.0)).collect();
+        let mut lns: Vec<Value> = known().map(|w| Value::new(w.value.ln, 1.0)).collect();
         let middle = weighted_median(&mut lns).unwrap_or(0.0);
         #[expect(clippy::cast_precision_loss, reason = "a count of workers is small")]
         let size = count as f64;
         let squares = |f: &dyn Fn(&Speed) -> f64| known().map(f).sum::<f64>() / size;
-        let spread = squares(&|w| (w.ln - middle).clamp(-1.0, 1.0).powi(2));
+        let spread = squares(&|w| (w.value.ln - middle).clamp(-1.0, 1.0).powi(2));
         // The variance of a value by its precision, or as the steps themselves disagree if that is more.
-        let noise = squares(&|w| {
-            let value = w.without(None);
-            value.variance()
-        });
+        let noise = squares(&|w| w.value.variance());
         let disagreement = disagreement(known());
         let noise = noise * disagreement.max(1.0);
         let floor = if self.uneven { 0.5 } else { 1.0 };
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -107,6 +107,8 @@
     pub fails_all: bool,
     /// Whether its runs make no progress.
     pub hung: bool,
+    /// How long its runs take, in percent of an ordinary worker's time.
+    pub stretch_percent: u64,
     /// Whether it refuses starts that don't fit into its capacity.
     pub enforces_capacity: bool,
     /// Events that the test hasn't taken yet.
@@ -151,6 +153,7 @@
             pause: None,
             fails_all: false,
             hung: false,
+            stretch_percent: 100,
             enforces_capacity: true,
             events: Vec::new(),
             lapses: Vec::new(),
@@ -360,7 +363,7 @@
             run: s.run,
             resources,
             started_at: now,
-            work_ms,
+            work_ms: work_ms * self.stretch_percent / 100,
             fails,
             stop_at: None,
             pace: 100,
