--- a/marigoldglade/src/batch.rs
+++ b/marigoldglade/src/batch.rs
@@ -8,7 +8,7 @@
 //! the data centres that the operators have evacuated ([`evacuations`]),
 //! the daemons that relay orders to them ([`links`]), earlier owners that may still act ([`succession`]),
 //! attempts at submissions that may take effect late ([`attempts`], [`refused`]), and the decisions ([`admission`], [`commit_order`], [`rank`], [`pack`], [`preempt`], [`pace`],
-//! [`advice`], [`health`]), and what finished runs have shown ([`run_times`]).
+//! [`advice`], [`health`], [`finish`]), and what finished runs have shown ([`run_times`]).
 
 pub mod admission;
 pub mod advice;
--- a/marigoldglade/tests/batch_speeds.rs
+++ b/marigoldglade/tests/batch_speeds.rs
@@ -265,7 +265,7 @@
     const OBJECTIVE_MS: u64 = WORK_MS * 3 / 2 + 250;
     let mut sim = Simulation::new(47, 5, u32::from(RACK));
     for (i, worker) in sim.workers.values_mut().enumerate() {
-        worker.stretch = [60, 100, 160][i % 3];
+        worker.stretch_percent = [60, 100, 160][i % 3];
     }
     sim.bounds.learn_run_times = learns;
     sim.kill_newest_owner();
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -107,10 +107,10 @@
     pub pause: Option<Pause>,
     /// Whether all of its runs fail.
     pub fails_all: bool,
-    /// How long its runs take, in percent of their time on an ordinary worker.
-    pub stretch: u64,
     /// Whether its runs make no progress.
     pub hung: bool,
+    /// How long its runs take, in percent of an ordinary worker's time.
+    pub stretch_percent: u64,
     /// Whether it refuses starts that don't fit into its capacity.
     pub enforces_capacity: bool,
     /// Events that the test hasn't taken yet.
@@ -154,8 +154,8 @@
             back_at: None,
             pause: None,
             fails_all: false,
-            stretch: 100,
             hung: false,
+            stretch_percent: 100,
             enforces_capacity: true,
             events: Vec::new(),
             lapses: Vec::new(),
@@ -365,8 +365,8 @@
             run: s.run,
             resources,
             started_at: now,
-            work_ms: work_ms * self.stretch / 100,
-            end_ms: work_ms * self.stretch / 100,
+            work_ms: work_ms * self.stretch_percent / 100,
+            end_ms: work_ms * self.stretch_percent / 100,
             fails,
             stop_at: None,
             pace: 100,
