Stop runs before their worker leaves as announced

Callers saw a task run twice (TWICE) around a planned scale-in: the worker had listed the task's end, and the owner started it again 7 s later.

Cause: a worker lists the end of a run in its answer to the renewal under way, some 1 to 9 ms after the end by the log of renewals. It ended a run 3 ms before it left, and the answer ended with its connection: the owner's client got `IncompleteMessage` at 14.008 s, from five departing workers alike.

Ruled out: the relay (the renewal went straight), a report dropped as stale and an end listed and not kept (no report came after 13.33 s), a body cut by the client (none arrived).

The owner can't learn of an end that close to the exit, so there must be none. A draining worker announces the least time that it stays; the owner decodes it and stops what runs there 1.2 s before: a stop takes 900 ms at most, and the report of its end comes after that. Runs resume elsewhere from what they saved, where they waited for the lease of a worker that was gone.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -12,6 +12,7 @@
 mod commit;
 mod completions;
 mod crashes;
+mod departures;
 mod gone;
 mod job;
 mod late_starts;
@@ -88,6 +89,8 @@
     pub started_at: u64,
     /// A time after which the entry was written.
     pub written_after: UnixMs,
+    /// When the worker leaves at the earliest, if it has announced that.
+    pub departs_at: Option<UnixMs>,
 }
 
 /// The content of an [`InboxItem`].
@@ -119,8 +122,8 @@
     Policy(Arc<Policy>),
     /// The complete list of workers in the registry.
     Registry(Vec<Target>),
-    /// Heartbeats of workers that don't enforce their capacity; the list of workers that contains
-    /// their entries has come before.
+    /// Heartbeats of workers that don't enforce their capacity or that have announced their departure; the
+    /// list of workers that contains their entries has come before.
     Heartbeats(Vec<Heartbeat>),
     /// A call that has passed the checks of the daemon that received it.
     Call(CallId, Call),
@@ -209,6 +212,8 @@
     pub failed: u64,
     /// Runs that ended with their worker's process.
     pub crashed: u64,
+    /// Runs that were stopped because their worker had announced its departure.
+    pub departed: u64,
     /// Orders that got no response.
     pub lost: u64,
     /// Jobs that were accepted.
--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -251,6 +251,7 @@
         self.forget_silent_runs();
         self.log_expired_waits();
         self.check_listed_leases();
+        self.check_departures();
         self.runs_due = true;
         self.replan |= self.plan_after.after(PLAN_LIMIT_MS).passed(self.now);
     }
--- /dev/null
+++ b/marigoldglade/src/batch/engine/departures.rs
@@ -0,0 +1,46 @@
+//! Runs on workers that have announced when they leave.
+//!
+//! A worker that leaves ends what it runs, and a report that is under way then is lost with its connection. An
+//! end that the worker has listed there would stay unknown, and its task would run again. So the runs are
+//! stopped in time for their ends, and the checkpoints that they save, to be reported before.
+
+use crate::batch::engine::runs::Stage;
+use crate::batch::engine::{Engine, WorkerKey};
+use crate::batch::id::TaskId;
+use crate::time::UnixMs;
+
+/// How long before the departure runs are stopped, in milliseconds: a stop takes 900 ms at most by the
+/// platform's limits, a run may become done until then, and the report of its end comes after that.
+const STOP_MARGIN_MS: u64 = 1_200;
+
+impl Engine {
+    /// Stops the runs that can't end before their workers leave.
+    pub(super) fn check_departures(&mut self) {
+        for key in self.worker_keys() {
+            let worker = self.worker(key);
+            if let Some(departs_at) = worker.departs_at.filter(|_| !worker.runs.is_empty()) {
+                self.stop_before(key, departs_at);
+            }
+        }
+    }
+
+    fn stop_before(&mut self, key: WorkerKey, departs_at: UnixMs) {
+        let now = self.now;
+        if now.after(STOP_MARGIN_MS) < departs_at {
+            return;
+        }
+        let due: Vec<(TaskId, u64)> = self
+            .worker(key)
+            .runs
+            .iter()
+            .filter(|(_, run)| run.stage == Stage::Running)
+            .map(|(id, run)| (*id, run.run))
+            .collect();
+        for (id, run) in due {
+            log::info!(task:% = id, run, worker = self.worker(key).target.name.as_str(); "run stopped before its worker leaves");
+            self.stop_run(key, &id);
+            self.break_gang(&id, run);
+            self.counts.departed += 1;
+        }
+    }
+}
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -37,6 +37,8 @@
     /// The newest heartbeat that has been read: the start time of the process that it came from, and
     /// a time after which it was written.
     pub heartbeat: Option<(u64, UnixMs)>,
+    /// When this incarnation leaves at the earliest, if it has announced that.
+    pub departs_at: Option<UnixMs>,
     /// Whether the registry lists the worker.
     pub listed: bool,
     /// Whether the durable list of workers contains this incarnation.
@@ -122,6 +124,7 @@
             rack,
             enforces_capacity: true,
             heartbeat: None,
+            departs_at: None,
             listed: false,
             recorded: false,
             answered: false,
@@ -271,6 +274,14 @@
         Some(run)
     }
 
+    /// Notes until when the worker certainly stays, which later entries may only extend.
+    fn note_departure(&mut self, departs_at: Option<UnixMs>, now: UnixMs) {
+        if let (Some(at), None) = (departs_at, self.departs_at) {
+            log::info!(worker = self.target.name.as_str(), runs = self.runs.len(), left_ms = at.since(now); "worker has announced its departure");
+        }
+        self.departs_at = self.departs_at.max(departs_at);
+    }
+
     /// Notes that the worker may have restarted, which its next report decides. Until then it gets no work,
     /// and no completions are acknowledged.
     pub fn await_report(&mut self, now: UnixMs) {
@@ -290,6 +301,7 @@
             run.restarted = true;
         }
         self.clock_reading = None;
+        self.departs_at = None;
         self.answered = false;
         self.fenced = false;
         self.inherited = false;
@@ -364,6 +376,9 @@
             let newest = (heartbeat.started_at, heartbeat.written_after);
             let was_usable = worker.start_valid_ms(now, 1) > 0;
             worker.heartbeat = worker.heartbeat.max(Some(newest));
+            if heartbeat.started_at == worker.target.started_at && worker.target.draining {
+                worker.note_departure(heartbeat.departs_at, now);
+            }
             let becomes_usable = !was_usable && worker.start_valid_ms(now, 1) > 0;
             self.replan |= becomes_usable;
         }
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -124,6 +124,8 @@
     pub heartbeats: bool,
     /// The workers as their registry entries show them.
     entries: BTreeMap<String, Target>,
+    /// When workers that have announced it leave at the earliest.
+    pub departures: BTreeMap<String, u64>,
     /// Workers that can't write their registry entries.
     pub lost_heartbeats: BTreeSet<String>,
     /// Whether no owner can read the registry.
@@ -334,6 +336,7 @@
             listed: BTreeSet::new(),
             heartbeats: false,
             entries: BTreeMap::new(),
+            departures: BTreeMap::new(),
             lost_heartbeats: BTreeSet::new(),
             registry_lost: false,
             unread: false,
@@ -587,9 +590,10 @@
             }
             let changed = std::mem::take(&mut self.unread);
             let heartbeat = Heartbeat {
-                worker: name,
+                worker: name.clone(),
                 started_at: target.started_at,
                 written_after: UnixMs(self.now),
+                departs_at: self.departures.get(&name).map(|at| UnixMs(*at)),
             };
             for owner in 0..self.owners.len() {
                 if changed {
--- /dev/null
+++ b/marigoldglade/tests/batch_departures.rs
@@ -0,0 +1,82 @@
+//! Workers that leave when they have announced it.
+
+#[path = "batch/world.rs"]
+#[expect(dead_code, reason = "the simulation serves several test files")]
+mod simulation;
+
+use marigoldglade::batch::spec::Step;
+use rstest::rstest;
+use simulation::{Simulation, job_id, spec, step};
+use standin::batch_worker::SimWorker;
+
+/// How long after its announcement the worker leaves, in milliseconds.
+const STAY_MS: u64 = 4_000;
+/// How long before the departure a report is lost, in milliseconds: its connection ends with the worker.
+const LOST_MS: u64 = 20;
+
+/// Starts one job on one of four workers, which announces its departure and leaves then. The job's tasks run
+/// for `work_ms` in all, counted from the announcement.
+fn leave(step: Step, work_ms: u64) -> Simulation {
+    let mut sim = Simulation::new(211, 1, 4);
+    sim.heartbeats = true;
+    sim.run_for(1_000);
+    sim.submit(1, "survey", "w0", spec(vec![step]), work_ms + 1_000);
+    while sim.starts == 0 {
+        sim.run_for(10);
+    }
+    let busy = |(_, w): &(&String, &SimWorker)| !w.runs.is_empty();
+    let name = sim.workers.iter().find(busy).expect("a run").0.clone();
+    let run = sim.workers[&name].runs.values().next().expect("a run");
+    let announced_at = run.started_at + 1_000;
+    sim.run_to(announced_at);
+    let departs_at = announced_at + STAY_MS;
+    sim.workers.get_mut(&name).expect("known").target.draining = true;
+    sim.departures.insert(name.clone(), departs_at);
+    sim.run_to(departs_at - LOST_MS);
+    sim.lost_responses.insert(name.clone());
+    sim.run_to(departs_at);
+    sim.workers.get_mut(&name).expect("known").exit();
+    sim.listed.remove(&name);
+    for owner in 0..sim.owners.len() {
+        sim.send_registry(owner);
+    }
+    sim
+}
+
+/// Guards against a task that runs again after its end: the worker listed the end in a report that was lost
+/// with its connection when it left.
+#[test]
+fn no_end_is_lost_with_the_last_report_of_a_worker_that_leaves() {
+    for early_ms in 0..LOST_MS {
+        let mut sim = leave(step(1, 8, 5_000), STAY_MS - early_ms);
+        sim.run_for(15_000);
+        assert!(sim.all_done([1]));
+        let ends: Vec<u32> = sim.done.values().copied().collect();
+        assert_eq!(ends, [1], "{early_ms} ms before the departure");
+    }
+}
+
+/// Guards against work that waits for the leases of a worker that has left as announced: a run that outlasts
+/// its worker is stopped before and goes on elsewhere, a gang as a whole.
+#[rstest]
+#[case::single(step(1, 8, 9_000))]
+#[case::gang(Step { gang: true, ..step(2, 4, 9_000) })]
+fn work_that_outlasts_its_worker_moves_before_the_departure(#[case] step: Step) {
+    let members = step.count;
+    let mut sim = leave(step, 8_000);
+    sim.run_for(100);
+    assert_eq!(sim.starts, 2 * members);
+    let left: usize = sim.workers.values().map(|w| w.runs.len()).sum();
+    assert_eq!(left, usize::try_from(members).expect("few members"));
+    sim.run_for(15_000);
+    assert!(sim.all_done([1]));
+}
+
+/// Guards against work that is stopped without need.
+#[test]
+fn a_run_that_ends_before_the_departure_goes_on() {
+    let mut sim = leave(step(1, 8, 3_000), 2_500);
+    sim.run_for(5_000);
+    assert_eq!((sim.starts, sim.stops), (1, 0));
+    assert!(sim.last_done.contains_key(&job_id(1)));
+}
--- a/marigoldgladed/src/batch/metrics.rs
+++ b/marigoldgladed/src/batch/metrics.rs
@@ -168,6 +168,7 @@
             ("full", counts.full, last_counts.full),
             ("failed", counts.failed, last_counts.failed),
             ("crashed", counts.crashed, last_counts.crashed),
+            ("departed", counts.departed, last_counts.departed),
             ("lost", counts.lost, last_counts.lost),
             ("accepted", counts.accepted, last_counts.accepted),
             ("refused", counts.refused, last_counts.refused),
--- a/marigoldgladed/src/batch/owner/inputs.rs
+++ b/marigoldgladed/src/batch/owner/inputs.rs
@@ -97,20 +97,23 @@
     }
 
     /// Returns the heartbeat that a change of the registry shows, if the worker doesn't enforce its
-    /// capacity.
+    /// capacity or has announced its departure.
     fn needed_heartbeat(&self, change: &Change, written_after: UnixMs) -> Option<Heartbeat> {
         let policy = self.policy()?;
-        if policy.pools.iter().all(|p| p.enforces_capacity) {
-            return None;
-        }
         let Change::Put(pair) = change else {
             return None;
         };
+        let remaining_ms = platform::registry::decode_remaining_ms(pair);
+        if remaining_ms.is_none() && policy.pools.iter().all(|p| p.enforces_capacity) {
+            return None;
+        }
         let target = platform::registry::decode(pair).ok()?;
-        (!policy.enforces_capacity(&target.pool)).then_some(Heartbeat {
+        let needed = remaining_ms.is_some() || !policy.enforces_capacity(&target.pool);
+        needed.then_some(Heartbeat {
             worker: target.name,
             started_at: target.started_at,
             written_after,
+            departs_at: remaining_ms.map(|ms| written_after.after(ms)),
         })
     }
 
