Take announced departures from the first list of workers, too

The first list now gives the departures, less two seconds, since nothing tells how old its entries are.

Tests for a takeover and an outage of the store between the announcement and the departure; both were seen to fail without check_departures. A first form of the second one failed with it as well: the store went away 1 s after the announcement, before a heartbeat had shown it.

--- a/marigoldglade/tests/batch_departures.rs
+++ b/marigoldglade/tests/batch_departures.rs
@@ -11,12 +11,19 @@
 
 /// How long after its announcement the worker leaves, in milliseconds.
 const STAY_MS: u64 = 4_000;
+/// The time between two heartbeats of a worker, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_500;
 /// How long before the departure a report is lost, in milliseconds: its connection ends with the worker.
 const LOST_MS: u64 = 20;
 
 /// Starts one job on one of four workers, which announces its departure and leaves then. The job's tasks run
 /// for `work_ms` in all, counted from the announcement.
 fn leave(step: Step, work_ms: u64) -> Simulation {
+    leave_during(step, work_ms, |_| {})
+}
+
+/// As [`leave`], with something else that happens once all heartbeats have shown the announcement.
+fn leave_during(step: Step, work_ms: u64, fault: impl Fn(&mut Simulation)) -> Simulation {
     let mut sim = Simulation::new(211, 1, 4);
     sim.heartbeats = true;
     sim.run_for(1_000);
@@ -32,6 +39,8 @@
     let departs_at = announced_at + STAY_MS;
     sim.workers.get_mut(&name).expect("known").target.draining = true;
     sim.departures.insert(name.clone(), departs_at);
+    sim.run_to(announced_at + HEARTBEAT_MS);
+    fault(&mut sim);
     sim.run_to(departs_at - LOST_MS);
     sim.lost_responses.insert(name.clone());
     sim.run_to(departs_at);
@@ -72,6 +81,37 @@
     assert!(sim.all_done([1]));
 }
 
+/// Guards against an end that is lost because the owner that knew of the departure is: the next one hears of
+/// it by the worker's heartbeats.
+#[test]
+fn the_next_owner_stops_the_runs_of_a_worker_that_leaves() {
+    let mut sim = leave_during(step(1, 8, 5_000), STAY_MS - 5, |sim| {
+        sim.kill_newest_owner();
+        sim.predecessors_ended = true;
+        sim.elect();
+    });
+    sim.run_for(15_000);
+    assert!(sim.all_done([1]));
+    let ends: Vec<u32> = sim.done.values().copied().collect();
+    assert_eq!(ends, [1]);
+}
+
+/// Guards against an end that is lost while the store is away: the departure is known from before, and the
+/// end needs no commit to be heard.
+#[test]
+fn runs_are_stopped_while_the_store_is_away() {
+    let mut sim = leave_during(step(1, 8, 5_000), STAY_MS - 5, |sim| {
+        sim.store_down = true;
+        sim.registry_lost = true;
+    });
+    sim.store_down = false;
+    sim.registry_lost = false;
+    sim.run_for(15_000);
+    assert!(sim.all_done([1]));
+    let ends: Vec<u32> = sim.done.values().copied().collect();
+    assert_eq!(ends, [1]);
+}
+
 /// Guards against work that is stopped without need.
 #[test]
 fn a_run_that_ends_before_the_departure_goes_on() {
--- a/marigoldgladed/src/batch/owner/inputs.rs
+++ b/marigoldgladed/src/batch/owner/inputs.rs
@@ -21,6 +21,9 @@
 /// The time between a change of the registry and the next watch, in milliseconds. Every heartbeat of
 /// a worker changes its entry, and one call can report many of them.
 const REGISTRY_GAP_MS: u64 = 100;
+/// How old an entry of a live worker may be when it is read, in milliseconds: a worker writes its entry anew
+/// every 1.5 s or so.
+const ENTRY_AGE_MS: u64 = 2_000;
 
 impl Node {
     /// Passes each new configuration to the engine.
@@ -65,6 +68,8 @@
                     .add_absent(name, target, settled_at);
             }
             feed.send();
+            let departures = pairs.iter().filter_map(|p| read_departure(p, read_after));
+            feed.send_heartbeats(departures.collect());
             loop {
                 let sent_at = clock::now();
                 let Some(changes) = self.store.watch(prefix, &mut since).await else {
@@ -201,6 +206,18 @@
     }
 }
 
+/// Returns the departure that a listed entry announces. Nothing tells when the entry was written.
+fn read_departure(pair: &Pair, read_after: UnixMs) -> Option<Heartbeat> {
+    let remaining_ms = platform::registry::decode_remaining_ms(pair)?;
+    let target = platform::registry::decode(pair).ok()?;
+    Some(Heartbeat {
+        worker: target.name,
+        started_at: target.started_at,
+        written_after: UnixMs(0),
+        departs_at: Some(read_after.before(ENTRY_AGE_MS).after(remaining_ms)),
+    })
+}
+
 fn read_item(pair: &Pair) -> Option<InboxItem> {
     let body = if pair.key == REFUSED_KEY {
         InboxBody::Refused(decode(pair)?)
