--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -282,7 +282,7 @@
     }
 
     /// Returns what decides the rank of a round of a job.
-    fn rank_inputs(&self, key: JobKey, job: &Job, round: usize) -> RankInputs {
+    pub(super) fn rank_inputs(&self, key: JobKey, job: &Job, round: usize) -> RankInputs {
         let queue = &job.record.queue;
         let since = match job.rounds[round].due {
             Some(due) => UnixMs(self.now.0.saturating_sub(self.wall_ms.saturating_sub(due))),
--- a/marigoldglade/src/batch/preempt.rs
+++ b/marigoldglade/src/batch/preempt.rs
@@ -6,6 +6,85 @@
 use crate::batch::pack::{Bin, Demand, fits_one_rack, in_rack, racks};
 use crate::batch::worker::Resources;
 
+/// The time from stopping a run to its next start, in milliseconds: the stop itself, its report and the
+/// start on another worker.
+pub const RESTART_MS: u64 = 500;
+/// The most work that a run with checkpoints loses when it is stopped, in milliseconds: its restore.
+const RESTORE_MS: u64 = 600;
+/// How far behind its expectation a run may be before nothing is expected of it, in milliseconds.
+const OVERDUE_MS: u64 = 500;
+
+/// What is known of the time that a run takes.
+#[derive(Clone, Copy, Debug)]
+pub struct RunProgress {
+    /// The time since its start, in milliseconds.
+    pub elapsed_ms: u64,
+    /// Its last reported progress, in percent.
+    pub percent: u32,
+    /// How long after its start that progress was reported, in milliseconds.
+    pub reported_ms: u64,
+    /// The estimate of its whole run time, in milliseconds.
+    pub estimate_ms: u64,
+    /// Whether its work is saved at a stop.
+    pub saves: bool,
+    /// Whether it has resumed from a checkpoint, so that its progress isn't all its own.
+    pub resumed: bool,
+}
+
+impl RunProgress {
+    /// Returns the time that the run still takes, in milliseconds, by its progress; `None` if that says
+    /// nothing.
+    #[must_use]
+    pub fn rest_ms(&self) -> Option<u64> {
+        let left = u64::from(100_u32.checked_sub(self.percent)?);
+        let rest = self
+            .reported_ms
+            .saturating_mul(left)
+            .checked_div(u64::from(self.percent))?;
+        let rest = if self.resumed {
+            rest.max(self.estimate_ms.saturating_mul(left) / 100)
+        } else {
+            rest
+        };
+        let since = self.elapsed_ms.saturating_sub(self.reported_ms);
+        (since <= rest.saturating_add(OVERDUE_MS)).then_some(rest.saturating_sub(since))
+    }
+
+    /// Returns the work that a stop throws away, in milliseconds of the run's time.
+    #[must_use]
+    pub fn lost_ms(&self) -> u64 {
+        if self.saves {
+            self.elapsed_ms.min(RESTORE_MS)
+        } else {
+            self.elapsed_ms
+        }
+    }
+
+    /// Returns the time after which the run would be done if it were stopped now, in milliseconds.
+    #[must_use]
+    pub fn restarted_ms(&self) -> u64 {
+        let done = if self.saves { self.percent.min(100) } else { 0 };
+        let left = self.estimate_ms.saturating_mul(u64::from(100 - done)) / 100;
+        RESTART_MS.saturating_add(left)
+    }
+
+    /// Returns the cost of a stop, in milliseconds of the run's time: what is thrown away, the restart and,
+    /// if the run's job would be done by the end of its `slack_ms` otherwise and isn't then, the whole run.
+    #[must_use]
+    pub fn stop_cost_ms(&self, slack_ms: u64) -> u64 {
+        let left = self.estimate_ms.saturating_sub(self.elapsed_ms);
+        let in_time = self.rest_ms().unwrap_or(left) <= slack_ms;
+        let delay = if in_time && self.restarted_ms() > slack_ms {
+            self.estimate_ms
+        } else {
+            0
+        };
+        self.lost_ms()
+            .saturating_add(RESTART_MS)
+            .saturating_add(delay)
+    }
+}
+
 /// A run that may be stopped.
 #[derive(Clone, Copy, Debug)]
 pub struct Victim {
