--- a/marigoldglade/tests/batch_room.rs
+++ b/marigoldglade/tests/batch_room.rs
@@ -6,6 +6,7 @@
 
 use marigoldglade::batch::preempt::RunProgress;
 use marigoldglade::batch::spec::Step;
+use rstest::rstest;
 use simulation::{Simulation, job_id, spec, step};
 
 /// A run at half of its estimate, of which nothing is saved.
@@ -74,6 +75,26 @@
     assert!(sim.started_at[&job_id(1)] < submitted_at + 2_700);
 }
 
+/// Guards against work destroyed for nothing: work beyond its guarantee stopped other runs although it
+/// would be late in any case.
+#[rstest]
+#[case::in_time(1_000, true)]
+#[case::late(5_000, false)]
+fn work_beyond_its_guarantee_stops_others_only_while_it_can_be_in_time(
+    #[case] failed_after_ms: u64,
+    #[case] stops: bool,
+) {
+    let mut sim = Simulation::new(4, 1, 1);
+    sim.run_for(2_000);
+    // The job belongs to no workspace, so nothing is guaranteed to it; its first run fails.
+    sim.work.insert(job_id(1), (failed_after_ms, 1));
+    sim.submit(1, "urgent", "", spec(vec![step(1, 8, 4_000)]), 4_000);
+    sim.run_for(500);
+    sim.submit(2, "survey", "", spec(vec![step(1, 8, 9_000)]), 9_000);
+    sim.run_for(failed_after_ms + 500);
+    assert_eq!(sim.stops > 0, stops);
+}
+
 #[test]
 fn the_rest_of_a_run_follows_from_its_progress() {
     assert_eq!(HALFWAY.rest_ms(), Some(5_000));
