Wait for a quarter of the slack, and let late work preempt again

The slack comes from callers' estimates, which are off by up to half either way. Spending all of it on a wait makes jobs late whose estimate is too high, and such jobs count as late before they are. Urgent work now waits for a quarter of its slack at most, and work beyond its guarantee preempts as long as it is of use.

--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -110,13 +110,13 @@
 }
 
 /// Returns how much work a step may destroy by preemption, in core-milliseconds, given its own work and
-/// whether its job can still meet its objective; `None` when it may preempt nothing.
+/// whether its job can still be useful; `None` when it may preempt nothing.
 ///
-/// Work that will be late in any case destroys none of others'. The guarantee holds for late work, too.
+/// Work that will be of no use in any case destroys none of others'. The guarantee holds for it, too.
 fn cost_limit(shape: &Shape, work: u64, outlook: Outlook) -> Option<u64> {
     match (shape.guaranteed, shape.priority, outlook) {
         (true, ..) => Some(u64::MAX),
-        (false, 0, Outlook::InTime) => Some(
+        (false, 0, Outlook::InTime | Outlook::Late) => Some(
             URGENT_PREEMPT_COST.saturating_add(work.saturating_mul(URGENT_PREEMPT_PERCENT) / 100),
         ),
         (false, ..) => None,
--- a/marigoldglade/src/batch/engine/preemptions.rs
+++ b/marigoldglade/src/batch/engine/preemptions.rs
@@ -20,6 +20,9 @@
 const RESERVATION_MS: u64 = 2_000;
 /// The longest wait for runs that end by themselves, in milliseconds: about as long as a stop takes.
 const WAIT_LIMIT_MS: u64 = 700;
+/// The part of its slack that work may spend on such a wait is one in this many: callers' estimates are off
+/// by up to half either way, and so is the slack.
+const SLACK_DIVISOR: u64 = 4;
 /// Until how long after its acceptance guaranteed work may wait for such runs, in milliseconds: it must start
 /// within the platform's shortest bound of 2,700 ms, and a stop after a vain wait takes up to 900 ms.
 const WAIT_AGE_MS: u64 = 1_000;
@@ -117,7 +120,8 @@
         let round = usize::try_from(step_key.round).unwrap_or(0);
         let inputs = self.rank_inputs(step_key.job, job, round);
         let latest_start = inputs.finish_by.before(inputs.remaining_ms);
-        let limit = latest_start.min(self.now.after(WAIT_LIMIT_MS));
+        let slack_ms = latest_start.since(self.now) / SLACK_DIVISOR;
+        let limit = self.now.after(slack_ms.min(WAIT_LIMIT_MS));
         if inputs.guaranteed {
             limit.min(inputs.waiting_since.after(WAIT_AGE_MS))
         } else {
@@ -206,13 +210,15 @@
 
     fn run_progress(&self, id: &TaskId, run: &Run, step: &Step) -> RunProgress {
         let task = self.jobs.get(&run.job).and_then(|j| j.find(id));
+        // Part of the progress of an adopted run was made before this owner knew of it.
+        let adopted = run.sends == 0;
         RunProgress {
             elapsed_ms: self.now.since(run.started_at),
             percent: run.percent,
             reported_ms: run.progress_at.since(run.started_at),
             estimate_ms: step.estimate_ms,
             saves: step.checkpoints,
-            resumed: task.is_some_and(|t| !t.checkpoint.is_empty()),
+            resumed: adopted || task.is_some_and(|t| !t.checkpoint.is_empty()),
         }
     }
 
--- a/marigoldglade/src/batch/preempt.rs
+++ b/marigoldglade/src/batch/preempt.rs
@@ -27,7 +27,8 @@
     pub estimate_ms: u64,
     /// Whether its work is saved at a stop.
     pub saves: bool,
-    /// Whether it has resumed from a checkpoint, so that its progress isn't all its own.
+    /// Whether it has resumed from a checkpoint, or was adopted, so that not all of its progress was made in
+    /// the time since its start.
     pub resumed: bool,
 }
 
