--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -20,7 +20,6 @@
 mod orders;
 mod pacing;
 mod plan;
-mod preemptions;
 mod refusals;
 mod reports;
 mod runs;
@@ -204,8 +203,6 @@
     pub starts: u64,
     /// Runs that were preempted by more urgent work.
     pub preempted: u64,
-    /// Waits for running work to end in place of preempting it.
-    pub awaited: u64,
     /// Starts that a worker refused because it had too little free capacity.
     pub full: u64,
     /// Runs that failed.
--- a/marigoldglade/src/batch/engine/capacity.rs
+++ b/marigoldglade/src/batch/engine/capacity.rs
@@ -1,16 +1,27 @@
-//! Capacity for planned work: the workers that may take it, and reserved racks.
+//! Capacity for planned work: the workers that may take it, preemption, and reserved racks.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
-use crate::batch::engine::plan::{Pass, RackReservation, Shape, StepKey};
-use crate::batch::engine::runs::Run;
-use crate::batch::engine::{Engine, WorkerKey};
+use crate::batch::engine::plan::{Pass, RackReservation, Reservation, Shape, StepKey};
+use crate::batch::engine::runs::{Run, Stage};
+use crate::batch::engine::{Engine, JobKey, WorkerKey};
 use crate::batch::health::Grade;
 use crate::batch::id::TaskId;
 use crate::batch::pack::{Bin, Demand, RackKey, count_fitting, in_rack, racks};
+use crate::batch::preempt::{Victim, plan_preemption};
 use crate::batch::spec::Step;
 use crate::batch::worker::Resources;
 
+/// How long preempted capacity is reserved for the step that preempted it, in milliseconds: twice
+/// the platform's longest stop.
+const RESERVATION_MS: u64 = 2_000;
+/// The cost of preempting any run, in milliseconds of its run time: its restart and the delay of
+/// its job.
+const STOP_COST_MS: u64 = 500;
+/// The most work that a run with checkpoints loses when it is preempted, in milliseconds.
+const CHECKPOINT_COST_MS: u64 = 600;
+/// The progress at which an endless task has started up, in percent, as the platform reports it.
+const STARTED_UP_PERCENT: u32 = 100;
 /// The maximum time that a rack is kept free for one gang, in milliseconds: about the longest task
 /// of the deployments.
 pub(super) const RACK_RESERVATION_MS: u64 = 9_000;
@@ -177,6 +188,129 @@
         bins.retain(|b| shape.priority == 0 || others.iter().all(|r| r.rack != b.rack));
     }
 
+    /// Preempts less urgent runs to free capacity for tasks of a step, if the cost is within a limit;
+    /// returns whether it did.
+    pub(super) fn preempt(
+        &mut self,
+        step_key: StepKey,
+        bins: &[Bin],
+        demand: &Demand,
+        limit: u64,
+        pass: &mut Pass,
+    ) -> bool {
+        let guaranteed = self.guaranteed_jobs.contains(&step_key.job);
+        let Some(priority) = self
+            .jobs
+            .get(&step_key.job)
+            .map(|j| j.record.queue.priority)
+        else {
+            return false;
+        };
+        let mut groups: BTreeMap<(JobKey, u32, u16, u32), u32> = BTreeMap::new();
+        let mut budgets: HashMap<StepKey, u32> = HashMap::new();
+        let mut victims: Vec<Victim> = Vec::new();
+        let mut members: Vec<(u32, WorkerKey, TaskId)> = Vec::new();
+        for key in self.worker_keys() {
+            for (id, run) in &self.worker(key).runs {
+                let Some(job) = self.jobs.get(&run.job) else {
+                    continue;
+                };
+                let run_priority = job.record.queue.priority;
+                let preemptible = run_priority > priority
+                    || (run_priority == priority
+                        && guaranteed
+                        && !self.guaranteed_jobs.contains(&run.job));
+                if !preemptible || run.stage != Stage::Running {
+                    continue;
+                }
+                let Some(step) = job.step(id) else {
+                    continue;
+                };
+                if step.max_unavailable > 0 {
+                    let run_step = StepKey {
+                        job: run.job,
+                        round: id.round,
+                        step: id.step,
+                    };
+                    let left = budgets
+                        .entry(run_step)
+                        .or_insert_with(|| self.preemption_budget(run_step, step));
+                    let Some(rest) = left.checked_sub(1) else {
+                        continue;
+                    };
+                    *left = rest;
+                }
+                let member = if step.gang { u32::MAX } else { id.index };
+                let next = u32::try_from(groups.len()).unwrap_or(u32::MAX);
+                let group = *groups
+                    .entry((run.job, id.round, id.step, member))
+                    .or_insert(next);
+                let elapsed = self.now.since(run.started_at);
+                let lost = if step.checkpoints {
+                    elapsed.min(CHECKPOINT_COST_MS)
+                } else {
+                    elapsed
+                };
+                victims.push(Victim {
+                    worker: key,
+                    group,
+                    resources: run.resources,
+                    cost: run
+                        .resources
+                        .weighted_cores()
+                        .max(1)
+                        .saturating_mul(lost + STOP_COST_MS),
+                });
+                members.push((group, key, *id));
+            }
+        }
+        let mut totals: HashMap<u32, u64> = HashMap::new();
+        for v in &victims {
+            let total = totals.entry(v.group).or_default();
+            *total = total.saturating_add(v.cost);
+        }
+        for v in &mut victims {
+            v.cost = totals.get(&v.group).copied().unwrap_or(v.cost);
+        }
+        let Some(plan) = plan_preemption(bins, &victims, demand).filter(|p| p.cost <= limit) else {
+            return false;
+        };
+        for (group, key, id) in members {
+            if plan.groups.contains(&group) {
+                log::info!(
+                    task:% = id, worker = self.worker(key).target.name.as_str(),
+                    job = self.jobs.get(&step_key.job).map_or("", |j| j.record.id.as_str()),
+                    cost = plan.cost, guaranteed;
+                    "run preempted for more urgent work"
+                );
+                self.stop_run(key, &id);
+                self.counts.preempted += 1;
+            }
+        }
+        pass.reserve(Reservation {
+            step_key,
+            resources: demand.resources,
+            workers: plan.workers,
+            expires_at: self.now.after(RESERVATION_MS),
+        });
+        true
+    }
+
+    /// Returns how many more tasks of a step may be preempted, given how many aren't running or
+    /// haven't started up.
+    fn preemption_budget(&self, step_key: StepKey, step: &Step) -> u32 {
+        let started_up = |(id, run): &(&TaskId, &Run)| {
+            run.job == step_key.job
+                && (id.round, id.step) == (step_key.round, step_key.step)
+                && run.stage == Stage::Running
+                && run.percent >= STARTED_UP_PERCENT
+        };
+        let runs = self.workers.iter().flat_map(|w| &w.runs);
+        let here = u32::try_from(runs.filter(started_up).count()).unwrap_or(u32::MAX);
+        step.max_unavailable
+            .saturating_sub(step.count.saturating_sub(here))
+    }
+
     /// Returns whether one more of the racks that may run a step may be kept free, and the step has none
     /// yet. The limit holds for the racks of its pool, and for those with its label.
     pub(super) fn may_reserve_rack(&self, step_key: StepKey, pool: &str, label: &str) -> bool {
--- a/marigoldglade/src/batch/engine/plan.rs
+++ b/marigoldglade/src/batch/engine/plan.rs
@@ -109,17 +109,15 @@
     }
 }
 
-/// Returns how much work a step may destroy by preemption, in core-milliseconds, given its own work and
-/// whether its job can still be useful; `None` when it may preempt nothing.
-///
-/// Work that will be of no use in any case destroys none of others'. The guarantee holds for it, too.
-fn cost_limit(shape: &Shape, work: u64, outlook: Outlook) -> Option<u64> {
-    match (shape.guaranteed, shape.priority, outlook) {
-        (true, ..) => Some(u64::MAX),
-        (false, 0, Outlook::InTime | Outlook::Late) => Some(
+/// Returns how much work a step may destroy by preemption, in core-milliseconds; `None` when it may
+/// preempt nothing.
+fn cost_limit(shape: &Shape, work: u64) -> Option<u64> {
+    match (shape.guaranteed, shape.priority) {
+        (true, _) => Some(u64::MAX),
+        (false, 0) => Some(
             URGENT_PREEMPT_COST.saturating_add(work.saturating_mul(URGENT_PREEMPT_PERCENT) / 100),
         ),
-        (false, ..) => None,
+        (false, _) => None,
     }
 }
 
@@ -284,7 +282,7 @@
     }
 
     /// Returns what decides the rank of a round of a job.
-    pub(super) fn rank_inputs(&self, key: JobKey, job: &Job, round: usize) -> RankInputs {
+    fn rank_inputs(&self, key: JobKey, job: &Job, round: usize) -> RankInputs {
         let queue = &job.record.queue;
         let since = match job.rounds[round].due {
             Some(due) => UnixMs(self.now.0.saturating_sub(self.wall_ms.saturating_sub(due))),
@@ -549,7 +547,7 @@
             .max(1)
             .saturating_mul(step.estimate_ms)
             .saturating_mul(u64::from(shape.count));
-        let limit = cost_limit(shape, work, self.step_outlook(step_key));
+        let limit = cost_limit(shape, work);
         if let Some(limit) = limit.filter(|_| !shape.near_only) {
             // Preemption frees capacity for a gang, or for one single task at a time.
             let demand = Demand {
@@ -574,16 +572,11 @@
     /// Returns whether an overdue gang has waited long enough for room on one rack: it can't meet its
     /// objective any more, or a rack would have been free by now if one had been kept for it.
     fn may_spread(&self, step_key: StepKey) -> bool {
-        let job = &self.jobs[&step_key.job];
-        self.step_outlook(step_key) != Outlook::InTime
-            || job.idle_since.after(RACK_RESERVATION_MS).passed(self.now)
-    }
-
-    /// Returns whether the job of a step can meet its objective if the step starts now.
-    fn step_outlook(&self, step_key: StepKey) -> Outlook {
         let job = &self.jobs[&step_key.job];
         let round = usize::try_from(step_key.round).unwrap_or(0);
-        outlook(&self.rank_inputs(step_key.job, job, round), self.now)
+        let inputs = self.rank_inputs(step_key.job, job, round);
+        outlook(&inputs, self.now) != Outlook::InTime
+            || job.idle_since.after(RACK_RESERVATION_MS).passed(self.now)
     }
 
     /// Returns workers for an overdue request, whatever capacity is kept free for other work, with the
--- a/marigoldgladed/src/batch/metrics.rs
+++ b/marigoldgladed/src/batch/metrics.rs
@@ -165,7 +165,6 @@
         let rows = [
             ("start", counts.starts, last_counts.starts),
             ("preempted", counts.preempted, last_counts.preempted),
-            ("awaited", counts.awaited, last_counts.awaited),
             ("full", counts.full, last_counts.full),
             ("failed", counts.failed, last_counts.failed),
             ("crashed", counts.crashed, last_counts.crashed),
