--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use hdrhistogram::Histogram;
 use marigoldglade::batch::engine::{
     Action, Batch, Bounds, CommitOutcome, Engine, Event, InboxBody, InboxItem, InitialState,
@@ -37,6 +37,11 @@
 /// The number of workers to which the arrival rates of the job kinds refer.
 const BASE_WORKERS: f64 = 540.0;
 
+/// The speeds of uneven workers, in percent of an ordinary one's time.
+const STRETCHES: [u64; 3] = [60, 100, 160];
+/// The share of jobs that take longer than estimated, and how many times as long.
+const TAIL: (f64, u64) = (0.03, 7);
+
 /// A kind of job.
 struct JobKind {
     queue: &'static str,
@@ -96,6 +101,18 @@
     },
 ];
 
+impl JobKind {
+    /// Returns the factor of the run time in a job's objective; urgent jobs have little slack if the workers
+    /// differ in speed.
+    fn slack(&self, speeds: bool) -> f64 {
+        if speeds && self.priority == 0 {
+            1.5
+        } else {
+            3.0
+        }
+    }
+}
+
 pub(crate) fn command() -> Command {
     Command::new("engine")
         .about("Processor time of the batch scheduler's engine by the number of workers")
@@ -120,11 +137,24 @@
                 .value_parser(value_parser!(u64))
                 .default_value("1"),
         )
+        .arg(
+            Arg::new("speeds")
+                .long("speeds")
+                .action(ArgAction::SetTrue)
+                .help("workers of three speeds, and one job in 33 that takes seven times its estimate"),
+        )
+        .arg(
+            Arg::new("learn")
+                .long("learn")
+                .action(ArgAction::SetTrue)
+                .help("learn run times"),
+        )
 }
 
 pub(crate) fn run(matches: &ArgMatches) {
     let seconds = *matches.get_one::<u64>("seconds").unwrap_or(&20);
     let seed = *matches.get_one::<u64>("seed").unwrap_or(&1);
+    let (speeds, learns) = (matches.get_flag("speeds"), matches.get_flag("learn"));
     println!(
         "{:>8} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>10} {:>10} {:>8}",
         "workers",
@@ -140,9 +170,10 @@
         "done"
     );
     for workers in matches.get_many::<u32>("workers").into_iter().flatten() {
-        let mut fleet = Fleet::new(seed, *workers);
+        let mut fleet = Fleet::new(seed, *workers, speeds, learns);
         fleet.run(seconds * 1_000);
         fleet.print(*workers, seconds);
+        fleet.print_in_time();
     }
 }
 
@@ -173,10 +204,14 @@
     commit_bytes: u64,
     costs: Histogram<u64>,
     waits: Histogram<u64>,
+    /// Whether the workers differ in speed.
+    speeds: bool,
+    /// When the slowest task of each job ends.
+    ends: HashMap<JobId, u64>,
 }
 
 impl Fleet {
-    fn new(seed: u64, count: u32) -> Self {
+    fn new(seed: u64, count: u32, speeds: bool, learns: bool) -> Self {
         let targets: Vec<Target> = (0..count).map(target).collect();
         let now = 1_000_000;
         let initial = InitialState {
@@ -191,9 +226,9 @@
             lease_limit_ms: 6_000,
             retention_ms: 150_000,
             commit_entries: 28,
-            learn_run_times: false,
+            learn_run_times: learns,
         };
-        let engine = Engine::new(bounds, Arc::new(policy()), initial, UnixMs(now), now);
+        let engine = Engine::new(bounds, Arc::new(policy(speeds)), initial, UnixMs(now), now);
         let workers = targets.iter().map(|t| SimWorker::new(t.clone(), now - 10));
         let mut fleet = Self {
             now,
@@ -214,7 +249,14 @@
             commit_bytes: 0,
             costs: Histogram::new(3).expect("a valid precision"),
             waits: Histogram::new(3).expect("a valid precision"),
+            speeds,
+            ends: HashMap::new(),
         };
+        if speeds {
+            for (i, worker) in fleet.workers.iter_mut().enumerate() {
+                worker.stretch = STRETCHES[i % STRETCHES.len()];
+            }
+        }
         fleet.deliver(vec![Event::Registry(targets)]);
         fleet
     }
@@ -350,9 +392,14 @@
             ..Step::default()
         };
         let urgent = kind.priority == 0;
+        let tail = self.speeds && self.rng.random_bool(TAIL.0);
+        let actual_ms = if tail { work_ms * TAIL.1 } else { work_ms };
         self.jobs
-            .insert(id, (self.now, work_ms, step.clone(), urgent));
-        let queue = policy().queue(kind.queue).expect("known queue").clone();
+            .insert(id, (self.now, actual_ms, step.clone(), urgent));
+        let queue = policy(self.speeds)
+            .queue(kind.queue)
+            .expect("known queue")
+            .clone();
         let call = Call::Submit(Box::new(Submission {
             id,
             queue,
@@ -394,6 +441,12 @@
             (*work_ms, step.charge(), false)
         });
         for event in worker.events.drain(..) {
+            if let WorkerEvent::Started(id, _) = event {
+                let (_, work_ms, ..) = &self.jobs[&id.job];
+                let end = self.now + work_ms * worker.stretch / 100;
+                let last = self.ends.entry(id.job).or_default();
+                *last = end.max(*last);
+            }
             match event {
                 WorkerEvent::Started(id, _) if id.index == 0 => {
                     let (at, _, _, urgent) = &self.jobs[&id.job];
@@ -448,6 +501,28 @@
     }
 }
 
+impl Fleet {
+    /// Prints, by kind, how many of the jobs that have started end in time with their slowest task.
+    fn print_in_time(&self) {
+        if !self.speeds {
+            return;
+        }
+        for kind in &KINDS {
+            let of_kind = |s: &Step| s.resources.cpu == kind.cpu;
+            let jobs = self.jobs.iter().filter(|(_, (_, _, s, _))| of_kind(s));
+            let started = jobs.filter_map(|(id, job)| Some((job, *self.ends.get(id)?)));
+            let slack = kind.slack(self.speeds);
+            let (mut all, mut in_time) = (0u32, 0u32);
+            for ((at, work_ms, ..), end) in started {
+                let objective_ms = (*work_ms as f64 * slack) as u64 + kind.target_ms;
+                all += 1;
+                in_time += u32::from(end <= at + objective_ms);
+            }
+            println!("{:>8} {in_time} of {all} in time", kind.queue);
+        }
+    }
+}
+
 /// Returns a processor time in percent of a core.
 fn percent(ns: u64, seconds: u64) -> f64 {
     ns as f64 / (seconds as f64 * 1e9) * 100.0
@@ -471,7 +546,7 @@
     }
 }
 
-fn policy() -> Policy {
+fn policy(speeds: bool) -> Policy {
     let queue = |kind: &JobKind| Queue {
         name: kind.queue.to_owned(),
         host: "h".to_owned(),
@@ -479,7 +554,7 @@
         pool: "pool".to_owned(),
         priority: kind.priority,
         attempts: 4,
-        slack: 3.0,
+        slack: kind.slack(speeds),
         target_ms: kind.target_ms,
         open: false,
         advice: None,
