--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -350,7 +350,15 @@
             }
             let entries = (entries, entries_since, read_after);
             let evacuations = (evacuations, evacuations_since);
-            (records, workers, learned, inbox, inbox_since, entries, evacuations)
+            (
+                records,
+                workers,
+                learned,
+                inbox,
+                inbox_since,
+                entries,
+                evacuations,
+            )
         };
         let loaded = tokio::select! {
             loaded = load => loaded,
