--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -255,7 +255,7 @@
         };
         if speeds {
             for (i, worker) in fleet.workers.iter_mut().enumerate() {
-                worker.stretch = STRETCHES[i % STRETCHES.len()];
+                worker.stretch_percent = STRETCHES[i % STRETCHES.len()];
             }
         }
         fleet.deliver(vec![Event::Registry(targets)]);
@@ -444,7 +444,7 @@
         for event in worker.events.drain(..) {
             if let WorkerEvent::Started(id, _) = event {
                 let (_, work_ms, ..) = &self.jobs[&id.job];
-                let end = self.now + work_ms * worker.stretch / 100;
+                let end = self.now + work_ms * worker.stretch_percent / 100;
                 let last = self.ends.entry(id.job).or_default();
                 *last = end.max(*last);
             }
