Hear all ends of a worker that leaves, and forget a departure that is taken back

Found in the review of the stops before announced departures. And a worker that no longer drained kept its departure, so that what was started there was stopped again and again.

--- a/marigoldglade/src/batch/engine/departures.rs
+++ b/marigoldglade/src/batch/engine/departures.rs
@@ -5,6 +5,7 @@
 //! stopped in time for their ends, and the checkpoints that they save, to be reported before.
 
 use crate::batch::engine::runs::Stage;
+use crate::batch::engine::workers::Worker;
 use crate::batch::engine::{Engine, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::time::UnixMs;
@@ -13,22 +14,27 @@
 /// platform's limits, a run may become done until then, and the report of its end comes after that.
 const STOP_MARGIN_MS: u64 = 1_200;
 
+impl Worker {
+    /// Returns whether the worker leaves so soon that what runs there is stopped.
+    pub fn leaves_soon(&self, now: UnixMs) -> bool {
+        self.departs_at
+            .is_some_and(|at| at <= now.after(STOP_MARGIN_MS))
+    }
+}
+
 impl Engine {
     /// Stops the runs that can't end before their workers leave.
     pub(super) fn check_departures(&mut self) {
         for key in self.worker_keys() {
             let worker = self.worker(key);
-            if let Some(departs_at) = worker.departs_at.filter(|_| !worker.runs.is_empty()) {
-                self.stop_before(key, departs_at);
+            let leaves = worker.target.draining && worker.leaves_soon(self.now);
+            if leaves && !worker.runs.is_empty() {
+                self.stop_runs(key);
             }
         }
     }
 
-    fn stop_before(&mut self, key: WorkerKey, departs_at: UnixMs) {
-        let now = self.now;
-        if now.after(STOP_MARGIN_MS) < departs_at {
-            return;
-        }
+    fn stop_runs(&mut self, key: WorkerKey) {
         let due: Vec<(TaskId, u64)> = self
             .worker(key)
             .runs
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -69,7 +69,10 @@
             // they are durable its renewals are spaced by `renew_at`.
             let uncommitted = worker.acks.is_pending();
             let waiting = (busy || stopping)
-                && (!uncommitted || worker.renew_at.passed(now) || worker.has_trials());
+                && (!uncommitted
+                    || worker.renew_at.passed(now)
+                    || worker.leaves_soon(now)
+                    || worker.has_trials());
             let needed = silent || unacked || waiting || awaited.contains(&key);
             if !needed {
                 continue;
@@ -259,7 +262,7 @@
                 let worker = self.worker_mut(key);
                 if worker.has_missing_runs() {
                     worker.renewal_after = now.after(RECHECK_GAP_MS);
-                } else if worker.has_trials() {
+                } else if worker.has_trials() || worker.leaves_soon(now) {
                     worker.renewal_after = now.after(PROOF_MS);
                 }
             }
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -449,6 +449,9 @@
                 || old != new
                 || worker.target.started_at != target.started_at;
             worker.enforces_capacity = enforces_capacity;
+            if !target.draining {
+                worker.departs_at = None;
+            }
             worker.target = Arc::new(target);
             if changed {
                 worker.recorded = false;
