Learn from all tasks of wide steps, and keep the record through a failed read

Found in the review of learned run times. A step taught through its first 64 tasks only, so that workers with later ones stayed unknown. One failed read at a takeover made the successor start from nothing and overwrite the record; it is now read like the other state, beside the inbox. A record over half of the store's value limit isn't stored, as it would make the commit fail; the kinds of a record keep their order of use; estimates of 0 don't count in the error; a worker isn't asked sooner for runs that teach nothing.

Test: a_wide_step_shows_all_its_workers.

--- a/marigoldglade/src/batch/engine/learning.rs
+++ b/marigoldglade/src/batch/engine/learning.rs
@@ -12,6 +12,9 @@
 /// The minimum time between two records of what was learned, in milliseconds: a successor loses no more than
 /// what the next few runs show again.
 pub(super) const RECORD_GAP_MS: u64 = 5_000;
+/// The largest record that is stored, in bytes: half of the store's value limit, so that it never makes a commit
+/// fail.
+const RECORD_LIMIT_BYTES: usize = 512 << 10;
 /// How long after its start a run's progress is asked for soon, in milliseconds.
 const YOUNG_MS: u64 = 2_000;
 /// How often the log says what has been learned, in milliseconds.
@@ -51,6 +54,13 @@
                 |e| log::error!(error:% = e; "can't encode the record of learned run times"),
             )
             .ok()
+            .filter(|r| {
+                let fits = r.len() <= RECORD_LIMIT_BYTES;
+                if !fits {
+                    log::warn!(bytes = r.len(), limit = RECORD_LIMIT_BYTES; "the record of learned run times is too large to store");
+                }
+                fits
+            })
     }
 
     /// Logs at intervals what has been learned.
@@ -115,8 +125,14 @@
         if !self.bounds.learn_run_times || self.run_times.stretch(key).known {
             return false;
         }
-        let young = |run: &Run| run.fresh && self.now.since(run.started_at) < YOUNG_MS;
-        self.worker(key).runs.values().any(young)
+        let teaches = |id: &TaskId, run: &Run| {
+            let step = self.jobs.get(&run.job).and_then(|j| j.step(id));
+            step.is_some_and(|s| !s.endless && !s.filler && s.estimate_ms > 0)
+        };
+        let young = |(id, run): (&TaskId, &Run)| {
+            run.fresh && self.now.since(run.started_at) < YOUNG_MS && teaches(id, run)
+        };
+        self.worker(key).runs.iter().any(young)
     }
 
     /// Learns from the progress of a run that a report lists.
--- a/marigoldglade/src/batch/run_times.rs
+++ b/marigoldglade/src/batch/run_times.rs
@@ -188,7 +188,8 @@
             ..Self::default()
         };
         run_times.speeds.set_uneven(learned.uneven);
-        for row in learned.kinds.into_iter().take(record::KIND_LIMIT) {
+        // The record begins with the kinds that were used last.
+        for row in learned.kinds.into_iter().take(record::KIND_LIMIT).rev() {
             run_times.kinds.inherit(row);
         }
         Ok(run_times)
@@ -227,6 +228,9 @@
 
     /// Counts how far a run's expected time and its caller's estimate were off; all are in milliseconds.
     pub fn record_error(&mut self, queue: &str, ran_ms: u64, expected_ms: u64, estimate_ms: u64) {
+        if expected_ms == 0 || estimate_ms == 0 {
+            return;
+        }
         let accuracies = &mut self.accuracies;
         accuracies.record(queue, ran_ms, expected_ms, estimate_ms);
     }
--- a/marigoldglade/src/batch/run_times/steps.rs
+++ b/marigoldglade/src/batch/run_times/steps.rs
@@ -99,7 +99,6 @@
             ln: sample.ln_ms(),
             variance: sample.variance(),
         };
-        let full = step.tasks.len() >= TASK_LIMIT;
         match step.tasks.iter_mut().find(|t| t.index == sample.index) {
             // The end of a run is heard late if the worker couldn't be reached, its progress before wasn't.
             Some(t)
@@ -107,8 +106,13 @@
                     && t.worker == time.worker
                     && time.ln - t.ln > LATE_END => {}
             Some(task) => *task = time,
-            None if !full => step.tasks.push(time),
-            None => return,
+            None => {
+                // What the earliest one showed of its worker is kept with the worker.
+                if step.tasks.len() >= TASK_LIMIT {
+                    step.tasks.remove(0);
+                }
+                step.tasks.push(time);
+            }
         }
         if !std::mem::replace(&mut step.dirty, true) {
             self.dirty.push(id);
--- a/marigoldglade/tests/run_times.rs
+++ b/marigoldglade/tests/run_times.rs
@@ -54,13 +54,18 @@
     /// and three of a hundred runs take seven times as long.
     fn run_on(&mut self, workers: &[usize]) {
         self.jobs += 1;
+        let estimate_ms = 5_000 * self.rng.random_range(50..150) / 100;
+        self.run_part(0, estimate_ms, workers);
+    }
+
+    /// Runs tasks of the last step, from the one of index `first` on.
+    fn run_part(&mut self, first: u32, estimate_ms: u64, workers: &[usize]) {
         let id = StepId {
             job: job_id(self.jobs),
             round: 0,
             step: 0,
         };
-        let estimate_ms = 5_000 * self.rng.random_range(50..150) / 100;
-        for (index, worker) in (0..).zip(workers) {
+        for (index, worker) in (first..).zip(workers) {
             let noise = self.rng.random_range(self.noise.clone());
             let tail = if self.rng.random_range(0..100) < 3 {
                 7
@@ -136,6 +141,22 @@
     assert!(fleet.run_times.is_uneven());
 }
 
+/// Steps that are far wider than what is remembered of one still show the speeds of all their workers.
+#[test]
+fn a_wide_step_shows_all_its_workers() {
+    let mut fleet = Fleet::new(1, 200, &THREE_SPEEDS);
+    for _ in 0..6 {
+        fleet.jobs += 1;
+        for part in 0..8 {
+            let workers: Vec<usize> = (part * 50..part * 50 + 50).map(|i| i % 200).collect();
+            let first = u32::try_from(part * 50).expect("few tasks");
+            fleet.run_part(first, 6_000, &workers);
+        }
+    }
+    let (known, _) = fleet.known_and_wrong();
+    assert!(known > 180, "{known} of 200 workers known");
+}
+
 /// A third of the workers is slower by 30 %.
 #[rstest]
 #[case(1)]
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -332,12 +332,13 @@
         let load = async {
             let (records, _) = self.store.list(JOB_PREFIX).await;
             let (workers, _) = self.store.list(worker_list::PREFIX).await;
-            let learned = if self.platform.learn_run_times {
-                self.store.get(LEARNED_KEY).await.ok().flatten()
-            } else {
-                None
+            let learned = async {
+                let (pairs, _) = self.store.list(LEARNED_KEY).await;
+                pairs.into_iter().find(|p| p.key == LEARNED_KEY)
             };
-            let (inbox, inbox_since) = self.store.list(INBOX_PREFIX).await;
+            let learned = self.platform.learn_run_times.then_some(learned);
+            let (learned, (inbox, inbox_since)) =
+                tokio::join!(async { learned?.await }, self.store.list(INBOX_PREFIX),);
             let mut evacuations = Evacuations::default();
             let read_after = clock::now();
             let (evacuations_since, (entries, entries_since)) = tokio::join!(
