Search less in a planning pass

What is decided stays the same, but for a fleet that a stored record calls uneven while no worker of it is known: it counts as even until some are.

--- a/marigoldglade/src/batch/engine/speeds.rs
+++ b/marigoldglade/src/batch/engine/speeds.rs
@@ -17,7 +17,7 @@
             return None;
         }
         let (_, fastest, slowest) = self.run_times.spread();
-        Some(SpeedRange { fastest, slowest })
+        (fastest < slowest).then_some(SpeedRange { fastest, slowest })
     }
 
     /// Returns which workers are suitable for a step by their speed.
@@ -55,8 +55,11 @@
             return others.to_vec();
         }
         let admitted = rule.admitted(bins);
+        if admitted.len() == bins.len() {
+            return admitted;
+        }
         let one_rack = demand.one_rack && fits_one_rack(bins, demand);
-        if admitted.len() < bins.len() && !could_hold(&admitted, demand, one_rack) {
+        if !could_hold(&admitted, demand, one_rack) {
             return others.to_vec();
         }
         admitted
--- a/marigoldglade/src/batch/engine/waits.rs
+++ b/marigoldglade/src/batch/engine/waits.rs
@@ -305,7 +305,7 @@
         if !fits(&bins) {
             return (Hold::GangRacks, fitting);
         }
-        if place(step, request, &bins).is_none() {
+        if step.gang && place(step, request, &bins).is_none() {
             return (Hold::Speed, fitting);
         }
         if pass.unplaceable.contains(shape) {
@@ -317,6 +317,10 @@
 
 /// Returns whether some workers have room for a request, whatever their speed.
 fn has_room(step: &Step, request: &PlacementRequest, bins: &[Bin]) -> bool {
+    if !step.gang {
+        let need = &request.demand.resources;
+        return bins.iter().any(|b| b.max_tasks > 0 && b.fits(need));
+    }
     let request = PlacementRequest {
         shape: Shape {
             speed: SpeedRule::default(),
--- a/marigoldglade/src/batch/finish.rs
+++ b/marigoldglade/src/batch/finish.rs
@@ -218,9 +218,16 @@
         (enough && whole).then(|| place_gang(bins, need)).flatten()
     };
     if rule.order == SpeedOrder::FastFirst {
+        let mut tried = 0;
         for slowest in [Speed::Fast, Speed::Ordinary, Speed::Unknown] {
             let faster = admitted.iter().filter(|b| b.stretch.speed() <= slowest);
-            let workers = place_in(&faster.copied().collect::<Vec<_>>());
+            let faster: Vec<Bin> = faster.copied().collect();
+            // The class may have no workers.
+            if faster.len() == tried {
+                continue;
+            }
+            tried = faster.len();
+            let workers = place_in(&faster);
             if workers.is_some() {
                 return workers;
             }
--- a/marigoldglade/src/batch/pack.rs
+++ b/marigoldglade/src/batch/pack.rs
@@ -219,11 +219,15 @@
 /// Returns whether some rack could hold all tasks if it were empty.
 #[must_use]
 pub fn fits_one_rack(bins: &[Bin], need: &Demand) -> bool {
-    let mut room: BTreeMap<RackKey, u32> = BTreeMap::new();
-    for bin in bins {
-        let fitting = count_fitting(std::slice::from_ref(bin), need, |_| Resources::default());
-        let sum = room.entry(bin.rack).or_default();
-        *sum = sum.saturating_add(fitting);
-    }
-    room.values().any(|sum| *sum >= need.count)
+    // The keys of racks are dense.
+    let mut room: Vec<u32> = Vec::new();
+    bins.iter().any(|bin| {
+        let rack = usize::from(bin.rack.0);
+        if rack >= room.len() {
+            room.resize(rack + 1, 0);
+        }
+        let fitting = bin.capacity.max_tasks(&need.resources, bin.max_tasks);
+        room[rack] = room[rack].saturating_add(fitting);
+        room[rack] >= need.count
+    })
 }
--- a/marigoldglade/src/batch/preempt.rs
+++ b/marigoldglade/src/batch/preempt.rs
@@ -35,6 +35,9 @@
 /// is greedy, so that a cheaper plan may exist.
 #[must_use]
 pub fn plan_preemption(bins: &[Bin], victims: &[Victim], need: &Demand) -> Option<PreemptionPlan> {
+    let mut victims = victims.to_vec();
+    victims.sort_by_key(|v| v.worker);
+    let victims = &victims[..];
     if !need.one_rack || !fits_one_rack(bins, need) {
         return plan_in(bins, victims, need);
     }
@@ -47,7 +50,7 @@
 }
 
 /// Returns the cost and the groups to stop so that one more task fits on a worker; the groups in
-/// `stopped` are already part of the plan.
+/// `stopped` are already part of the plan. The victims are sorted by their workers.
 fn victims_on(
     bin: &Bin,
     victims: &[Victim],
@@ -56,9 +59,11 @@
 ) -> Option<(u64, Vec<u32>)> {
     let mut left = *bin;
     let mut chosen: Vec<&Victim> = Vec::new();
-    let mut here: Vec<&Victim> = victims
+    let first = victims.partition_point(|v| v.worker < bin.worker);
+    let mut here: Vec<&Victim> = victims[first..]
         .iter()
-        .filter(|v| v.worker == bin.worker && !stopped.contains(&v.group))
+        .take_while(|v| v.worker == bin.worker)
+        .filter(|v| !stopped.contains(&v.group))
         .collect();
     here.sort_by_key(|v| (v.cost / v.resources.weighted_cores().max(1), v.group));
     for victim in here {
