Apply changes of evacuations in the order of their revisions

Found in the review: what is older than the newest known change is left out, whichever data centre it concerns, so a watch that listed two data centres' changes the other way round would have lost one. Nothing promises an order within one answer. No test: the order of a watch's answer can't be set in the stand-in.

--- a/marigoldgladed/src/batch/owner/evacuations.rs
+++ b/marigoldgladed/src/batch/owner/evacuations.rs
@@ -34,7 +34,9 @@
     ) {
         let prefix = platform::evacuation::PREFIX;
         loop {
-            while let Some(changes) = self.store.watch(prefix, &mut since).await {
+            while let Some(mut changes) = self.store.watch(prefix, &mut since).await {
+                // An older change of one data centre mustn't be dropped for a newer one of another.
+                changes.sort_by_key(revision);
                 let mut changed = false;
                 for change in &changes {
                     changed |= apply(&mut known, change);
@@ -55,13 +57,20 @@
     let _ = inputs.send(Input::Event(Event::Evacuations(known.dcs().clone())));
 }
 
+fn revision(change: &Change) -> Revision {
+    match change {
+        Change::Put(pair) => pair.changed,
+        Change::Deleted(_, revision) => *revision,
+    }
+}
+
 /// Applies a change of the requests; returns whether it changed anything.
 fn apply(known: &mut Evacuations, change: &Change) -> bool {
-    let (key, requested, revision) = match change {
-        Change::Put(pair) => (&pair.key, true, pair.changed),
-        Change::Deleted(key, revision) => (key, false, *revision),
+    let (key, requested) = match change {
+        Change::Put(pair) => (&pair.key, true),
+        Change::Deleted(key, _) => (key, false),
     };
-    decode(key).is_some_and(|dc| known.set(dc, requested, revision))
+    decode(key).is_some_and(|dc| known.set(dc, requested, revision(change)))
 }
 
 /// Decodes the key of a request; one that can't be decoded is logged and left out.
