--- a/marigoldglade/src/batch/engine/departures.rs
+++ b/marigoldglade/src/batch/engine/departures.rs
@@ -11,7 +11,7 @@
 use crate::time::UnixMs;
 
 /// How long before the departure runs are stopped, in milliseconds: a stop takes 900 ms at most by the
-/// platform's limits, a run may become done until then, and the report of its end comes after that.
+/// platform's limits, a run may become done until then, and the report of its end is given the rest.
 const STOP_MARGIN_MS: u64 = 1_200;
 
 impl Worker {
--- a/marigoldglade/src/batch/engine/speeds.rs
+++ b/marigoldglade/src/batch/engine/speeds.rs
@@ -50,6 +50,7 @@
     /// anyway, unless a guarantee covers it, which says when it starts.
     pub(super) fn preemption_bins(&self, bins: &[Bin], demand: &Demand, shape: &Shape) -> Vec<Bin> {
         let rule = &shape.speed;
+        // Workers on which the work would be late are open to guaranteed work only.
         let others = if shape.guaranteed { bins } else { &[] };
         if rule.yields {
             return others.to_vec();
--- a/marigoldglade/src/batch/finish.rs
+++ b/marigoldglade/src/batch/finish.rs
@@ -10,6 +10,7 @@
 };
 use crate::batch::rank::{LATE_FACTOR, RankInputs};
 use crate::batch::run_times::Stretch;
+use crate::batch::worker::Resources;
 use crate::time::UnixMs;
 
 /// How far a worker's time may be from an ordinary one's for it to count as ordinary, in percent: the
@@ -104,8 +105,8 @@
     pub may_wait: bool,
     /// Whether the objective can't be met any more on any worker.
     pub late: bool,
-    /// Whether no runs are stopped for the work, as it is late and still useful after a wait, or not at all
-    /// any more.
+    /// Whether no runs are stopped for the work: it is late, and either useful for longer than a wait takes or
+    /// no longer useful.
     pub yields: bool,
 }
 
@@ -268,5 +269,5 @@
     if one_rack {
         return fits_one_rack(bins, need);
     }
-    count_fitting(bins, need, |_| crate::batch::worker::Resources::default()) >= need.count
+    count_fitting(bins, need, |_| Resources::default()) >= need.count
 }
--- a/marigoldglade/src/batch/pack.rs
+++ b/marigoldglade/src/batch/pack.rs
@@ -149,7 +149,8 @@
 ///
 /// Of the racks that can hold a gang which should run within one rack, the one near the data comes
 /// first, then the one with the most trusted workers, then the one that spends the fewest fast
-/// workers if the slow ones come first, then the one with the least left over. Such a gang is spread over racks only if no rack could hold it even when empty.
+/// workers if the slow ones come first, then the one with the least left over. Such a gang is spread
+/// over racks only if no rack could hold it even when empty.
 #[must_use]
 pub fn place_gang(bins: &[Bin], need: &Demand) -> Option<Vec<WorkerKey>> {
     if !need.one_rack || !fits_one_rack(bins, need) {
--- a/marigoldglade/src/batch/run_times/record.rs
+++ b/marigoldglade/src/batch/run_times/record.rs
@@ -7,7 +7,7 @@
 
 /// The format that this program writes; a reader refuses newer ones.
 const VERSION: u32 = 1;
-/// The most workers and kinds in a record, which stays far below the store's largest value.
+/// The most workers and kinds in a record.
 pub(super) const WORKER_LIMIT: usize = 4_096;
 pub(super) const KIND_LIMIT: usize = 512;
 
--- a/marigoldglade/src/batch/run_times/speeds.rs
+++ b/marigoldglade/src/batch/run_times/speeds.rs
@@ -5,16 +5,16 @@
 use crate::batch::run_times::{StepId, Stretch};
 
 /// The variance of workers' speeds before anything is known: workers of 0.67 to 1.5 times the ordinary time
-/// are usual. It weighs as much as a seventh of a run in a wide step.
+/// are usual.
 pub(super) const PRIOR_VARIANCE: f64 = 0.16;
 /// The variance up to which a worker's speed counts as known: it is then right to about 20 %.
 const KNOWN_VARIANCE: f64 = 0.045;
 /// How many steps are remembered for each worker.
 const MEMORY: usize = 8;
-/// How far from the ordinary a single step may show a worker before another must confirm it, as a logarithm:
-/// one run in some thirty takes several times as long on any worker.
+/// How far from the ordinary a step may show a worker before it counts for less, as a logarithm: one run in some
+/// thirty takes several times as long on any worker.
 const UNCONFIRMED_LIMIT: f64 = 0.9;
-/// What an unconfirmed value's precision is divided by.
+/// What the precision of such a value is divided by.
 const UNCONFIRMED_DIVISOR: f64 = 6.0;
 /// How many of the newest steps in a row must contradict the earlier ones before these are dropped.
 const CONTRADICTIONS: usize = 3;
--- a/marigoldglade/src/batch/run_times/steps.rs
+++ b/marigoldglade/src/batch/run_times/steps.rs
@@ -10,7 +10,8 @@
 
 /// The largest number of steps that are remembered.
 const STEP_LIMIT: usize = 1_024;
-/// The largest number of tasks of a step that are remembered; more add nothing to what the step shows.
+/// The largest number of tasks of a step that are remembered; the workers of earlier ones keep what these
+/// have shown.
 const TASK_LIMIT: usize = 64;
 /// The variance of an estimate that nothing else backs: it is off by half either way at most times.
 const ESTIMATE_VARIANCE: f64 = 0.12;
--- a/marigoldglade/tests/batch_evacuations.rs
+++ b/marigoldglade/tests/batch_evacuations.rs
@@ -84,8 +84,7 @@
     assert!(sim.all_done((1..10).chain(101..110)));
 }
 
-/// A request that is taken back and made again within a second holds, as does one that the last owner has
-/// seen and the next one hasn't.
+/// A request that is taken back and made again within a second holds, also beside a takeover.
 #[test]
 fn a_repeated_request_holds() {
     let mut sim = Simulation::new(86, 3, 2);
--- a/marigoldgladed/src/batch/owner/inputs.rs
+++ b/marigoldgladed/src/batch/owner/inputs.rs
@@ -21,8 +21,8 @@
 /// The time between a change of the registry and the next watch, in milliseconds. Every heartbeat of
 /// a worker changes its entry, and one call can report many of them.
 const REGISTRY_GAP_MS: u64 = 100;
-/// How old an entry of a live worker may be when it is read, in milliseconds: a worker writes its entry anew
-/// every 1.5 s or so.
+/// How old an entry of a live worker may be when it is read, in milliseconds: above the time between two
+/// heartbeats.
 const ENTRY_AGE_MS: u64 = 2_000;
 
 impl Node {
