--- a/marigoldglade/src/batch/run_times/speeds.rs
+++ b/marigoldglade/src/batch/run_times/speeds.rs
@@ -25,6 +25,8 @@
 const INHERITED_PRECISION: f64 = 30.0;
 /// The fewest known workers from which a fleet's spread is judged.
 const FLEET_MIN: usize = 12;
+/// The fewest workers seen in two steps from which it is judged how much steps disagree.
+const PAIRS_MIN: usize = 6;
 /// The least spread of speeds that placement should go by, as a standard deviation of logarithms.
 const UNEVEN_DEVIATION: f64 = 0.09;
 /// How many times the noise the spread must exceed: the noise itself is known from few workers only.
@@ -254,7 +256,7 @@
             Some(Value::new(ratio, 1.0))
         })
         .collect();
-    if ratios.len() < FLEET_MIN {
+    if ratios.len() < PAIRS_MIN {
         return None;
     }
     Some(weighted_median(&mut ratios)? / 0.674_f64.powi(2))
