review: a replaced owner starts a task on a restarted runner

The owner is cut off from the store and the other daemons, another one takes over, and a runner that has obeyed it restarts and so refuses no lower fencing token. When a job comes due, both owners start its task, on two runners: TWICE.

The stand-ins get paths that can be cut, and are formatted.

--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -5,9 +5,13 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use crate::http;
+use crate::proxy;
+use crate::store::{Store, Viewer};
 
 /// What was sent, answered and run, with the seconds since the start of the play.
 pub struct Record {
@@ -18,8 +22,15 @@
 impl Record {
     pub fn new(folder: &str, trouble: bool) -> Self {
         let file = File::create(format!("{folder}/record.txt")).expect("the record can be written");
-        let mut record = Self { began: Instant::now(), file };
-        record.line(if trouble { "with the disruption" } else { "without the disruption" });
+        let mut record = Self {
+            began: Instant::now(),
+            file,
+        };
+        record.line(if trouble {
+            "with the disruption"
+        } else {
+            "without the disruption"
+        });
         record
     }
 
@@ -54,22 +65,69 @@
 
 /// Returns free loopback addresses, four for each daemon.
 fn free_addrs(daemons: usize) -> Vec<[SocketAddr; 4]> {
-    let listen = |_| std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    let listen =
+        |_| std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
     let listeners: Vec<[TcpListener; 4]> = (0..daemons).map(listen).collect();
-    let addrs = listeners.iter().map(|row| row.each_ref().map(|l| l.local_addr().expect("an address")));
+    let addrs = listeners
+        .iter()
+        .map(|row| row.each_ref().map(|l| l.local_addr().expect("an address")));
     addrs.collect()
 }
 
 impl Daemon {
     /// Returns the daemons of a deployment, whose seeds are the first three of them.
     pub fn fleet(program: &str, count: usize, store: SocketAddr) -> Vec<Self> {
-        let addrs: Vec<[SocketAddr; 4]> = free_addrs(count);
-        let seeds: Vec<String> = addrs.iter().take(3).map(|a| format!("\"{}\"", a[2])).collect();
+        let addrs = free_addrs(count);
+        let seeds: Vec<String> = addrs
+            .iter()
+            .take(3)
+            .map(|a| format!("\"{}\"", a[2]))
+            .collect();
         let new = |(i, a)| Self::new(program, &format!("edge-{i}"), a, store, &seeds.join(","));
         addrs.into_iter().enumerate().map(new).collect()
     }
 
-    fn new(program: &str, name: &str, addrs: [SocketAddr; 4], store: SocketAddr, seeds: &str) -> Self {
+    /// Returns the daemons of a deployment, with a switch for each that cuts it off from the store and from the
+    /// other daemons, but not from clients and runners.
+    pub fn fleet_with_cuts(
+        program: &str,
+        count: usize,
+        store: &Arc<Store>,
+    ) -> (Vec<Self>, Vec<Arc<AtomicBool>>) {
+        let addrs = free_addrs(count);
+        let cuts: Vec<Arc<AtomicBool>> = (0..count).map(|_| Arc::default()).collect();
+        let mut daemons = Vec::new();
+        for (i, own) in addrs.iter().enumerate() {
+            let others = (0..count).filter(|j| *j != i);
+            let open = |j: usize| {
+                let pair = [Arc::clone(&cuts[i]), Arc::clone(&cuts[j])];
+                (addrs[j][2], proxy::start(addrs[j][2], pair))
+            };
+            let paths: Vec<(SocketAddr, SocketAddr)> = others.map(open).collect();
+            let seeds: Vec<String> = paths.iter().map(|p| format!("\"{}\"", p.1)).collect();
+            let viewer = Viewer {
+                cut: Arc::clone(&cuts[i]),
+                paths: paths.iter().map(|p| (p.0.port(), p.1.port())).collect(),
+            };
+            let store = store.serve_viewer(viewer);
+            daemons.push(Self::new(
+                program,
+                &format!("edge-{i}"),
+                *own,
+                store,
+                &seeds.join(","),
+            ));
+        }
+        (daemons, cuts)
+    }
+
+    fn new(
+        program: &str,
+        name: &str,
+        addrs: [SocketAddr; 4],
+        store: SocketAddr,
+        seeds: &str,
+    ) -> Self {
         let [front, ready, mesh, admin] = addrs;
         let folder = std::env::temp_dir().join(format!("review-2-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
@@ -94,7 +152,10 @@
         let path = self.folder.join("settings.yaml");
         let text = format!("{}  restarted: {again}\n", self.settings);
         std::fs::write(&path, text).expect("the settings can be written");
-        let log = File::options().create(true).append(true).open(self.folder.join("log"));
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("log"));
         let child = Command::new(&self.program)
             .arg("--settings")
             .arg(&path)
@@ -113,7 +174,14 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let answer = http::call(self.ready, "GET", "/ready", "host: h\r\n", "", Duration::from_secs(1));
+        let answer = http::call(
+            self.ready,
+            "GET",
+            "/ready",
+            "host: h\r\n",
+            "",
+            Duration::from_secs(1),
+        );
         answer.is_some_and(|a| a.0 == 200)
     }
 
@@ -124,7 +192,14 @@
     /// Makes a client's call, which waits for 3 s.
     pub fn call(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
         let headers = "host: h.example\r\nauthorization: Token secret\r\ndeadline-ms: 3000\r\n";
-        http::call(self.front, method, path, headers, body, Duration::from_secs(3))
+        http::call(
+            self.front,
+            method,
+            path,
+            headers,
+            body,
+            Duration::from_secs(3),
+        )
     }
 }
 
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 pub struct Request {
@@ -36,7 +36,9 @@
     let mut out = Vec::new();
     let mut i = 0;
     while i < bytes.len() {
-        let hex = text.get(i + 1..i + 3).and_then(|h| u8::from_str_radix(h, 16).ok());
+        let hex = text
+            .get(i + 1..i + 3)
+            .and_then(|h| u8::from_str_radix(h, 16).ok());
         match (bytes[i], hex) {
             (b'%', Some(byte)) => {
                 out.push(byte);
@@ -51,7 +53,9 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
-fn read_head(reader: &mut BufReader<TcpStream>) -> Option<(String, Vec<(String, String)>, Vec<u8>)> {
+fn read_head(
+    reader: &mut BufReader<TcpStream>,
+) -> Option<(String, Vec<(String, String)>, Vec<u8>)> {
     let mut first = String::new();
     if reader.read_line(&mut first).ok()? == 0 {
         return None;
@@ -79,21 +83,39 @@
     Some((first.trim_end().to_owned(), headers, body))
 }
 
+/// A server on a free loopback port.
+pub struct Server {
+    pub addr: SocketAddr,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    /// Closes all connections, as the end of a process does.
+    pub fn close_connections(&self) {
+        for stream in self.open.lock().expect("no panic").drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 /// Serves requests on a free loopback port. A request without an answer closes its connection.
-pub fn serve<F>(handle: F) -> SocketAddr
+pub fn serve<F>(handle: F) -> Server
 where
     F: Fn(&Request) -> Option<(u16, String)> + Send + Sync + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = listener.local_addr().expect("an address");
     let handle = Arc::new(handle);
+    let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+    let opened = Arc::clone(&open);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handle = Arc::clone(&handle);
+            opened.lock().expect("no panic").extend(stream.try_clone());
             std::thread::spawn(move || serve_connection(stream, &*handle));
         }
     });
-    addr
+    Server { addr, open }
 }
 
 fn serve_connection(stream: TcpStream, handle: &dyn Fn(&Request) -> Option<(u16, String)>) {
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -26,15 +26,27 @@
     }
 
     pub fn list(&self) -> &[Json] {
-        if let Json::List(rows) = self { rows } else { &[] }
+        if let Json::List(rows) = self {
+            rows
+        } else {
+            &[]
+        }
     }
 
     pub fn text(&self) -> &str {
-        if let Json::Text(text) = self { text } else { "" }
+        if let Json::Text(text) = self {
+            text
+        } else {
+            ""
+        }
     }
 
     pub fn number(&self) -> u64 {
-        if let Json::Number(n) = self { *n as u64 } else { 0 }
+        if let Json::Number(n) = self {
+            *n as u64
+        } else {
+            0
+        }
     }
 }
 
@@ -119,7 +131,8 @@
                         b'r' => out.push(b'\r'),
                         b'u' => {
                             let hex = self.bytes.get(self.at..self.at + 4)?;
-                            let code = u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
                             self.at += 4;
                             let c = char::from_u32(code).unwrap_or('?');
                             out.extend(c.to_string().bytes());
@@ -153,10 +166,15 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
+        let word =
+            chunk.iter().fold(0u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
         for i in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * i)) as usize & 63];
-            out.push(if i <= chunk.len() { char::from(digit) } else { '=' });
+            out.push(if i <= chunk.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     out
@@ -166,3 +184,21 @@
 pub fn decoded_len(text: &str) -> usize {
     text.len() / 4 * 3 - text.bytes().rev().take_while(|b| *b == b'=').count()
 }
+
+/// Returns the bytes of a base64 text with padding.
+pub fn unbase64(text: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    let (mut word, mut bits) = (0u32, 0);
+    let digits = text
+        .bytes()
+        .filter_map(|b| DIGITS.iter().position(|d| *d == b));
+    for digit in digits {
+        word = word << 6 | digit as u32;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            out.push((word >> bits) as u8);
+        }
+    }
+    out
+}
--- a/review/standin-2/large_job.rs
+++ b/review/standin-2/large_job.rs
@@ -31,7 +31,9 @@
         daemon.start(false);
     }
     let up = |daemons: &[Daemon]| {
-        wait(Duration::from_secs(10), || daemons.iter().all(Daemon::is_ready) && store.has("mg/live/owner"))
+        wait(Duration::from_secs(10), || {
+            daemons.iter().all(Daemon::is_ready) && store.has("mg/live/owner")
+        })
     };
     if !up(&daemons) {
         return Verdict::NotRun("the daemons aren't ready".to_owned());
@@ -40,7 +42,9 @@
         "{{\"spec\":\"work_ms=25000 cpu=20 save\",\"steps\":[{{\"count\":{TASKS},\"cpu\":20,\"mem_mb\":8,\"estimate_ms\":25000,\"checkpointing\":true}}]}}"
     );
     let answer = daemons[1].call("POST", &format!("/sweep/{LARGE}"), &body);
-    record.line(&format!("POST job {LARGE}, {TASKS} checkpointing tasks of 25 s: {answer:?}"));
+    record.line(&format!(
+        "POST job {LARGE}, {TASKS} checkpointing tasks of 25 s: {answer:?}"
+    ));
     if answer.is_none_or(|a| a.0 != 200) {
         return Verdict::NotRun("the large job wasn't accepted".to_owned());
     }
@@ -72,7 +76,10 @@
         for attempt in 0..4 {
             let daemon = &daemons[(i + attempt) % DAEMONS];
             let answer = daemon.call("POST", &format!("/check/{id}"), body);
-            record.line(&format!("POST job {id}, one task of 0.5 s, at {}: {answer:?}", daemon.name));
+            record.line(&format!(
+                "POST job {id}, one task of 0.5 s, at {}: {answer:?}",
+                daemon.name
+            ));
             if answer.is_some_and(|a| a.0 == 200) {
                 small.push(id.clone());
                 break;
@@ -96,26 +103,47 @@
         let used: u64 = runners.iter().map(|r| r.load().1).sum();
         let room = used * 2 < RUNNERS as u64 * 32_000;
         for (id, since) in small.iter().zip(&mut idle_since) {
-            let waits = runners.iter().all(|r| !r.is_running(id) && r.counts(id).1 == 0);
-            *since = if waits && room { since.or(Some(Instant::now())) } else { None };
+            let waits = runners
+                .iter()
+                .all(|r| !r.is_running(id) && r.counts(id).1 == 0);
+            *since = if waits && room {
+                since.or(Some(Instant::now()))
+            } else {
+                None
+            };
             broken |= since.is_some_and(|at| at.elapsed() >= IDLE);
         }
         std::thread::sleep(Duration::from_millis(20));
     }
     let used: u64 = runners.iter().map(|r| r.load().1).sum();
-    record.line(&format!("{} of {} thousandths of a core are in use", used, RUNNERS * 32_000));
+    record.line(&format!(
+        "{} of {} thousandths of a core are in use",
+        used,
+        RUNNERS * 32_000
+    ));
     for id in small.iter().map(String::as_str).chain([LARGE]) {
         let counts = runners.iter().map(|r| r.counts(id));
         let (starts, done) = counts.fold((0, 0), |sum, c| (sum.0 + c.0, sum.1 + c.1));
         let queue = if id == LARGE { "sweep" } else { "check" };
         let state = daemons[2].call("GET", &format!("/{queue}/{id}"), "");
-        record.line(&format!("job {id}: {starts} starts, {done} tasks done; GET: {state:?}"));
+        record.line(&format!(
+            "job {id}: {starts} starts, {done} tasks done; GET: {state:?}"
+        ));
     }
     let unseen: usize = runners.iter().map(|r| r.unseen()).sum();
     let (refused, too_large, largest) = store.sizes();
-    record.line(&format!("{unseen} ends that runners list were not taken note of"));
+    record.line(&format!(
+        "{unseen} ends that runners list were not taken note of"
+    ));
     record.line(&format!("transactions refused for a value above value_bytes: {refused}, largest {too_large} bytes; largest value written: {largest} bytes"));
     let log: String = daemons.iter().map(Daemon::log).collect();
-    record.line(&format!("daemons' log lines 'the store refused a commit': {}", log.matches("the store refused a commit").count()));
-    if broken { Verdict::Broken } else { Verdict::Held }
+    record.line(&format!(
+        "daemons' log lines 'the store refused a commit': {}",
+        log.matches("the store refused a commit").count()
+    ));
+    if broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin-2/lost_answer.rs
+++ b/review/standin-2/lost_answer.rs
@@ -42,13 +42,19 @@
     if answer.is_none_or(|a| a.0 != 200) {
         return Verdict::NotRun("the job wasn't accepted".to_owned());
     }
-    if !wait(Duration::from_secs(3), || runners.iter().any(|r| r.is_running(JOB))) {
+    if !wait(Duration::from_secs(3), || {
+        runners.iter().any(|r| r.is_running(JOB))
+    }) {
         return Verdict::NotRun("the task hasn't started".to_owned());
     }
     let Some(runner) = runners.iter().find(|r| r.is_running(JOB)) else {
         return Verdict::NotRun("the task has ended".to_owned());
     };
-    record.line(&format!("the task runs on {}; the answer to its start is {}", runner.id, if trouble { "lost" } else { "sent" }));
+    record.line(&format!(
+        "the task runs on {}; the answer to its start is {}",
+        runner.id,
+        if trouble { "lost" } else { "sent" }
+    ));
     for other in &runners {
         other.keep_answers();
     }
@@ -59,12 +65,19 @@
     std::thread::sleep(DRAIN);
     runner.leave();
     store.delete(&format!("servers/{}", runner.id));
-    record.line(&format!("{} has left; it had listed the end of the run: {}", runner.id, runner.ended(JOB)));
+    record.line(&format!(
+        "{} has left; it had listed the end of the run: {}",
+        runner.id,
+        runner.ended(JOB)
+    ));
     let mut idle_since = None;
     let mut next_start = None;
     let (mut broken, mut said) = (false, false);
     while accepted_at.elapsed() < Duration::from_secs(32) && next_start.is_none() {
-        let starts = runners.iter().filter(|r| r.id != runner.id).map(|r| r.counts(JOB).0);
+        let starts = runners
+            .iter()
+            .filter(|r| r.id != runner.id)
+            .map(|r| r.counts(JOB).0);
         if starts.sum::<usize>() > 0 {
             next_start = Some(accepted_at.elapsed());
         }
@@ -81,11 +94,22 @@
         std::thread::sleep(Duration::from_millis(20));
     }
     match next_start {
-        Some(at) => record.line(&format!("the task starts again {:.1} s after the job's acceptance", at.as_secs_f64())),
+        Some(at) => record.line(&format!(
+            "the task starts again {:.1} s after the job's acceptance",
+            at.as_secs_f64()
+        )),
         None => record.line("the task hasn't started again"),
     }
     let log: String = daemons.iter().map(Daemon::log).collect();
-    let bound = log.matches("start without a response; its task is bound to the worker").count();
-    record.line(&format!("daemons' log lines 'its task is bound to the worker': {bound}"));
-    if broken { Verdict::Broken } else { Verdict::Held }
+    let bound = log
+        .matches("start without a response; its task is bound to the worker")
+        .count();
+    record.line(&format!(
+        "daemons' log lines 'its task is bound to the worker': {bound}"
+    ));
+    if broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,8 @@
 mod json;
 mod large_job;
 mod lost_answer;
+mod proxy;
+mod replaced_owner;
 mod restart;
 mod runner;
 mod store;
@@ -30,6 +32,7 @@
     let mut record = daemon::Record::new(folder, trouble);
     let verdict = match case.as_str() {
         "large-job" => large_job::play(&mut record, program, trouble),
+        "replaced-owner" => replaced_owner::play(&mut record, program, trouble),
         "restart" => restart::play(&mut record, program, trouble),
         "lost-answer" => lost_answer::play(&mut record, program, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
--- a/review/standin-2/restart.rs
+++ b/review/standin-2/restart.rs
@@ -1,11 +1,11 @@
 //! A runner goes down and up again, while the time of day on its machine has jumped back.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use crate::Verdict;
 use crate::daemon::{CONFIG, Daemon, Record, wait};
-use crate::runner::Runner;
+use crate::runner::{Runner, now_ms};
 use crate::store::Store;
 
 const RUNNERS: usize = 10;
@@ -18,10 +18,6 @@
 const FINISH: Duration = Duration::from_secs(14);
 const IDLE: Duration = Duration::from_secs(3);
 
-fn unix_ms() -> u64 {
-    SystemTime::UNIX_EPOCH.elapsed().expect("after 1970").as_millis() as u64
-}
-
 pub fn play(record: &mut Record, program: &str, trouble: bool) -> Verdict {
     let store = Arc::new(Store::default());
     let addr = store.serve();
@@ -39,10 +35,13 @@
     // One runner of ten goes down and up by turns.
     let runner = &runners[0];
     let crash = |record: &mut Record, back_ms: u64| {
-        let born = unix_ms() - back_ms;
+        let born = now_ms() - back_ms;
         runner.crash(born);
         store.put(&format!("servers/{}", runner.id), &runner.entry(1_000));
-        record.line(&format!("{} goes down and up again: born {born}", runner.id));
+        record.line(&format!(
+            "{} goes down and up again: born {born}",
+            runner.id
+        ));
     };
     crash(record, 0);
     let began = Instant::now();
@@ -59,15 +58,25 @@
             record.line(&format!("POST job {id}: {answer:?}"));
         }
     }
-    record.line(&format!("{} jobs of one task of 4 s were accepted", jobs.len()));
+    record.line(&format!(
+        "{} jobs of one task of 4 s were accepted",
+        jobs.len()
+    ));
     std::thread::sleep(PERIOD.saturating_sub(began.elapsed()));
-    let there: Vec<String> = jobs.iter().filter(|j| runner.is_running(j)).cloned().collect();
+    let there: Vec<String> = jobs
+        .iter()
+        .filter(|j| runner.is_running(j))
+        .cloned()
+        .collect();
     record.line(&format!("jobs on {}: {}", runner.id, there.join(" ")));
     if there.is_empty() {
         return Verdict::NotRun("no job runs on the runner".to_owned());
     }
     if trouble {
-        record.line(&format!("the time of day on the machine of {} jumps back by {JUMP_MS} ms", runner.id));
+        record.line(&format!(
+            "the time of day on the machine of {} jumps back by {JUMP_MS} ms",
+            runner.id
+        ));
     }
     crash(record, if trouble { JUMP_MS } else { 0 });
     // The traffic ends here.
@@ -76,24 +85,41 @@
     let mut idle_since: Vec<Option<Instant>> = vec![None; jobs.len()];
     while Instant::now() < end {
         for (id, since) in jobs.iter().zip(&mut idle_since) {
-            let waits = runners.iter().all(|r| !r.is_running(id) && r.counts(id).1 == 0);
-            *since = if waits { since.or(Some(Instant::now())) } else { None };
+            let waits = runners
+                .iter()
+                .all(|r| !r.is_running(id) && r.counts(id).1 == 0);
+            *since = if waits {
+                since.or(Some(Instant::now()))
+            } else {
+                None
+            };
             broken |= since.is_some_and(|at| at.elapsed() >= IDLE);
         }
         std::thread::sleep(Duration::from_millis(20));
     }
     let used: u64 = runners.iter().map(|r| r.load().1).sum();
-    record.line(&format!("{used} of {} thousandths of a core are in use", RUNNERS * 32_000));
+    record.line(&format!(
+        "{used} of {} thousandths of a core are in use",
+        RUNNERS * 32_000
+    ));
     for (id, since) in jobs.iter().zip(&idle_since) {
         let counts = runners.iter().map(|r| r.counts(id));
         let (starts, done) = counts.fold((0, 0), |sum, c| (sum.0 + c.0, sum.1 + c.1));
         let state = daemons[2].call("GET", &format!("/check/{id}"), "");
         let state = state.map_or("no answer".to_owned(), |s| s.1);
         if since.is_some() || !state.contains("completed") {
-            record.line(&format!("job {id}: {starts} starts, {done} tasks done; GET: {state}"));
+            record.line(&format!(
+                "job {id}: {starts} starts, {done} tasks done; GET: {state}"
+            ));
         }
     }
     let unseen: usize = runners.iter().map(|r| r.unseen()).sum();
-    record.line(&format!("{unseen} ends that runners list were not taken note of"));
-    if broken { Verdict::Broken } else { Verdict::Held }
+    record.line(&format!(
+        "{unseen} ends that runners list were not taken note of"
+    ));
+    if broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
-use crate::http::{self, Request};
+use crate::http::{self, Request, Server};
 use crate::json::{Json, quote};
 use crate::store::Store;
 
@@ -46,8 +46,16 @@
     /// Returns the newest checkpoint; a stop saves all work.
     fn checkpoint(&self, clock: u64, stopped: bool) -> String {
         let done = self.done_ms(clock);
-        let saved = if stopped { done } else { done / SAVE_MS * SAVE_MS };
-        if self.saves && saved > 0 { format!("{saved:0width$x}", width = CHECKPOINT_DIGITS) } else { String::new() }
+        let saved = if stopped {
+            done
+        } else {
+            done / SAVE_MS * SAVE_MS
+        };
+        if self.saves && saved > 0 {
+            format!("{saved:0width$x}", width = CHECKPOINT_DIGITS)
+        } else {
+            String::new()
+        }
     }
 }
 
@@ -62,6 +70,10 @@
     blocked: HashMap<String, u64>,
     starts: Vec<(u64, String, u64)>,
     done: Vec<(u64, String)>,
+    /// The runs: the task, the run, and when it began and ended, in milliseconds of this host.
+    spans: Vec<(String, u64, u64, Option<u64>)>,
+    /// Whether no process runs.
+    down: bool,
     /// Whether the answer to the next start is lost.
     loses_answer: bool,
     /// When the runner leaves, if it drains.
@@ -82,17 +94,35 @@
     pub rack: String,
     pub addr: SocketAddr,
     pub cpu: u64,
+    server: Server,
     life: Mutex<Life>,
     state: Mutex<State>,
     changed: Condvar,
 }
 
+/// Returns the milliseconds since 1970.
+pub fn now_ms() -> u64 {
+    SystemTime::UNIX_EPOCH
+        .elapsed()
+        .expect("after 1970")
+        .as_millis() as u64
+}
+
 fn word(spec: &str, name: &str) -> Option<u64> {
-    spec.split(' ').find_map(|w| w.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+    spec.split(' ')
+        .find_map(|w| w.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
 }
 
 impl State {
+    fn note_end(&mut self, task: &str, at: u64) {
+        let open = |s: &&mut (String, u64, u64, Option<u64>)| s.0 == task && s.3.is_none();
+        if let Some(span) = self.spans.iter_mut().find(open) {
+            span.3 = Some(at);
+        }
+    }
+
     fn end(&mut self, task: &str, how: &str, clock: u64) {
+        self.note_end(task, now_ms());
         let Some(run) = self.runs.remove(task) else {
             return;
         };
@@ -102,7 +132,13 @@
             "done" => String::new(),
             how => run.checkpoint(clock, how == "stopped"),
         };
-        let row = format!("[{},{},{},\"{how}\",{}]", self.last_end, quote(task), run.run, quote(&saved));
+        let row = format!(
+            "[{},{},{},\"{how}\",{}]",
+            self.last_end,
+            quote(task),
+            run.run,
+            quote(&saved)
+        );
         self.ends.push((self.last_end, row));
         self.blocked.insert(task.to_owned(), run.run);
         if how == "done" {
@@ -123,7 +159,10 @@
                 None
             }
         };
-        let due = self.runs.iter().filter_map(|(t, r)| Some((t.clone(), due(r)?)));
+        let due = self
+            .runs
+            .iter()
+            .filter_map(|(t, r)| Some((t.clone(), due(r)?)));
         for (task, how) in due.collect::<Vec<_>>() {
             self.end(&task, how, clock);
         }
@@ -135,29 +174,35 @@
     pub fn start(id: &str, rack: &str, cpu: u64, born: u64) -> Arc<Self> {
         let slot: Arc<Mutex<Option<Arc<Runner>>>> = Arc::default();
         let own = Arc::clone(&slot);
-        let addr = http::serve(move |request| {
+        let server = http::serve(move |request| {
             let runner = own.lock().expect("no panic").clone()?;
             runner.answer(request)
         });
         let runner = Arc::new(Self {
             id: id.to_owned(),
             rack: rack.to_owned(),
-            addr,
+            addr: server.addr,
+            server,
             cpu,
-            life: Mutex::new(Life { born, began: Instant::now() }),
+            life: Mutex::new(Life {
+                born,
+                began: Instant::now(),
+            }),
             state: Mutex::default(),
             changed: Condvar::new(),
         });
         *slot.lock().expect("no panic") = Some(Arc::clone(&runner));
         let ticked = Arc::clone(&runner);
-        std::thread::spawn(move || loop {
-            std::thread::sleep(Duration::from_millis(10));
-            let clock = ticked.clock();
-            let mut state = ticked.state.lock().expect("no panic");
-            let before = state.last_end;
-            state.advance(clock);
-            if state.last_end > before {
-                ticked.changed.notify_all();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(10));
+                let clock = ticked.clock();
+                let mut state = ticked.state.lock().expect("no panic");
+                let before = state.last_end;
+                state.advance(clock);
+                if state.last_end > before {
+                    ticked.changed.notify_all();
+                }
             }
         });
         runner
@@ -165,14 +210,13 @@
 
     /// Starts runners in racks of eight, and writes their entries to the registry until they leave.
     pub fn start_all(count: usize, store: &Arc<Store>) -> Vec<Arc<Self>> {
-        let since = SystemTime::UNIX_EPOCH.elapsed().expect("after 1970");
-        let born = since.as_millis() as u64;
+        let born = now_ms();
         let start = |i| Self::start(&format!("i-{i:010x}"), &format!("r{}", i / 8), 32_000, born);
         let runners: Vec<Arc<Self>> = (0..count).map(start).collect();
         let (beats, registry) = (runners.clone(), Arc::clone(store));
         std::thread::spawn(move || {
             for seq in 1.. {
-                for runner in beats.iter().filter(|r| !r.is_gone()) {
+                for runner in beats.iter().filter(|r| !r.is_away()) {
                     registry.put(&format!("servers/{}", runner.id), &runner.entry(seq));
                 }
                 std::thread::sleep(HEARTBEAT);
@@ -188,10 +232,38 @@
     /// Crashes and starts again under the same id, when the time of day on its machine is `born`. It holds and
     /// knows nothing of before, and its connections end.
     pub fn crash(&self, born: u64) {
+        self.go_down();
+        self.go_up(born);
+    }
+
+    /// Crashes; no process runs until the next start.
+    pub fn go_down(&self) {
+        let mut state = self.state.lock().expect("no panic");
+        for task in state.runs.keys().cloned().collect::<Vec<_>>() {
+            state.note_end(&task, now_ms());
+        }
+        state.down = true;
+        drop(state);
+        self.changed.notify_all();
+        self.server.close_connections();
+    }
+
+    /// Starts a new process under the same id.
+    pub fn go_up(&self, born: u64) {
         let mut state = self.state.lock().expect("no panic");
-        *self.life.lock().expect("no panic") = Life { born, began: Instant::now() };
-        let starts = std::mem::take(&mut state.starts);
-        *state = State { starts, ..State::default() };
+        *self.life.lock().expect("no panic") = Life {
+            born,
+            began: Instant::now(),
+        };
+        let (starts, spans) = (
+            std::mem::take(&mut state.starts),
+            std::mem::take(&mut state.spans),
+        );
+        *state = State {
+            starts,
+            spans,
+            ..State::default()
+        };
         drop(state);
         self.changed.notify_all();
     }
@@ -204,13 +276,19 @@
     pub fn entry(&self, seq: u64) -> String {
         let leaves_at = self.state.lock().expect("no panic").leaves_at;
         let state = leaves_at.map_or("\"ready\"".to_owned(), |at| {
-            format!("\"draining\",\"remaining_ms\":{}", at.saturating_sub(self.clock()))
+            format!(
+                "\"draining\",\"remaining_ms\":{}",
+                at.saturating_sub(self.clock())
+            )
         });
         format!(
             "{{\"service\":\"pool-a\",\"address\":\"{}\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":8,\"state\":{state},\
              \"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":131072,\"gpu\":8}},\"labels\":[\"a\",\"{}\"],\
              \"born\":{},\"seq\":{seq}}}",
-            self.addr, self.cpu, self.rack, self.life().born
+            self.addr,
+            self.cpu,
+            self.rack,
+            self.life().born
         )
     }
 
@@ -244,8 +322,20 @@
         state.used = 0;
     }
 
-    pub fn is_gone(&self) -> bool {
-        self.state.lock().expect("no panic").gone
+    /// Returns the runs of a job: the task, the run, and when it began and ended.
+    pub fn spans(&self, job: &str) -> Vec<(String, u64, u64, Option<u64>)> {
+        let state = self.state.lock().expect("no panic");
+        state
+            .spans
+            .iter()
+            .filter(|s| s.0.starts_with(job))
+            .cloned()
+            .collect()
+    }
+
+    fn is_away(&self) -> bool {
+        let state = self.state.lock().expect("no panic");
+        state.gone || state.down
     }
 
     /// Returns how many runs are in progress, and the processor that they take.
@@ -263,7 +353,10 @@
     pub fn counts(&self, job: &str) -> (usize, usize) {
         let state = self.state.lock().expect("no panic");
         let starts = state.starts.iter().filter(|s| s.1.starts_with(job)).count();
-        (starts, state.done.iter().filter(|d| d.1.starts_with(job)).count())
+        (
+            starts,
+            state.done.iter().filter(|d| d.1.starts_with(job)).count(),
+        )
     }
 
     /// Returns how many ends no daemon has taken note of.
@@ -277,16 +370,24 @@
         if request.opened_at < life.began {
             return None;
         }
-        if request.header("expect-instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
             return Some((421, format!("{{\"clock_ms\":{clock}}}")));
         }
         let body = Json::parse(&request.body)?;
         let mut state = self.state.lock().expect("no panic");
-        if state.gone {
+        if state.gone || state.down {
             return None;
         }
         state.advance(clock);
-        let refused = |why: &str| Some((409, format!("{{\"clock_ms\":{clock},\"reason\":\"{why}\"}}")));
+        let refused = |why: &str| {
+            Some((
+                409,
+                format!("{{\"clock_ms\":{clock},\"reason\":\"{why}\"}}"),
+            ))
+        };
         let token = body.get("fencing_token").number();
         if token < state.fence {
             return refused("fence");
@@ -303,7 +404,9 @@
                 if deadline <= clock {
                     return refused("late");
                 }
-                if run <= state.blocked.get(&task).copied().unwrap_or(0) || state.runs.contains_key(&task) {
+                if run <= state.blocked.get(&task).copied().unwrap_or(0)
+                    || state.runs.contains_key(&task)
+                {
                     state.extend(clock, deadline);
                     return refused("old");
                 }
@@ -325,7 +428,8 @@
                 };
                 state.used += cpu;
                 state.runs.insert(task.clone(), added);
-                state.starts.push((clock, task, run));
+                state.starts.push((clock, task.clone(), run));
+                state.spans.push((task, run, now_ms(), None));
                 if std::mem::take(&mut state.loses_answer) {
                     return None;
                 }
@@ -347,24 +451,42 @@
                 let seen = body.get("last_seen").number();
                 state.extend(clock, deadline);
                 state.ends.retain(|e| e.0 > seen);
-                let end = Instant::now() + Duration::from_millis(body.get("wait_ms").number().min(2_000));
-                while state.ends.is_empty() && !state.gone && self.life().began == life.began && Instant::now() < end {
+                let end =
+                    Instant::now() + Duration::from_millis(body.get("wait_ms").number().min(2_000));
+                while state.ends.is_empty()
+                    && !state.gone
+                    && !state.down
+                    && self.life().began == life.began
+                    && Instant::now() < end
+                {
                     let left = end.saturating_duration_since(Instant::now());
                     state = self.changed.wait_timeout(state, left).expect("no panic").0;
                 }
-                if self.life().began != life.began || state.gone {
+                if self.life().began != life.began || state.gone || state.down {
                     return None;
                 }
                 let clock = self.clock();
                 state.advance(clock);
                 let row = |(task, r): (&String, &Run)| {
                     let percent = (r.done_ms(clock) * 100 / r.work_ms.max(1)).min(99);
-                    format!("[{},{},{},{percent},{}]", quote(task), r.run, quote(&r.checkpoint(clock, false)), r.cpu)
+                    format!(
+                        "[{},{},{},{percent},{}]",
+                        quote(task),
+                        r.run,
+                        quote(&r.checkpoint(clock, false)),
+                        r.cpu
+                    )
                 };
                 let running: Vec<String> = state.runs.iter().map(row).collect();
                 let ends: Vec<String> = state.ends.iter().take(ENDS).map(|e| e.1.clone()).collect();
                 let (running, ends) = (running.join(","), ends.join(","));
-                Some((200, format!("{{\"clock_ms\":{clock},\"born\":{},\"running\":[{running}],\"finished\":[{ends}]}}", life.born)))
+                Some((
+                    200,
+                    format!(
+                        "{{\"clock_ms\":{clock},\"born\":{},\"running\":[{running}],\"finished\":[{ends}]}}",
+                        life.born
+                    ),
+                ))
             }
             "/pace" => Some((200, format!("{{\"clock_ms\":{clock}}}"))),
             _ => Some((400, format!("{{\"clock_ms\":{clock}}}"))),
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -2,11 +2,12 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http::{self, Request};
-use crate::json::{Json, base64, decoded_len, quote};
+use crate::json::{Json, base64, decoded_len, quote, unbase64};
 
 /// The usual time of an answer.
 const ANSWER: Duration = Duration::from_millis(4);
@@ -49,6 +50,48 @@
     largest: usize,
 }
 
+/// How one daemon sees the store.
+#[derive(Default)]
+pub struct Viewer {
+    /// Whether the daemon is cut off.
+    pub cut: Arc<AtomicBool>,
+    /// By the ports of other daemons' mesh addresses, those of this daemon's paths to them.
+    pub paths: Vec<(u16, u16)>,
+}
+
+impl Viewer {
+    fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::SeqCst)
+    }
+
+    /// Waits until a cut is over; returns whether there was one.
+    fn wait_uncut(&self) -> bool {
+        let was_cut = self.is_cut();
+        while self.is_cut() {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        was_cut
+    }
+
+    /// Returns the value of a key in which other daemons' addresses are those of this daemon's paths. Values
+    /// are CBOR, in which an address is the list of its four bytes and its port.
+    fn see(&self, key: &str, value: &str) -> String {
+        if self.paths.is_empty() || !key.starts_with("mg/live/") {
+            return value.to_owned();
+        }
+        let mut bytes = unbase64(value);
+        for (from, to) in &self.paths {
+            let addr = |port: u16| [&[0x18, 0x7f, 0, 0, 1, 0x19][..], &port.to_be_bytes()].concat();
+            let (from, to) = (addr(*from), addr(*to));
+            if let Some(at) = bytes.windows(from.len()).position(|w| w == from) {
+                bytes[at..at + to.len()].copy_from_slice(&to);
+                break;
+            }
+        }
+        base64(&bytes)
+    }
+}
+
 #[derive(Default)]
 pub struct Store {
     state: Mutex<State>,
@@ -58,7 +101,12 @@
 impl State {
     fn log(&mut self, key: &str, item: Option<Item>) {
         self.bytes += item.as_ref().map_or(0, |i| i.value.len());
-        self.events.push_back(Event { at: Instant::now(), key: key.to_owned(), revision: self.revision, item });
+        self.events.push_back(Event {
+            at: Instant::now(),
+            key: key.to_owned(),
+            revision: self.revision,
+            item,
+        });
         while let Some(old) = self.events.front()
             && (old.at.elapsed() > HISTORY || self.bytes > HISTORY_BYTES)
         {
@@ -70,7 +118,12 @@
 
     fn put(&mut self, key: &str, value: Arc<str>, lease: u64) {
         let created = self.items.get(key).map_or(self.revision, |i| i.created);
-        let item = Item { value, revision: self.revision, created, lease };
+        let item = Item {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
         self.largest = self.largest.max(decoded_len(&item.value));
         self.items.insert(key.to_owned(), item.clone());
         self.log(key, Some(item));
@@ -102,21 +155,42 @@
     }
 }
 
-fn item_json(key: &str, item: &Item) -> String {
+fn item_json(key: &str, item: &Item, viewer: &Viewer) -> String {
     format!(
         "{{\"key\":{},\"value\":\"{}\",\"revision\":{},\"created\":{},\"lease\":{}",
-        quote(key), item.value, item.revision, item.created, item.lease
+        quote(key),
+        viewer.see(key, &item.value),
+        item.revision,
+        item.created,
+        item.lease
     )
 }
 
 impl Store {
     /// Serves at a free address.
     pub fn serve(self: &Arc<Self>) -> SocketAddr {
+        self.serve_viewer(Viewer::default())
+    }
+
+    /// Serves one daemon at a free address.
+    pub fn serve_viewer(self: &Arc<Self>, viewer: Viewer) -> SocketAddr {
         let store = Arc::clone(self);
-        http::serve(move |request| {
+        let server = http::serve(move |request| {
             std::thread::sleep(ANSWER);
-            Some(store.answer(request))
-        })
+            // What a cut holds up isn't carried out, and what was carried out isn't answered.
+            let answer = (!viewer.is_cut()).then(|| store.answer(request, &viewer));
+            if viewer.wait_uncut() { None } else { answer }
+        });
+        server.addr
+    }
+
+    /// Returns the name of the owner, of daemons that are called `edge-N`.
+    pub fn owner(&self) -> Option<String> {
+        let state = self.state.lock().expect("no panic");
+        let value = unbase64(&state.items.get("mg/live/owner")?.value);
+        let text = String::from_utf8_lossy(&value).into_owned();
+        let at = text.find("edge-")?;
+        Some(text[at..at + 6].to_owned())
     }
 
     /// Writes a key of the platform or the operator.
@@ -146,10 +220,10 @@
         (state.too_large.0, state.too_large.1, state.largest)
     }
 
-    fn answer(&self, request: &Request) -> (u16, String) {
+    fn answer(&self, request: &Request, viewer: &Viewer) -> (u16, String) {
         let path = request.path().to_owned();
         if path == "/kv-watch" {
-            return self.watch(request);
+            return self.watch(request, viewer);
         }
         let mut state = self.state.lock().expect("no panic");
         state.expire();
@@ -157,7 +231,14 @@
             "/kv-key" => {
                 let key = request.query("key").unwrap_or_default();
                 match state.items.get(&key) {
-                    Some(item) => (200, format!("{},\"as_of\":{}}}", item_json(&key, item), state.revision)),
+                    Some(item) => (
+                        200,
+                        format!(
+                            "{},\"as_of\":{}}}",
+                            item_json(&key, item, viewer),
+                            state.revision
+                        ),
+                    ),
                     None => (404, format!("{{\"as_of\":{}}}", state.revision)),
                 }
             }
@@ -178,12 +259,19 @@
                         more = true;
                         break;
                     }
-                    rows.push(item_json(key, item) + "}");
+                    rows.push(item_json(key, item, viewer) + "}");
                 }
-                (200, format!("{{\"items\":[{}],\"has_more\":{more},\"as_of\":{}}}", rows.join(","), state.revision))
+                (
+                    200,
+                    format!(
+                        "{{\"items\":[{}],\"has_more\":{more},\"as_of\":{}}}",
+                        rows.join(","),
+                        state.revision
+                    ),
+                )
             }
             "/kv-txn" => match Json::parse(&request.body) {
-                Some(body) => txn(&mut state, &body),
+                Some(body) => txn(&mut state, &body, viewer),
                 None => (400, "{}".to_owned()),
             },
             "/kv-lease" => {
@@ -191,11 +279,17 @@
                 let ttl_ms = body.map_or(0, |b| b.get("ttl_ms").number()).max(1_000);
                 state.last_lease += 1;
                 let id = state.last_lease;
-                state.leases.insert(id, (ttl_ms, Instant::now() + Duration::from_millis(ttl_ms)));
+                state
+                    .leases
+                    .insert(id, (ttl_ms, Instant::now() + Duration::from_millis(ttl_ms)));
                 (200, format!("{{\"lease\":{id},\"ttl_ms\":{ttl_ms}}}"))
             }
             path => {
-                let id = path.rsplit('/').next().and_then(|w| w.parse().ok()).unwrap_or(0);
+                let id = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|w| w.parse().ok())
+                    .unwrap_or(0);
                 if path.starts_with("/kv-lease-end/") {
                     state.end_lease(id);
                     (200, "{}".to_owned())
@@ -212,9 +306,14 @@
         answer
     }
 
-    fn watch(&self, request: &Request) -> (u16, String) {
+    fn watch(&self, request: &Request, viewer: &Viewer) -> (u16, String) {
         let prefix = request.query("prefix").unwrap_or_default();
-        let number = |name: &str| request.query(name).and_then(|v| v.parse().ok()).unwrap_or(0);
+        let number = |name: &str| {
+            request
+                .query(name)
+                .and_then(|v| v.parse().ok())
+                .unwrap_or(0)
+        };
         let (after, wait_ms) = (number("after"), number("wait_ms").min(30_000));
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state.lock().expect("no panic");
@@ -227,14 +326,25 @@
             let mut rows: Vec<String> = seen
                 .filter(|e| e.key.starts_with(&prefix))
                 .map(|e| match &e.item {
-                    Some(item) => item_json(&e.key, item) + "}",
-                    None => format!("{{\"key\":{},\"revision\":{},\"tombstone\":true}}", quote(&e.key), e.revision),
+                    Some(item) => item_json(&e.key, item, viewer) + "}",
+                    None => format!(
+                        "{{\"key\":{},\"revision\":{},\"tombstone\":true}}",
+                        quote(&e.key),
+                        e.revision
+                    ),
                 })
                 .collect();
             rows.reverse();
             let left = end.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
-                return (200, format!("{{\"events\":[{}],\"as_of\":{}}}", rows.join(","), state.revision));
+                return (
+                    200,
+                    format!(
+                        "{{\"events\":[{}],\"as_of\":{}}}",
+                        rows.join(","),
+                        state.revision
+                    ),
+                );
             }
             let step = left.min(Duration::from_millis(50));
             state = self.changed.wait_timeout(state, step).expect("no panic").0;
@@ -242,15 +352,20 @@
     }
 }
 
-fn txn(state: &mut State, body: &Json) -> (u16, String) {
+fn txn(state: &mut State, body: &Json, viewer: &Viewer) -> (u16, String) {
     let expected = body.get("expected").list();
     let holds = |row: &Json| {
-        let now = state.items.get(row.get("key").text()).map_or(0, |i| i.revision);
+        let now = state
+            .items
+            .get(row.get("key").text())
+            .map_or(0, |i| i.revision);
         now == row.get("revision").number()
     };
     if !expected.iter().all(holds) {
         let keys = expected.iter().map(|r| r.get("key").text());
-        let rows: Vec<String> = keys.filter_map(|k| Some(item_json(k, state.items.get(k)?) + "}")).collect();
+        let rows: Vec<String> = keys
+            .filter_map(|k| Some(item_json(k, state.items.get(k)?, viewer) + "}"))
+            .collect();
         return (412, format!("{{\"items\":[{}]}}", rows.join(",")));
     }
     let (puts, deletes) = (body.get("puts").list(), body.get("deletes").list());
@@ -262,17 +377,28 @@
         return (403, "{}".to_owned());
     }
     let lease_of = |row: &Json| row.get("lease").number();
-    if puts.iter().any(|p| lease_of(p) != 0 && !state.leases.contains_key(&lease_of(p))) {
+    if puts
+        .iter()
+        .any(|p| lease_of(p) != 0 && !state.leases.contains_key(&lease_of(p)))
+    {
         return (404, "{}".to_owned());
     }
-    let longest = puts.iter().map(|p| decoded_len(p.get("value").text())).max().unwrap_or(0);
+    let longest = puts
+        .iter()
+        .map(|p| decoded_len(p.get("value").text()))
+        .max()
+        .unwrap_or(0);
     if longest > VALUE_LIMIT {
         state.too_large = (state.too_large.0 + 1, state.too_large.1.max(longest));
         return (400, "{}".to_owned());
     }
     state.revision += 1;
     for row in puts {
-        state.put(row.get("key").text(), row.get("value").text().into(), lease_of(row));
+        state.put(
+            row.get("key").text(),
+            row.get("value").text().into(),
+            lease_of(row),
+        );
     }
     for key in deletes {
         state.delete(key.text());
