--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -36,7 +36,7 @@
 
     pub fn line(&mut self, text: &str) {
         let line = format!("{:8.3} s  {text}", self.began.elapsed().as_secs_f64());
-        println!("{line}");
+        let _ = writeln!(std::io::stdout(), "{line}");
         let _ = writeln!(self.file, "{line}");
     }
 
