review: give each daemon of a script a loopback address of its own

A play of case 10 in a fresh clone ended with 2: a path of the stand-ins had taken the port that was set aside for a daemon. Each daemon now has an address that nothing else uses.

--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -63,10 +63,15 @@
     }
 }
 
-/// Returns free loopback addresses, four for each daemon.
+/// Returns free addresses, four for each daemon. Each daemon has a loopback address of its own, on which no
+/// other process listens or connects while the daemon is down.
 fn free_addrs(daemons: usize) -> Vec<[SocketAddr; 4]> {
-    let listen =
-        |_| std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    let process = std::process::id();
+    let (high, low) = (1 + process / 250 % 250, 1 + process % 250);
+    let listen = |i: usize| {
+        let any_port = format!("127.{high}.{low}.{}:0", i + 1);
+        std::array::from_fn(|_| TcpListener::bind(&any_port).expect("a free port"))
+    };
     let listeners: Vec<[TcpListener; 4]> = (0..daemons).map(listen).collect();
     let addrs = listeners
         .iter()
@@ -107,7 +112,7 @@
             let seeds: Vec<String> = paths.iter().map(|p| format!("\"{}\"", p.1)).collect();
             let viewer = Viewer {
                 cut: Arc::clone(&cuts[i]),
-                paths: paths.iter().map(|p| (p.0.port(), p.1.port())).collect(),
+                paths,
             };
             let store = store.serve_viewer(viewer);
             daemons.push(Self::new(
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -55,8 +55,8 @@
 pub struct Viewer {
     /// Whether the daemon is cut off.
     pub cut: Arc<AtomicBool>,
-    /// By the ports of other daemons' mesh addresses, those of this daemon's paths to them.
-    pub paths: Vec<(u16, u16)>,
+    /// By other daemons' mesh addresses, the addresses of this daemon's paths to them.
+    pub paths: Vec<(SocketAddr, SocketAddr)>,
 }
 
 impl Viewer {
@@ -81,10 +81,9 @@
         }
         let mut bytes = unbase64(value);
         for (from, to) in &self.paths {
-            let addr = |port: u16| [&[0x18, 0x7f, 0, 0, 1, 0x19][..], &port.to_be_bytes()].concat();
-            let (from, to) = (addr(*from), addr(*to));
+            let (from, to) = (encode(*from), encode(*to));
             if let Some(at) = bytes.windows(from.len()).position(|w| w == from) {
-                bytes[at..at + to.len()].copy_from_slice(&to);
+                bytes.splice(at..at + from.len(), to);
                 break;
             }
         }
@@ -92,6 +91,23 @@
     }
 }
 
+/// Returns an IPv4 address as the daemons encode it.
+fn encode(addr: SocketAddr) -> Vec<u8> {
+    let mut bytes = vec![0x84];
+    if let SocketAddr::V4(v4) = addr {
+        for octet in v4.ip().octets() {
+            bytes.extend(if octet < 24 {
+                vec![octet]
+            } else {
+                vec![0x18, octet]
+            });
+        }
+    }
+    bytes.push(0x19);
+    bytes.extend(addr.port().to_be_bytes());
+    bytes
+}
+
 #[derive(Default)]
 pub struct Store {
     state: Mutex<State>,
