Split job records, and set aside what the store refuses for good

Cause: the limit on a job counts tasks, but its record, one value of the store, also grows with checkpoints, starts without a response and failed runs, which have no bound in bytes. Past 1,048,576 bytes the store refuses the transaction with status 400. That was handled like 503: the owner repeated the transaction for good, with all other changes in it.

Change: a record is split into values of 1,024 tasks; those that have changed are written in one transaction, so a record is never stored in part. A value takes at most 768 KiB of progress; beyond that the largest checkpoints are left out of the record. Failed runs of endless tasks, crashes and the texts of a job have bounds. A refusal for the content (Fault::Invalid) is told from one for now: the owner writes one record at a time until it knows the one that is refused, sets it aside and later tries it alone. Completions that changed it aren't acknowledged meanwhile, so no task that is done can start again; no wait ends sooner than before. The simulated store refuses what the store would refuse.

--- a/marigoldglade/src/batch/engine.rs
+++ b/marigoldglade/src/batch/engine.rs
@@ -40,7 +40,7 @@
 use crate::batch::messages::{Call, Reply};
 use crate::batch::pack::RackKey;
 use crate::batch::policy::{Policy, Queue};
-use crate::batch::record::Record;
+use crate::batch::record::{Record, RecordKey, RecordPart};
 use crate::batch::refused::RefusedJobs;
 use crate::batch::run_times::RunTimes;
 use crate::batch::succession::OWNER_LEASE_MS;
@@ -118,6 +118,8 @@
     Committed,
     /// The commit has no effect and can't take effect later.
     NotCommitted,
+    /// The store refuses the commit for what it contains, and would do so again.
+    Invalid,
     /// A newer owner has written to the store, so this one must step down.
     Fenced,
 }
@@ -160,8 +162,10 @@
     pub number: u64,
     /// Job records to write.
     pub puts: Vec<Record>,
-    /// Jobs whose records are deleted.
-    pub deletes: Vec<JobId>,
+    /// Further values of job records to write.
+    pub parts: Vec<RecordPart>,
+    /// Values of job records that are deleted.
+    pub deletes: Vec<RecordKey>,
     /// Keys of the inbox entries that have been applied and are deleted.
     pub handled: Vec<String>,
     /// The workers that may run something, if the list changed.
@@ -257,8 +261,12 @@
     evacuated: BTreeSet<String>,
     /// Jobs with changes that aren't durable.
     dirty_jobs: BTreeSet<JobKey>,
-    /// Jobs whose records are still to be deleted from the store.
-    deletes: Vec<JobId>,
+    /// Values of job records that are still to be deleted from the store, those of a job's own keys last.
+    deletes: Vec<RecordKey>,
+    /// The job whose record didn't fit into the last commit, and goes into the next one first.
+    deferred: Option<JobKey>,
+    /// Until when a commit has only one job record, to find the one that the store refuses.
+    single_until: UnixMs,
     /// Keys of inbox entries that have been applied and are still to be deleted from the store.
     handled: BTreeSet<String>,
     /// Submissions that are refused, or were in the last minutes.
@@ -354,6 +362,8 @@
             evacuated: BTreeSet::new(),
             dirty_jobs: BTreeSet::new(),
             deletes: Vec::new(),
+            deferred: None,
+            single_until: now,
             handled: BTreeSet::new(),
             refusals: Refusals::default(),
             silent_runs: HashMap::new(),
--- a/marigoldglade/src/batch/engine/calls.rs
+++ b/marigoldglade/src/batch/engine/calls.rs
@@ -87,11 +87,13 @@
         })
     }
 
-    pub(super) fn add_job(&mut self, job: Job) -> JobKey {
+    pub(super) fn add_job(&mut self, mut job: Job) -> JobKey {
         self.last_job += 1;
         let key = JobKey(self.last_job);
         // The record of an earlier job with the id is overwritten instead.
-        self.deletes.retain(|id| *id != job.record.id);
+        let id = job.record.id;
+        let old = self.deletes.extract_if(.., |k| k.job == id);
+        job.keep_parts(old.map(|k| k.part).filter(|part| *part > 0));
         self.job_ids.insert(job.record.id, key);
         self.jobs.insert(key, job);
         key
@@ -245,7 +247,7 @@
             if let Some(job) = self.jobs.remove(&key) {
                 log::info!(job = job.record.id.as_str(), term = self.term, ended_ms = wall_ms.saturating_sub(job.record.ended_at); "record of an ended job is deleted");
                 self.job_ids.remove(&job.record.id);
-                self.deletes.push(job.record.id);
+                self.deletes.extend(job.record_keys());
             }
         }
         self.forget_silent_runs();
--- a/marigoldglade/src/batch/engine/commit.rs
+++ b/marigoldglade/src/batch/engine/commit.rs
@@ -1,10 +1,12 @@
 //! Group commits, one at a time, and the replies and acknowledgements that wait for each.
 
+use std::collections::HashSet;
+
 use crate::batch::commit_order::{self, Change, Reason};
 use crate::batch::engine::acks::CommitMark;
 use crate::batch::engine::{Action, Batch, CommitOutcome, Engine, JobKey, WorkerKey};
 use crate::batch::messages::Reply;
-use crate::batch::record::State;
+use crate::batch::record::{RecordKey, State};
 use crate::time::UnixMs;
 
 /// The size at which a commit takes no further records, in bytes: a fraction of the store's largest
@@ -13,6 +15,11 @@
 /// The minimum time between the starts of two commits, in milliseconds; it bounds the owner's share
 /// of the store's writes.
 const COMMIT_GAP_MS: u64 = 20;
+/// How long a record that the store can't take isn't written again, in milliseconds.
+const REFUSED_MS: u64 = 5_000;
+/// How long commits have one record each after the store refused one for its content, in milliseconds: time
+/// for all the jobs of that commit.
+const SINGLE_MS: u64 = 5_000;
 /// How long submissions get [`Reply::NotOwner`] after the store refused a commit, in milliseconds.
 const CLOSED_MS: u64 = 500;
 
@@ -23,11 +30,13 @@
     /// The jobs whose records it writes, with the number of changes and the state that it makes
     /// durable.
     jobs: Vec<(JobKey, u64, State)>,
+    /// The further values of these records that it writes: their numbers and digests.
+    parts: Vec<(JobKey, u32, u64)>,
     /// The workers whose completions it makes durable: the start time of the worker's process, and
     /// how far.
     completions: Vec<(WorkerKey, u64, CommitMark)>,
     handled: Vec<String>,
-    deletes: Vec<crate::batch::id::JobId>,
+    deletes: Vec<RecordKey>,
     /// The workers on the list that it writes, with the start times of their processes; `None` if it
     /// writes no list.
     workers: Option<Vec<(WorkerKey, u64)>>,
@@ -82,6 +91,7 @@
             number: self.last_commit,
             started_at: self.now,
             jobs: Vec::new(),
+            parts: Vec::new(),
             completions: Vec::new(),
             handled: Vec::new(),
             deletes: Vec::new(),
@@ -91,37 +101,22 @@
         let learned = usize::from(self.is_record_due());
         let entry_limit =
             self.bounds.commit_entries - usize::from(batch.refused.is_some()) - learned;
-        let changes: Vec<Change> = self
-            .dirty_jobs
-            .iter()
-            .filter_map(|k| self.change(*k))
-            .collect();
-        let mut covers_all = changes.len() <= entry_limit;
-        let mut bytes = 0;
-        for key in &commit_order::select(changes, entry_limit) {
-            if bytes >= BYTE_LIMIT {
-                covers_all = false;
-                break;
-            }
-            let Some(job) = self.jobs.get(key) else {
-                continue;
-            };
-            let record = job.to_record();
-            bytes += record.spec.text.len() + 64 * record.tasks.len();
-            pending.jobs.push((*key, job.changes, record.state));
-            batch.puts.push(record);
-        }
+        let covers_all = self.add_records(entry_limit, &mut batch, &mut pending);
         // Completions become durable only once every record that they changed is written.
         if covers_all {
+            let held = self.held_completions();
             for key in self.worker_keys() {
                 let worker = self.worker(key);
-                if let Some(mark) = worker.acks.mark() {
-                    let started_at = worker.target.started_at;
+                let started_at = worker.target.started_at;
+                if let Some(mark) = worker.acks.mark()
+                    && !held.contains(&(key, started_at))
+                {
                     pending.completions.push((key, started_at, mark));
                 }
             }
         }
-        let entries_left = entry_limit - batch.puts.len();
+        let entries = batch.puts.len() + batch.parts.len();
+        let entries_left = entry_limit.saturating_sub(entries);
         batch.handled = self
             .handled
             .iter()
@@ -172,6 +167,83 @@
         out.push(Action::Commit(batch));
     }
 
+    /// Adds the records of the jobs with changes to a commit, as far as they fit. Returns whether the commit covers
+    /// all changes, but for those of records that the store can't take.
+    fn add_records(
+        &mut self,
+        entry_limit: usize,
+        batch: &mut Batch,
+        pending: &mut PendingCommit,
+    ) -> bool {
+        let now = self.now;
+        let writable = |key: &&JobKey| {
+            let job = self.jobs.get(key);
+            job.is_some_and(|j| j.refused_until.passed(now))
+        };
+        let dirty = self.dirty_jobs.iter().filter(writable);
+        let changes: Vec<Change> = dirty.filter_map(|k| self.change(*k)).collect();
+        let single = !self.single_until.passed(now);
+        let job_limit = if single {
+            entry_limit.min(1)
+        } else {
+            entry_limit
+        };
+        let count = changes.len();
+        let mut covers_all = count <= job_limit;
+        let first = self.deferred.take();
+        let first = first.filter(|key| changes.iter().any(|c| c.job == *key));
+        let selected = commit_order::select(changes, job_limit);
+        let others = selected.into_iter().filter(|key| Some(*key) != first);
+        let mut bytes = 0;
+        let mut entries = 0;
+        for key in first.into_iter().chain(others).take(job_limit) {
+            if bytes >= BYTE_LIMIT {
+                covers_all = false;
+                break;
+            }
+            let Some(job) = self.jobs.get_mut(&key) else {
+                continue;
+            };
+            let values = match job.to_values() {
+                Ok(values) => values,
+                Err(size) => {
+                    log::error!(job = job.record.id.as_str(), term = self.term, size; "a job's record is too large for the store; its changes aren't recorded");
+                    job.refused_until = now.after(REFUSED_MS);
+                    continue;
+                }
+            };
+            let more = 1 + values.parts.len();
+            let alone = job.is_suspect;
+            if entries > 0 && (alone || entries + more > entry_limit) {
+                self.deferred = Some(key);
+                covers_all = false;
+                break;
+            }
+            entries += more;
+            bytes += values.bytes;
+            pending.jobs.push((key, job.changes, values.record.state));
+            let parts = values.digests.into_iter();
+            pending
+                .parts
+                .extend(parts.map(|(part, digest)| (key, part, digest)));
+            batch.puts.push(values.record);
+            batch.parts.extend(values.parts);
+            if alone {
+                covers_all &= count == 1;
+                break;
+            }
+        }
+        covers_all
+    }
+
+    /// Returns the processes of workers whose completions have changed records that the store can't take: they
+    /// aren't durable.
+    fn held_completions(&self) -> HashSet<(WorkerKey, u64)> {
+        let dirty = self.dirty_jobs.iter().filter_map(|key| self.jobs.get(key));
+        let refused = dirty.filter(|j| !j.refused_until.passed(self.now));
+        refused.flat_map(|j| j.reporters.iter().copied()).collect()
+    }
+
     /// Processes the outcome of a commit.
     pub(super) fn finish_commit(
         &mut self,
@@ -185,6 +257,7 @@
         match outcome {
             CommitOutcome::Committed => self.apply_commit(&pending, out),
             CommitOutcome::NotCommitted => self.handle_failed_commit(&pending, out),
+            CommitOutcome::Invalid => self.set_aside(&pending, out),
             CommitOutcome::Fenced => {
                 log::warn!(term = self.term; "a newer owner has written to the store");
                 out.push(Action::StepDown);
@@ -221,6 +294,7 @@
                 log::info!(job = job.record.id.as_str(), state = name, commit = pending.number, age_ms = self.now.since(job.accepted_at); "job ended");
             }
             job.durable_changes = *changes;
+            job.is_suspect = false;
             job.durable_state = Some(*state);
             for call_id in job.submit_calls.drain(..) {
                 out.push(Action::Reply(call_id, Reply::Accepted));
@@ -230,6 +304,9 @@
                     out.push(Action::Reply(call_id, Reply::Cancelled));
                 }
             }
+            let parts = pending.parts.iter().filter(|(owner, ..)| owner == key);
+            job.part_digests
+                .extend(parts.map(|(_, part, digest)| (*part, *digest)));
             if job.durable_changes == job.changes {
                 self.dirty_jobs.remove(key);
                 job.reporters.clear();
@@ -293,13 +370,41 @@
         self.dirty_jobs.remove(&key);
     }
 
+    /// Finds the record that the store refuses for its content, so that it holds back no other change.
+    fn set_aside(&mut self, pending: &PendingCommit, out: &mut Vec<Action>) {
+        let (now, term) = (self.now, self.term);
+        log::error!(commit = pending.number, term, records = pending.jobs.len(); "the store refuses a commit for its content");
+        let [(key, ..)] = pending.jobs.as_slice() else {
+            if pending.jobs.is_empty() {
+                return self.handle_failed_commit(pending, out);
+            }
+            self.single_until = now.after(SINGLE_MS);
+            self.repeat_lists(pending);
+            return;
+        };
+        self.repeat_lists(pending);
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.durable_state.is_none() {
+            return self.refuse_unstored(*key, "record-refused", out);
+        }
+        log::error!(job = job.record.id.as_str(), term; "the store refuses a job's record; its changes aren't recorded");
+        (job.is_suspect, job.refused_until) = (true, now.after(REFUSED_MS));
+    }
+
+    /// Has the lists that a failed commit would have written be written again.
+    fn repeat_lists(&mut self, pending: &PendingCommit) {
+        self.workers_dirty |= pending.workers.is_some();
+        self.withdraw_announcement(pending.number);
+    }
+
     /// Removes the jobs whose acceptance failed; the other changes go into the next commit.
     fn handle_failed_commit(&mut self, pending: &PendingCommit, out: &mut Vec<Action>) {
         log::warn!(commit = pending.number, term = self.term; "the store refused a commit");
         self.closed_until = self.now.after(CLOSED_MS);
         self.commit_after = self.now.after(CLOSED_MS / 4);
-        self.workers_dirty |= pending.workers.is_some();
-        self.withdraw_announcement(pending.number);
+        self.repeat_lists(pending);
         for (key, ..) in &pending.jobs {
             let unstored = |j: &super::job::Job| j.durable_state.is_none();
             if self.jobs.get(key).is_some_and(unstored) {
--- a/marigoldglade/src/batch/engine/completions.rs
+++ b/marigoldglade/src/batch/engine/completions.rs
@@ -10,6 +10,9 @@
 /// The pause before a failed task is started again, in milliseconds.
 const RETRY_MS: u64 = 50;
 
+/// How many failed runs of an endless task are remembered.
+const ENDLESS_FAILS: usize = 8;
+
 impl Engine {
     /// Applies a completion that a worker reports.
     pub(super) fn apply_completion(&mut self, key: WorkerKey, completion: &Completion) {
@@ -150,6 +153,10 @@
             if !task.failed_runs.contains(&completion.run) {
                 task.failed_runs.push(completion.run);
             }
+            // Nothing counts all of them, and the record must not grow without end.
+            if step.endless && task.failed_runs.len() > ENDLESS_FAILS {
+                task.failed_runs.remove(0);
+            }
             task.avoid(key);
             task.retry_at = retry_at;
         }
--- a/marigoldglade/src/batch/engine/crashes.rs
+++ b/marigoldglade/src/batch/engine/crashes.rs
@@ -31,6 +31,9 @@
 /// How long the start of a trial waits for a report, in milliseconds: as long as a worker may hold it back,
 /// and an order's timeout.
 pub(super) const TRIAL_WAIT_MS: u64 = 2_000;
+/// How many crashes under a task are remembered: more than it is given up for. Those under trials are kept
+/// longest.
+const CRASHES_KEPT: usize = 16;
 /// The weight of a crash under the only new run on its worker.
 const ONLY_WEIGHT: u32 = 2;
 /// The weight of a crash that another run may have caused.
@@ -352,6 +355,10 @@
             self.change_task(&run.task, |task| {
                 task.lost_runs.retain(|l| l.run != crash.run);
                 task.crashes.push(crash);
+                if task.crashes.len() > CRASHES_KEPT {
+                    let other = task.crashes.iter().position(|c| !c.certain);
+                    task.crashes.remove(other.unwrap_or(0));
+                }
                 task.suspect(now);
             });
             self.give_up_crashing(&run.task);
--- a/marigoldglade/src/batch/engine/job.rs
+++ b/marigoldglade/src/batch/engine/job.rs
@@ -1,11 +1,16 @@
 //! Jobs, rounds, steps and tasks as the owner keeps them in memory.
 
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hasher as _};
+
 use crate::batch::engine::gone::GoneRun;
 use crate::batch::engine::late_starts::Binding;
 use crate::batch::engine::{CallId, WorkerKey};
 use crate::batch::id::TaskId;
 use crate::batch::messages::JobStatus;
-use crate::batch::record::{Crash, LostRun, Record, State, TaskProgress};
+use crate::batch::record::{
+    Crash, LostRun, Record, RecordKey, RecordPart, State, TaskProgress, VALUE_LIMIT_BYTES,
+};
 use crate::batch::spec::Step;
 use crate::time::UnixMs;
 
@@ -78,6 +83,12 @@
     /// The workers whose completions changed the job, with the start times of their processes, until
     /// all changes are durable.
     pub reporters: Vec<(WorkerKey, u64)>,
+    /// The digests of the further values that hold the record, by their numbers; zero if the content isn't known.
+    pub part_digests: BTreeMap<u32, u64>,
+    /// Whether the store has refused the record for its content, so that it is written with no other one.
+    pub is_suspect: bool,
+    /// Until when the record isn't written because the store can't take it.
+    pub refused_until: UnixMs,
     /// The state on record; `None` until the acceptance is durable.
     pub durable_state: Option<State>,
     /// Since when it has had nothing running although a task's turn has come.
@@ -92,6 +103,24 @@
     pub cancel_calls: Vec<CallId>,
 }
 
+/// What is to be written of a job's record.
+pub(super) struct RecordValues {
+    pub record: Record,
+    /// The further values that have changed.
+    pub parts: Vec<RecordPart>,
+    /// Their numbers and digests.
+    pub digests: Vec<(u32, u64)>,
+    /// The size of all these values.
+    pub bytes: usize,
+}
+
+/// Returns a digest of a value, which isn't zero.
+fn digest(value: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(value);
+    hasher.finish().max(1)
+}
+
 impl Task {
     /// Returns whether there is anything to record about the task.
     fn has_progress(&self) -> bool {
@@ -116,6 +145,7 @@
     /// Creates a job from its record.
     pub fn new(mut record: Record, accepted_at: UnixMs, inherited: bool) -> Self {
         let progress = std::mem::take(&mut record.tasks);
+        let stored_parts = std::mem::take(&mut record.stored_parts);
         let spec = &record.spec;
         let step = |s: &Step| StepState {
             tasks: vec![
@@ -158,6 +188,9 @@
             changes: 1,
             durable_changes: 0,
             reporters: Vec::new(),
+            part_digests: stored_parts.into_iter().map(|part| (part, 0)).collect(),
+            is_suspect: false,
+            refused_until: UnixMs(0),
             durable_state: None,
             idle_since: accepted_at,
             started,
@@ -273,8 +306,65 @@
         })
     }
 
+    /// Notes further values of an earlier record with the id, which are overwritten with the next commit.
+    pub fn keep_parts(&mut self, parts: impl Iterator<Item = u32>) {
+        self.part_digests.extend(parts.map(|part| (part, 0)));
+    }
+
+    /// Returns the keys of all values that hold the record, that of the job itself last: the others mean nothing
+    /// without it.
+    pub fn record_keys(&self) -> impl Iterator<Item = RecordKey> {
+        let job = self.record.id;
+        let parts = self.part_digests.keys().copied().chain([0]);
+        parts.map(move |part| RecordKey { job, part })
+    }
+
+    /// Returns what is to be written of the record: the job's own value, and the further values that have changed.
+    ///
+    /// # Errors
+    ///
+    /// The size of the value that is too large for the store.
+    pub fn to_values(&self) -> Result<RecordValues, usize> {
+        let mut record = self.to_record();
+        let mut parts = record.split();
+        let emptied = |part: &u32| parts.iter().all(|p| p.key.part != *part);
+        let emptied: Vec<u32> = self.part_digests.keys().copied().filter(emptied).collect();
+        parts.extend(emptied.into_iter().map(|part| RecordPart {
+            key: RecordKey {
+                job: record.id,
+                part,
+            },
+            accepted_at: record.accepted_at,
+            tasks: Vec::new(),
+        }));
+        let head = record.encode().map_or(usize::MAX, |bytes| bytes.len());
+        let mut values = RecordValues {
+            bytes: head,
+            record,
+            parts: Vec::new(),
+            digests: Vec::new(),
+        };
+        let mut largest = head;
+        for part in parts {
+            let Ok(value) = part.encode() else {
+                return Err(usize::MAX);
+            };
+            largest = largest.max(value.len());
+            let (number, digest) = (part.key.part, digest(&value));
+            if self.part_digests.get(&number) != Some(&digest) {
+                values.bytes += value.len();
+                values.digests.push((number, digest));
+                values.parts.push(part);
+            }
+        }
+        if largest > VALUE_LIMIT_BYTES {
+            return Err(largest);
+        }
+        Ok(values)
+    }
+
     /// Returns the record to write, with the states of the tasks.
-    pub fn to_record(&self) -> Record {
+    fn to_record(&self) -> Record {
         let mut record = self.record.clone();
         let rounds = (0u32..).zip(&self.rounds);
         for (round, r) in rounds {
--- a/marigoldglade/src/batch/spec.rs
+++ b/marigoldglade/src/batch/spec.rs
@@ -9,8 +9,12 @@
 pub const TEXT_LIMIT_BYTES: usize = 4_000;
 /// The largest number of steps in a job; it keeps a record far below the store's value limit.
 pub const STEP_LIMIT: usize = 256;
-/// The largest number of tasks in all rounds of a job: its record must fit in a value of 1 MB.
+/// The largest number of tasks in all rounds of a job: all values of its record must fit in one transaction.
 pub const TASK_LIMIT: u64 = 16_384;
+/// The largest size of a job's text and steps in its record, in bytes: half of the store's largest value.
+pub const SPEC_LIMIT_BYTES: usize = 512 << 10;
+/// What a step takes in the record besides its texts, in bytes.
+const STEP_BYTES: usize = 400;
 
 /// A job as the caller specified it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,6 +84,25 @@
 }
 
 impl JobSpec {
+    /// Returns an upper bound of the encoded size, in bytes.
+    #[must_use]
+    pub fn text_bytes(&self) -> usize {
+        let step = |s: &Step| {
+            let numbers = s.depends_on.len() * 3;
+            STEP_BYTES + s.label.len() + s.near_rack.len() + s.image.len() + numbers
+        };
+        self.text.len() + self.steps.iter().map(step).sum::<usize>()
+    }
+
+    /// Returns the number of a task, counted from zero through the steps of all rounds.
+    #[must_use]
+    pub fn task_number(&self, round: u32, step: u16, index: u32) -> u32 {
+        let count = |steps: &[Step]| steps.iter().fold(0u32, |n, s| n.saturating_add(s.count));
+        let before = self.steps.get(..usize::from(step)).unwrap_or(&self.steps);
+        let rounds = round.saturating_mul(count(&self.steps));
+        rounds.saturating_add(count(before)).saturating_add(index)
+    }
+
     /// Returns the number of rounds, at least one.
     #[must_use]
     pub fn round_count(&self) -> u32 {
@@ -122,6 +145,11 @@
         if self.steps.is_empty() || self.steps.len() > STEP_LIMIT {
             return bad(format!("steps: expected 1 to {STEP_LIMIT}"));
         }
+        if self.text_bytes() > SPEC_LIMIT_BYTES {
+            return bad(format!(
+                "steps: expected at most {SPEC_LIMIT_BYTES} bytes in all texts and steps"
+            ));
+        }
         if self.rounds > 1 && self.period_ms == 0 {
             return bad("the interval between rounds must be above 0".to_owned());
         }
--- a/marigoldglade/src/config_accept.rs
+++ b/marigoldglade/src/config_accept.rs
@@ -135,7 +135,7 @@
             }) => done,
             // A reply of another type doesn't tell whether the call took effect.
             Ok(_) | Err(Fault::Unknown) => return self.retry(now, self.writing),
-            Err(Fault::NotSent | Fault::Refused) => return self.retry(now, false),
+            Err(Fault::NotSent | Fault::Refused | Fault::Invalid) => return self.retry(now, false),
         };
         if self.writing && done.held {
             return Action::Finish(Verdict::Accepted(self.document.clone()));
--- a/marigoldglade/src/store.rs
+++ b/marigoldglade/src/store.rs
@@ -179,6 +179,8 @@
     Unknown,
     /// The service refused the call, which had no effect.
     Refused,
+    /// The service refused the call for what it contains, and would do so again.
+    Invalid,
 }
 
 /// A way to make calls to the service.
--- a/marigoldglade/src/store_client.rs
+++ b/marigoldglade/src/store_client.rs
@@ -260,8 +260,10 @@
         match result {
             Ok(reply) => self.finish(call, Ok(reply), out),
             // The refusal is the result only if no other attempt may have taken effect.
-            Err(Fault::Refused) if !pending.may_have_effect && pending.attempts.is_empty() => {
-                self.finish(call, Err(Fault::Refused), out);
+            Err(fault @ (Fault::Refused | Fault::Invalid))
+                if !pending.may_have_effect && pending.attempts.is_empty() =>
+            {
+                self.finish(call, Err(fault), out);
             }
             Err(fault) => {
                 pending.may_have_effect |= fault == Fault::Unknown;
@@ -299,7 +301,7 @@
         let before = breaker.state() == State::Closed;
         let probe = attempt.call.is_none();
         match result {
-            Ok(_) | Err(Fault::Refused) => breaker.record_success(probe),
+            Ok(_) | Err(Fault::Refused | Fault::Invalid) => breaker.record_success(probe),
             // A watch lasts long, so that one that breaks says little about other calls.
             Err(Fault::Unknown) if !attempt.counted => {}
             Err(_) => breaker.record_failure(now, probe, &mut self.rng),
--- a/marigoldglade/src/writer.rs
+++ b/marigoldglade/src/writer.rs
@@ -188,7 +188,9 @@
                 ..
             }) => self.handle_result(now, flight, result, out),
             Ok(_) | Err(Fault::Unknown) => self.handle_failure(now, flight, true, out),
-            Err(Fault::NotSent | Fault::Refused) => self.handle_failure(now, flight, false, out),
+            Err(Fault::NotSent | Fault::Refused | Fault::Invalid) => {
+                self.handle_failure(now, flight, false, out);
+            }
         }
     }
 
--- a/marigoldglade/tests/batch/world.rs
+++ b/marigoldglade/tests/batch/world.rs
@@ -15,7 +15,7 @@
 use marigoldglade::batch::id::{JobId, TaskId};
 use marigoldglade::batch::messages::{Call, JobStatus, Reply, Submission};
 use marigoldglade::batch::policy::{AdviceLatency, Policy, Pool, Queue, Workspace};
-use marigoldglade::batch::record::{Record, State};
+use marigoldglade::batch::record::{self, Record, RecordKey, RecordPart, State, VALUE_LIMIT_BYTES};
 use marigoldglade::batch::spec::{JobSpec, Step};
 use marigoldglade::batch::worker::{
     Order, OrderResponse, Outcome, Refusal, Renewal, Report, Resources, Start, Target,
@@ -151,6 +151,8 @@
     pub seq: u64,
     pub term: u64,
     pub records: BTreeMap<JobId, Record>,
+    /// The further values of the records.
+    pub parts: BTreeMap<RecordKey, RecordPart>,
     /// The workers that a new owner must hear from.
     pub stored_workers: Vec<Target>,
     /// The stored record of learned run times.
@@ -167,6 +169,8 @@
     /// The owners that the store turns away: their commits are refused, and they see no new entries of the
     /// inbox.
     pub turned_away: BTreeSet<usize>,
+    /// Jobs whose records the store refuses for their content.
+    pub refused_records: BTreeSet<JobId>,
     /// The age of the store's last confirmation of an ownership, in milliseconds.
     pub confirm_ms: u64,
     /// Whether the store leaves commits without an answer; it carries them out when it is back.
@@ -357,6 +361,7 @@
             seq: 0,
             term: 0,
             records: BTreeMap::new(),
+            parts: BTreeMap::new(),
             stored_workers: Vec::new(),
             learned: None,
             inbox: Vec::new(),
@@ -365,6 +370,7 @@
             stored_at: HashMap::new(),
             store_down: false,
             turned_away: BTreeSet::new(),
+            refused_records: BTreeSet::new(),
             confirm_ms: 0,
             store_silent: false,
             store_ms: 0,
@@ -436,13 +442,20 @@
         self.scheduled.insert(self.last_scheduled, item);
     }
 
+    /// Returns the stored records with what their further values hold.
+    pub fn load_records(&self) -> Vec<Record> {
+        let mut records: Vec<Record> = self.records.values().cloned().collect();
+        record::join(&mut records, self.parts.values().cloned().collect());
+        records
+    }
+
     /// Adds a new owner; earlier ones that are alive continue until something fences them.
     pub fn elect(&mut self) -> usize {
         self.term += 1;
         self.seq += 1;
         let initial = InitialState {
             term: self.term,
-            records: self.records.values().cloned().collect(),
+            records: self.load_records(),
             workers: self.stored_workers.clone(),
             evacuated: self.evacuations.keys().cloned().collect(),
             has_predecessors: self.term > 1,
@@ -1108,8 +1121,11 @@
                                 "{id} was started again before its completion was acknowledged"
                             );
                             self.acked_tasks.insert(*id);
-                            let record = &self.records[&id.job];
-                            let kept = record.tasks.iter().any(|t| {
+                            let parts = self.parts.values().filter(|p| p.key.job == id.job);
+                            let mut tasks = parts
+                                .flat_map(|p| &p.tasks)
+                                .chain(&self.records[&id.job].tasks);
+                            let kept = tasks.any(|t| {
                                 t.done
                                     && (t.round, t.step, t.index) == (id.round, id.step, id.index)
                             });
@@ -1218,6 +1234,25 @@
         }
         self.seq += 1;
         self.owners[owner].seq = self.seq;
+        let refused = batch
+            .puts
+            .iter()
+            .any(|r| self.refused_records.contains(&r.id));
+        if refused || largest_value(&batch) > VALUE_LIMIT_BYTES {
+            self.schedule(
+                self.now + 5,
+                Scheduled::Event(
+                    owner,
+                    Box::new(Event::CommitOutcome(number, CommitOutcome::Invalid)),
+                ),
+            );
+            return;
+        }
+        let entries = batch.puts.len() + batch.parts.len();
+        assert!(
+            entries <= self.bounds.commit_entries,
+            "{entries} records in a commit"
+        );
         for record in batch.puts {
             if record.state == State::Done {
                 for (s, step) in record.spec.steps.iter().enumerate() {
@@ -1250,8 +1285,17 @@
                 Record::decode(&bytes).expect("an encoded record can be decoded"),
             );
         }
-        for id in batch.deletes {
-            self.records.remove(&id);
+        for part in batch.parts {
+            let bytes = part.encode().expect("a part can be encoded");
+            let part = RecordPart::decode(&bytes).expect("an encoded part can be decoded");
+            self.parts.insert(part.key, part);
+        }
+        for key in batch.deletes {
+            if key.part > 0 {
+                self.parts.remove(&key);
+            } else {
+                self.records.remove(&key.job);
+            }
         }
         self.inbox.retain(|i| !batch.handled.contains(&i.key));
         if let Some(workers) = batch.workers {
@@ -1444,6 +1488,16 @@
     }
 }
 
+/// Returns the size of the largest value in a commit, in bytes.
+fn largest_value(batch: &Batch) -> usize {
+    let records = batch.puts.iter().map(Record::encode);
+    let parts = batch.parts.iter().map(RecordPart::encode);
+    let sizes = records
+        .chain(parts)
+        .map(|v| v.expect("it can be encoded").len());
+    sizes.max().unwrap_or(0)
+}
+
 /// Returns how long an owner waits for the response to an order, in milliseconds.
 fn response_limit(order: &Order) -> u64 {
     match order {
--- a/marigoldglade/tests/store_client.rs
+++ b/marigoldglade/tests/store_client.rs
@@ -398,7 +398,7 @@
             prop_assert!(effects <= 1, "{name}: {effects} effects");
             match result {
                 Ok(_) => prop_assert_eq!(effects, 1),
-                Err(Fault::NotSent | Fault::Refused) => prop_assert_eq!(effects, 0),
+                Err(Fault::NotSent | Fault::Refused | Fault::Invalid) => prop_assert_eq!(effects, 0),
                 Err(Fault::Unknown) => {}
             }
         }
--- a/marigoldgladed/src/batch/calls.rs
+++ b/marigoldgladed/src/batch/calls.rs
@@ -7,7 +7,7 @@
 use marigoldglade::batch::attempts::AttemptKey;
 use marigoldglade::batch::id::JobId;
 use marigoldglade::batch::messages::{Call, JobStatus, Message, Reply, Submission};
-use marigoldglade::batch::record::{Record, State};
+use marigoldglade::batch::record::{Record, RecordKey, State};
 use marigoldglade::batch::refused::RefusedJobs;
 use marigoldglade::prelude::*;
 use marigoldglade::store::{self, Body, Compare, Fault, Op, Pair, Txn};
@@ -51,6 +51,14 @@
     format!("{JOB_PREFIX}{id}")
 }
 
+/// Returns the key of a value that holds a part of a job's record.
+pub(super) fn record_key(key: RecordKey) -> String {
+    match key.part {
+        0 => job_key(key.job),
+        part => format!("{JOB_PREFIX}{}/{part}", key.job),
+    }
+}
+
 fn submit_key(id: JobId) -> String {
     format!("{SUBMIT_PREFIX}{id}")
 }
@@ -232,7 +240,7 @@
         match direct {
             Ok(reply) => return Outcome::Answered(reply),
             Err(Fault::Unknown) => sure = false,
-            Err(Fault::NotSent | Fault::Refused) => {}
+            Err(Fault::NotSent | Fault::Refused | Fault::Invalid) => {}
         }
         if relay && self.store.is_lost() {
             match self.call_peer(call, deadline).await {
@@ -367,7 +375,7 @@
             State::Done => JobStatus::Done,
             State::Failed => JobStatus::Failed,
             State::Cancelled => JobStatus::Cancelled,
-            State::Open if record.tasks.is_empty() => JobStatus::Queued,
+            State::Open if record.tasks.is_empty() && !record.has_parts => JobStatus::Queued,
             State::Open => JobStatus::Running,
         }))
     }
--- a/marigoldgladed/src/batch/owner.rs
+++ b/marigoldgladed/src/batch/owner.rs
@@ -388,7 +388,7 @@
         ownership.worker_parts.set(workers.len());
         let initial = InitialState {
             term: ownership.term,
-            records: records.iter().filter_map(inputs::read_record).collect(),
+            records: inputs::read_records(&records),
             workers: workers
                 .iter()
                 .flat_map(|p| decode::<Vec<Target>>(p).unwrap_or_default())
--- a/marigoldgladed/src/batch/owner/driver.rs
+++ b/marigoldgladed/src/batch/owner/driver.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
-use crate::batch::calls::{REFUSED_KEY, job_key};
+use crate::batch::calls::{REFUSED_KEY, job_key, record_key};
 use crate::batch::live::{decode, encode};
 use crate::batch::orders::{response_limit_ms, send_order};
 use crate::batch::owner::relays::{RelayLinks, WaitingOrders};
@@ -300,7 +300,15 @@
             }
         }
     }
-    then.extend(batch.deletes.iter().map(|id| Op::Delete(job_key(*id))));
+    for part in &batch.parts {
+        match part.encode() {
+            Ok(value) => then.push(Op::Put(record_key(part.key), value, 0)),
+            Err(e) => {
+                log::error!(job = part.key.job.as_str(), part = part.key.part, error:% = e; "can't encode a part of a job record");
+            }
+        }
+    }
+    then.extend(batch.deletes.iter().map(|key| Op::Delete(record_key(*key))));
     then.extend(batch.handled.iter().map(|key| Op::Delete(key.clone())));
     if let Some(workers) = &batch.workers {
         let parts = worker_list::split(workers);
@@ -340,6 +348,7 @@
             },
             // After an attempt with an unknown outcome, that attempt may still take effect as long as
             // its condition holds.
+            Err(Fault::Invalid) => return CommitOutcome::Invalid,
             Err(Fault::Refused | Fault::NotSent) if !unsure => return CommitOutcome::NotCommitted,
             Err(Fault::Refused | Fault::NotSent) => {}
             Err(Fault::Unknown) => unsure = true,
--- a/marigoldgladed/src/batch/owner/inputs.rs
+++ b/marigoldgladed/src/batch/owner/inputs.rs
@@ -5,7 +5,7 @@
 
 use marigoldglade::batch::engine::{Event, Heartbeat, InboxBody, InboxItem};
 use marigoldglade::batch::id::JobId;
-use marigoldglade::batch::record::Record;
+use marigoldglade::batch::record::{self, Record, RecordPart};
 use marigoldglade::batch::roster::Roster;
 use marigoldglade::batch::worker::Target;
 use marigoldglade::store::{Change, Pair, Revision};
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
-use crate::batch::calls::{CANCEL_PREFIX, INBOX_PREFIX, REFUSED_KEY, SUBMIT_PREFIX};
+use crate::batch::calls::{CANCEL_PREFIX, INBOX_PREFIX, JOB_PREFIX, REFUSED_KEY, SUBMIT_PREFIX};
 use crate::batch::live::decode;
 use crate::batch::owner::Input;
 use crate::batch::{Node, clock};
@@ -232,6 +232,26 @@
     })
 }
 
+/// Decodes the records of all jobs, with what further values hold of them.
+pub(super) fn read_records(pairs: &[Pair]) -> Vec<Record> {
+    let is_part = |p: &&Pair| {
+        p.key
+            .strip_prefix(JOB_PREFIX)
+            .is_some_and(|k| k.contains('/'))
+    };
+    let (parts, heads): (Vec<&Pair>, Vec<&Pair>) = pairs.iter().partition(is_part);
+    let mut records: Vec<Record> = heads.into_iter().filter_map(read_record).collect();
+    let parts = parts.into_iter().filter_map(|pair| {
+        let part = RecordPart::decode(&pair.value);
+        part.inspect_err(
+            |e| log::error!(key = pair.key.as_str(), error:% = e; "can't decode a part of a job record"),
+        )
+        .ok()
+    });
+    record::join(&mut records, parts.collect());
+    records
+}
+
 /// Decodes a job record; one that can't be decoded is logged and left out.
 pub(super) fn read_record(pair: &Pair) -> Option<Record> {
     let record = Record::decode(&pair.value);
--- a/marigoldgladed/src/batch/store.rs
+++ b/marigoldgladed/src/batch/store.rs
@@ -119,6 +119,7 @@
             Err(Fault::NotSent) => "not-sent",
             Err(Fault::Unknown) => "unknown",
             Err(Fault::Refused) => "refused",
+            Err(Fault::Invalid) => "invalid",
         };
         let kind = match call {
             Call::Txn(_) => "txn",
--- a/standin/src/batch_worker.rs
+++ b/standin/src/batch_worker.rs
@@ -111,6 +111,8 @@
     pub hung: bool,
     /// How long its runs take, in percent of an ordinary worker's time.
     pub stretch_percent: u64,
+    /// The least length of the checkpoints that it reports, in bytes.
+    pub checkpoint_bytes: usize,
     /// Whether it refuses starts that don't fit into its capacity.
     pub enforces_capacity: bool,
     /// Events that the test hasn't taken yet.
@@ -156,6 +158,7 @@
             fails_all: false,
             hung: false,
             stretch_percent: 100,
+            checkpoint_bytes: 0,
             enforces_capacity: true,
             events: Vec::new(),
             lapses: Vec::new(),
@@ -201,6 +204,7 @@
         *self = Self {
             lease_limit_ms: self.lease_limit_ms,
             lapse_ms: self.lapse_ms,
+            checkpoint_bytes: self.checkpoint_bytes,
             enforces_capacity: self.enforces_capacity,
             ..Self::new(target, now)
         };
@@ -219,7 +223,8 @@
             let checkpoint = if outcome == Outcome::Done {
                 String::new()
             } else {
-                format!("cp{}", run.run)
+                let width = self.checkpoint_bytes;
+                format!("{:-<width$}", format!("cp{}", run.run))
             };
             self.completions.push(Completion {
                 number: self.last_completion,
