--- a/marigoldglade/tests/batch_silence.rs
+++ b/marigoldglade/tests/batch_silence.rs
@@ -28,7 +28,7 @@
     let began = sim.now;
     sim.late_ms = SILENCE_MS..SILENCE_MS + 1;
     sim.faults.late = 100;
-    sim.submit(1, "sweep", "w0", spec(vec![step(1, 8, 900)]), 6_000);
+    sim.submit(1, "sweep", "w0", spec(vec![step(1, 8, 900)]), 9_500);
     sim.run_for(400);
     sim.faults.late = 0;
     let worker = "worker-0-0".to_owned();
