Name the report that is asked for beside a renewal by what it is

`look` is no term of the field and named a flag, two functions and a limit. A comment on starts that weren't sent told of another case than the one beside it.

--- a/marigoldglade/src/batch/engine/orders.rs
+++ b/marigoldglade/src/batch/engine/orders.rs
@@ -19,7 +19,7 @@
 const START_SEND_LIMIT: u32 = 3;
 /// How long a start that got no response isn't sent again, while a report is asked for that may list its run, in
 /// milliseconds.
-const LOOK_LIMIT_MS: u64 = 250;
+const REPORT_LIMIT_MS: u64 = 250;
 /// How late an order that got no response may be carried out, in milliseconds: the platform delays
 /// such orders by 2 to 12 seconds.
 pub(super) const LATE_ORDER_MS: u64 = 13_000;
@@ -137,7 +137,7 @@
                 }
                 self.handle_refusal(key, &start.task, refusal);
             }
-            // A run that was abandoned meanwhile stays so until reports show that it can't begin.
+            // No other send of the start may be under way, so the run can't begin.
             OrderResponse::Unsent if run.stage == Stage::Starting && run.sends == 1 => {
                 worker.paused_until = now.after(FULL_PAUSE_MS);
                 self.remove_run(key, &start.task, Gone::Unsent);
@@ -149,8 +149,8 @@
                 }
                 let first = run.sends == 1 && !restarted;
                 if first && worker.failed_renewals == 0 {
-                    run.resend_at = now.after(LOOK_LIMIT_MS);
-                    worker.look_due = true;
+                    run.resend_at = now.after(REPORT_LIMIT_MS);
+                    worker.report_due = true;
                 } else if run.sends < START_SEND_LIMIT {
                     run.resend_at = now;
                 } else {
--- a/marigoldglade/src/batch/engine/reports.rs
+++ b/marigoldglade/src/batch/engine/reports.rs
@@ -50,8 +50,8 @@
         let lease_ms = LEASE_MS.min(self.bounds.lease_limit_ms);
         let awaited = self.awaited_workers();
         for key in self.worker_keys() {
-            if std::mem::take(&mut self.worker_mut(key).look_due) {
-                self.send_look(key, out);
+            if std::mem::take(&mut self.worker_mut(key).report_due) {
+                self.request_report(key, out);
             }
             let worker = self.worker(key);
             if worker.renewal_pending || !worker.renewal_after.passed(now) {
@@ -131,8 +131,8 @@
     }
 
     /// Asks a worker for a report, whether or not a renewal is under way.
-    fn send_look(&mut self, key: WorkerKey, out: &mut Vec<Action>) {
-        let look = Renewal {
+    fn request_report(&mut self, key: WorkerKey, out: &mut Vec<Action>) {
+        let request = Renewal {
             expires_at: 0,
             acked: 0,
             wait_ms: 0,
@@ -141,15 +141,15 @@
             is_extra: true,
         };
         let target = Arc::clone(&self.worker(key).target);
-        out.push(Action::Order(key, target, Order::Renew(look)));
+        out.push(Action::Order(key, target, Order::Renew(request)));
     }
 
     /// Processes the response to a request for a report beside a renewal: starts that it doesn't list are sent
     /// again.
-    fn handle_look_response(
+    fn handle_requested_report(
         &mut self,
         key: WorkerKey,
-        look: &Renewal,
+        request: &Renewal,
         response: OrderResponse,
         out: &mut Vec<Action>,
     ) {
@@ -157,10 +157,10 @@
             return;
         };
         let now = self.now;
-        self.worker_mut(key).asked_at = look.sent_at;
+        self.worker_mut(key).asked_at = request.sent_at;
         self.apply_report(key, report, out);
         for run in self.worker_mut(key).runs.values_mut() {
-            if run.stage == Stage::Starting && run.sends == 1 && run.started_at < look.sent_at {
+            if run.stage == Stage::Starting && run.sends == 1 && run.started_at < request.sent_at {
                 run.resend_at = now;
             }
         }
@@ -216,8 +216,8 @@
             worker.expect_late_orders(now, lease_limit_ms);
         }
         match order {
-            Order::Renew(look) if look.is_extra => {
-                self.handle_look_response(key, look, response, out);
+            Order::Renew(request) if request.is_extra => {
+                self.handle_requested_report(key, request, response, out);
             }
             Order::Renew(renewal) => self.handle_renewal_response(key, renewal, response, out),
             Order::Start(start) => self.handle_start_response(key, start, &response),
--- a/marigoldglade/src/batch/engine/workers.rs
+++ b/marigoldglade/src/batch/engine/workers.rs
@@ -98,7 +98,7 @@
     /// Whether a renewal is under way.
     pub renewal_pending: bool,
     /// Whether a report is to be asked for at once, beside a renewal under way.
-    pub look_due: bool,
+    pub report_due: bool,
     /// When the next renewal may be sent.
     pub renewal_after: UnixMs,
     /// When a renewal must be sent to extend the leases, even if completions wait for their commit.
@@ -157,7 +157,7 @@
             unwanted: Vec::new(),
             partial: false,
             renewal_pending: false,
-            look_due: false,
+            report_due: false,
             renewal_after: now,
             renew_at: now,
             failed_renewals: 0,
