--- a/review/standin-3/proxy.rs
+++ b/review/standin-3/proxy.rs
@@ -52,8 +52,12 @@
 
 fn join(near: TcpStream, target: SocketAddr, cut: &Arc<AtomicBool>) {
     let _ = near.set_nonblocking(false);
-    let Ok(far) = TcpStream::connect(target) else { return };
-    let (Ok(near_in), Ok(far_in)) = (near.try_clone(), far.try_clone()) else { return };
+    let Ok(far) = TcpStream::connect(target) else {
+        return;
+    };
+    let (Ok(near_in), Ok(far_in)) = (near.try_clone(), far.try_clone()) else {
+        return;
+    };
     let (there, back) = (Arc::clone(cut), Arc::clone(cut));
     let copier = thread::spawn(move || copy(near_in, far, &there));
     copy(far_in, near, &back);
